--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! admission
--- /dev/null
+++ b/crates/balance/src/lib.rs
@@ -0,0 +1,1 @@
+//! balance
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! platform
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! standin
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
