--- /dev/null
+++ b/crates/standin/src/hosts.rs
@@ -0,0 +1,139 @@
+//! A stand-in for the platform's host list, which lags behind the truth.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    thread,
+    time::{Duration, Instant},
+};
+
+use platform::{Entry, State, wire};
+use tiny_http::Request;
+
+use crate::server::{Server, respond, respond_empty};
+
+/// A running host list; it stops when it is dropped.
+pub struct Hosts {
+    server: Server,
+    state: Arc<Mutex<Listing>>,
+}
+
+/// Faults of the host list; the default is none.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Faults {
+    /// Every request is answered with status 503.
+    pub down: bool,
+    /// Time that every request waits before it is looked at.
+    pub delay: Duration,
+    /// Age of the list that readers get.
+    pub lag: Duration,
+}
+
+#[derive(Debug, Default)]
+struct Listing {
+    faults: Faults,
+    /// All lists so far, oldest first; lists that every lag has passed stay, they are few.
+    history: Vec<(Instant, Vec<Entry>)>,
+    reads: u64,
+}
+
+impl Hosts {
+    /// Starts a host list that is empty.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system if no port can be had.
+    pub fn start() -> io::Result<Self> {
+        let state = Arc::new(Mutex::new(Listing::default()));
+        let shared = Arc::clone(&state);
+        let server = Server::start(move |req| serve(&shared, req))?;
+        Ok(Self { server, state })
+    }
+
+    /// Address at which the list is served.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Changes the faults.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a thread of the list panicked.
+    pub fn update(&self, change: impl FnOnce(&mut Faults)) {
+        change(&mut lock(&self.state).faults);
+    }
+
+    /// Adds a host or changes its state; readers see it after the lag.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a thread of the list panicked.
+    pub fn set(&self, address: SocketAddr, state: State) {
+        self.change(|entries| {
+            entries.retain(|it| it.address != address);
+            entries.push(Entry { address, state });
+        });
+    }
+
+    /// Takes a host off the list; readers see it after the lag.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a thread of the list panicked.
+    pub fn remove(&self, address: SocketAddr) {
+        self.change(|entries| entries.retain(|it| it.address != address));
+    }
+
+    /// Requests that arrived so far.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a thread of the list panicked.
+    #[must_use]
+    pub fn reads(&self) -> u64 {
+        lock(&self.state).reads
+    }
+
+    fn change(&self, change: impl FnOnce(&mut Vec<Entry>)) {
+        let mut listing = lock(&self.state);
+        let mut entries = listing.history.last().map(|(_, it)| it.clone()).unwrap_or_default();
+        change(&mut entries);
+        entries.sort();
+        listing.history.push((Instant::now(), entries));
+    }
+}
+
+impl Listing {
+    fn seen(&self, now: Instant) -> Vec<Entry> {
+        self.history
+            .iter()
+            .rev()
+            .find(|(at, _)| now.duration_since(*at) >= self.faults.lag)
+            .map(|(_, it)| it.clone())
+            .unwrap_or_default()
+    }
+}
+
+fn lock(state: &Mutex<Listing>) -> MutexGuard<'_, Listing> {
+    state.lock().expect("host list state")
+}
+
+fn serve(state: &Mutex<Listing>, req: Request) {
+    let faults = {
+        let mut listing = lock(state);
+        listing.reads += 1;
+        listing.faults.clone()
+    };
+    thread::sleep(faults.delay);
+    if faults.down {
+        return respond_empty(req, 503);
+    }
+    if req.url() != "/hosts" {
+        return respond_empty(req, 404);
+    }
+    let hosts = lock(state).seen(Instant::now());
+    respond(req, 200, &wire::Hosts { hosts });
+}
--- /dev/null
+++ b/crates/standin/src/log/stream.rs
@@ -0,0 +1,68 @@
+//! One stream of the log.
+
+use std::{collections::VecDeque, time::Instant};
+
+use bytes::Bytes;
+use platform::{Offset, wire};
+
+use super::settings::Retention;
+
+/// One stream of the log.
+#[derive(Debug, Default)]
+pub(super) struct Stream {
+    first: Offset,
+    kept: VecDeque<(Instant, Bytes)>,
+}
+
+impl Stream {
+    /// Oldest offset kept.
+    pub(super) fn first(&self) -> Offset {
+        self.first
+    }
+
+    /// Appends a record and drops what the retention no longer covers.
+    pub(super) fn append(&mut self, record: Bytes, keep: Retention, now: Instant) -> Offset {
+        let offset = self.end();
+        self.kept.push_back((now, record));
+        self.expire(keep, now);
+        offset
+    }
+
+    /// Drops what the retention no longer covers.
+    pub(super) fn expire(&mut self, keep: Retention, now: Instant) {
+        while self.kept.len() > keep.count
+            || self.kept.front().is_some_and(|(at, _)| now.duration_since(*at) > keep.age)
+        {
+            self.kept.pop_front();
+            self.first += 1;
+        }
+    }
+
+    /// Drops the records before `first`.
+    pub(super) fn truncate(&mut self, first: Offset) {
+        while self.first < first && self.kept.pop_front().is_some() {
+            self.first += 1;
+        }
+    }
+
+    /// Content of the records kept, oldest first.
+    pub(super) fn records(&self) -> Vec<Bytes> {
+        self.kept.iter().map(|(_, data)| data.clone()).collect()
+    }
+
+    /// At most `limit` records from `from` on, which must not lie before the first kept.
+    pub(super) fn page(&self, from: Offset, limit: usize) -> wire::Page {
+        let skip = usize::try_from(from - self.first).unwrap_or(usize::MAX);
+        let records: Vec<_> = (from..)
+            .zip(self.kept.iter().skip(skip).take(limit))
+            .map(|(offset, (_, data))| platform::Record { offset, data: data.clone() })
+            .map(|it| wire::Record::from(&it))
+            .collect();
+        let next = records.last().map_or(from.min(self.end()), |it| it.offset + 1);
+        wire::Page { first: self.first, next, records }
+    }
+
+    fn end(&self) -> Offset {
+        self.first + self.kept.len() as u64
+    }
+}
