Parse and validate the configuration document

Sections of teams, ranks, services, routes and upstreams; every finding carries its line and section and all are reported together, bounded to 1,000 so that a hostile text can't fill the memory. Document gains its teams; the type alias Team becomes TeamId.

--- /dev/null
+++ b/crates/document/src/item.rs
@@ -0,0 +1,41 @@
+//! What a section describes, once its keys are read.
+
+use std::sync::Arc;
+
+use crate::{Rank, Result, Route, Section, Service, Team, Upstream, keys::Keys, section::Kind};
+
+/// What a section describes.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Item {
+    /// A team that owns sections.
+    Team(Team),
+    /// A rank of work.
+    Rank(Rank),
+    /// A service and its limits.
+    Service(Service),
+    /// A route from requests to a service.
+    Route(Route),
+    /// A backend server of a service.
+    Upstream(Upstream),
+}
+
+impl Item {
+    /// Reads the keys of a section; references to other sections stay unchecked.
+    ///
+    /// # Errors
+    ///
+    /// Every finding in the section.
+    pub fn parse(section: &Section) -> Result<Self> {
+        let mut keys = Keys::new(section);
+        let id = Arc::clone(&section.id.name);
+        let item = match section.id.kind {
+            Kind::Team => Self::Team(Team::read(id, &mut keys)),
+            Kind::Rank => Self::Rank(Rank::read(id, &mut keys)),
+            Kind::Service => Self::Service(Service::read(id, &mut keys)),
+            Kind::Route => Self::Route(Route::read(id, &mut keys)),
+            Kind::Upstream => Self::Upstream(Upstream::read(id, &mut keys)),
+        };
+        let findings = keys.finish();
+        if findings.is_empty() { Ok(item) } else { Err(findings) }
+    }
+}
--- a/crates/document/src/lib.rs
+++ b/crates/document/src/lib.rs
@@ -4,18 +4,32 @@
 //! This crate knows nothing of sockets, files or time. Findings are collected with their line and
 //! section and reported together.
 
+mod check;
 mod document;
 mod finding;
+mod item;
+mod keys;
+mod name;
 mod rank;
+mod report;
 mod route;
+pub mod section;
 mod service;
+mod split;
+mod team;
 mod upstream;
 
 pub use document::Document;
 pub use finding::Finding;
+pub use item::Item;
+pub use name::MAX_NAME_BYTES;
 pub use rank::Rank;
+pub use report::MAX_FINDINGS;
 pub use route::Route;
+pub use section::Section;
 pub use service::Service;
+pub use split::{MAX_DOCUMENT_BYTES, MAX_SECTIONS, split};
+pub use team::Team;
 pub use upstream::Upstream;
 
 /// Name of a service, unique in a document.
@@ -28,7 +42,7 @@
 pub type RouteId = std::sync::Arc<str>;
 /// Name of a failure domain.
 pub type Domain = std::sync::Arc<str>;
-/// Name of a team that owns sections.
-pub type Team = std::sync::Arc<str>;
+/// Name of a team, unique in a document.
+pub type TeamId = std::sync::Arc<str>;
 /// A document, or every finding that speaks against it.
 pub type Result<T, E = Vec<Finding>> = std::result::Result<T, E>;
--- /dev/null
+++ b/crates/document/src/name.rs
@@ -0,0 +1,27 @@
+//! The rule for names of sections, teams and failure domains.
+
+use std::sync::Arc;
+
+/// Longest name, in bytes.
+pub const MAX_NAME_BYTES: usize = 64;
+
+/// The name, if it follows the rule.
+pub(crate) fn check(name: &str) -> Result<Arc<str>, String> {
+    let is_allowed = |it: char| it.is_ascii_alphanumeric() || matches!(it, '-' | '_' | '.');
+    if name.is_empty() || name.len() > MAX_NAME_BYTES || !name.chars().all(is_allowed) {
+        return Err(format!(
+            "`{}` is no name: 1 to {MAX_NAME_BYTES} letters, digits, `-`, `_` or `.`",
+            excerpt(name)
+        ));
+    }
+    Ok(name.into())
+}
+
+/// The start of a value, short enough for a message.
+pub(crate) fn excerpt(value: &str) -> String {
+    let mut short: String = value.chars().take(MAX_NAME_BYTES).collect();
+    if short.len() < value.len() {
+        short.push('…');
+    }
+    short
+}
--- /dev/null
+++ b/crates/document/src/report.rs
@@ -0,0 +1,51 @@
+//! Collects findings and reports them together.
+
+use crate::{Finding, Result};
+
+/// Most findings that one report holds, so that a hostile text can't fill the memory with them.
+pub const MAX_FINDINGS: usize = 1_000;
+
+/// Collects findings up to [`MAX_FINDINGS`].
+#[derive(Debug, Default)]
+pub(crate) struct Report {
+    findings: Vec<Finding>,
+    is_full: bool,
+}
+
+impl Report {
+    pub(crate) fn push(&mut self, finding: Finding) {
+        if self.findings.len() < MAX_FINDINGS {
+            self.findings.push(finding);
+        } else {
+            self.is_full = true;
+        }
+    }
+
+    /// A finding that concerns the whole document.
+    pub(crate) fn push_whole(&mut self, message: String) {
+        self.push(Finding { line: 0, section: String::new(), message });
+    }
+
+    pub(crate) fn extend(&mut self, findings: Vec<Finding>) {
+        for finding in findings {
+            self.push(finding);
+        }
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.findings.is_empty()
+    }
+
+    /// Fails with all findings, ordered by line, if there are any.
+    pub(crate) fn finish(mut self) -> Result<()> {
+        if self.is_empty() {
+            return Ok(());
+        }
+        self.findings.sort_by(|a, b| (a.line, &a.section).cmp(&(b.line, &b.section)));
+        if self.is_full {
+            let message = format!("more than {MAX_FINDINGS} findings; the rest isn't listed");
+            self.findings.push(Finding { line: 0, section: String::new(), message });
+        }
+        Err(self.findings)
+    }
+}
--- a/crates/document/src/route.rs
+++ b/crates/document/src/route.rs
@@ -2,7 +2,16 @@
 
 use std::time::Duration;
 
-use crate::{RankId, RouteId, ServiceId};
+use crate::{RankId, RouteId, ServiceId, keys::Keys};
+
+/// Methods that a route may name.
+const METHODS: [&str; 7] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
+/// Shortest deadline of a route.
+const MIN_DEADLINE: Duration = Duration::from_millis(1);
+/// Longest deadline of a route.
+const MAX_DEADLINE: Duration = Duration::from_mins(10);
+/// Deadline of a route that states none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(2);
 
 /// Sends requests of one method and path prefix to a service.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -25,3 +34,23 @@
     /// Time from acceptance to the answer, after which the request is given up.
     pub deadline: Duration,
 }
+
+impl Route {
+    pub(crate) fn read(id: RouteId, keys: &mut Keys<'_>) -> Self {
+        keys.require(&["path", "service", "rank"]);
+        let method = keys.word("method", &METHODS).unwrap_or("GET").to_owned();
+        let is_safe = matches!(method.as_str(), "GET" | "HEAD" | "OPTIONS");
+        Self {
+            id,
+            path: keys.path("path").unwrap_or_default().to_owned(),
+            service: keys.name("service").unwrap_or_default(),
+            rank: keys.name("rank").unwrap_or_default(),
+            idempotent: keys.flag("idempotent").unwrap_or(is_safe),
+            allow_unkeyed: keys.flag("allow_unkeyed").unwrap_or(false),
+            deadline: keys
+                .duration("deadline", MIN_DEADLINE..=MAX_DEADLINE)
+                .unwrap_or(DEFAULT_DEADLINE),
+            method,
+        }
+    }
+}
--- /dev/null
+++ b/crates/document/src/section/kind.rs
@@ -0,0 +1,54 @@
+//! The kinds of sections.
+
+use std::{fmt, str::FromStr};
+
+/// What a section describes; the order is that of the document's normal form.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Kind {
+    /// A team that owns sections.
+    Team,
+    /// A rank of work.
+    Rank,
+    /// A service and its limits.
+    Service,
+    /// A route from requests to a service.
+    Route,
+    /// A backend server of a service.
+    Upstream,
+}
+
+impl Kind {
+    /// Every kind, in the order of the document's normal form.
+    pub const ALL: [Self; 5] = [Self::Team, Self::Rank, Self::Service, Self::Route, Self::Upstream];
+
+    /// The word that opens the section's header.
+    #[must_use]
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Team => "team",
+            Self::Rank => "rank",
+            Self::Service => "service",
+            Self::Route => "route",
+            Self::Upstream => "upstream",
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.word())
+    }
+}
+
+impl FromStr for Kind {
+    type Err = String;
+
+    fn from_str(word: &str) -> Result<Self, String> {
+        let kind = Self::ALL.into_iter().find(|it| it.word() == word);
+        kind.ok_or_else(|| {
+            format!(
+                "unknown kind of section `{word}`; known are team, rank, service, route, upstream"
+            )
+        })
+    }
+}
--- a/crates/document/src/service.rs
+++ b/crates/document/src/service.rs
@@ -1,6 +1,15 @@
 //! A service and its limits.
 
-use crate::{ServiceId, Team};
+use crate::{ServiceId, TeamId, keys::Keys};
+
+/// Largest probe budget of a service, in probes a second.
+const MAX_PROBES_PER_S: f64 = 10_000.0;
+/// Smallest limit of a body or an answer, in bytes.
+const MIN_LIMIT_BYTES: u64 = 1 << 10;
+/// Largest limit of a body or an answer, in bytes; both are held in memory whole.
+const MAX_LIMIT_BYTES: u64 = 64 << 20;
+/// Largest number of requests that wait on one entry host.
+const MAX_QUEUE: u32 = 65_536;
 
 /// A service: upstreams that answer alike, and the limits that hold for it.
 #[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -8,7 +17,7 @@
     /// Name of the service.
     pub id: ServiceId,
     /// Team that owns the service's sections.
-    pub owner: Team,
+    pub owner: TeamId,
     /// Probes a second that all entry hosts together may send to the service; 0 sends none.
     pub probe_budget_per_s: f64,
     /// Path of the load probe.
@@ -22,3 +31,45 @@
     /// Largest number of requests that wait for a slot on one entry host.
     pub queue_limit: u32,
 }
+
+impl Default for Service {
+    fn default() -> Self {
+        Self {
+            id: "".into(),
+            owner: "".into(),
+            probe_budget_per_s: 0.0,
+            probe_path: "/load".to_owned(),
+            retry_budget_percent: 10,
+            body_limit_bytes: 1 << 20,
+            answer_limit_bytes: 8 << 20,
+            queue_limit: 64,
+        }
+    }
+}
+
+impl Service {
+    pub(crate) fn read(id: ServiceId, keys: &mut Keys<'_>) -> Self {
+        keys.require(&["owner"]);
+        let default = Self::default();
+        Self {
+            id,
+            owner: keys.name("owner").unwrap_or(default.owner),
+            probe_budget_per_s: keys
+                .number("probe_budget_per_s", 0.0..=MAX_PROBES_PER_S, "probes a second")
+                .unwrap_or(default.probe_budget_per_s),
+            probe_path: keys.path("probe_path").map_or(default.probe_path, str::to_owned),
+            retry_budget_percent: keys
+                .number("retry_budget_percent", 0..=100, "percent")
+                .unwrap_or(default.retry_budget_percent),
+            body_limit_bytes: keys
+                .size("body_limit", MIN_LIMIT_BYTES..=MAX_LIMIT_BYTES)
+                .unwrap_or(default.body_limit_bytes),
+            answer_limit_bytes: keys
+                .size("answer_limit", MIN_LIMIT_BYTES..=MAX_LIMIT_BYTES)
+                .unwrap_or(default.answer_limit_bytes),
+            queue_limit: keys
+                .number("queue_limit", 0..=MAX_QUEUE, "requests")
+                .unwrap_or(default.queue_limit),
+        }
+    }
+}
--- /dev/null
+++ b/crates/document/src/split.rs
@@ -0,0 +1,161 @@
+//! Divides a text into sections.
+//!
+//! Comments directly above a header belong to the section that it opens; other comments belong to
+//! the section above them, and to the first section if there is none above.
+
+use std::collections::HashSet;
+
+use ini_core::Item;
+
+use crate::{
+    Finding, Result,
+    name::excerpt,
+    report::Report,
+    section::{Id, Section, numbered},
+};
+
+/// Largest document, in bytes.
+pub const MAX_DOCUMENT_BYTES: usize = 4 << 20;
+/// Most sections of a document.
+pub const MAX_SECTIONS: usize = 20_000;
+
+/// The sections of `text` in its order; keys and references stay unread.
+///
+/// # Errors
+///
+/// Every finding that concerns the shape of the text, and no key of a section.
+pub fn split(text: &str) -> Result<Vec<Section>> {
+    let (sections, report) = split_with(text);
+    report.finish()?;
+    Ok(sections)
+}
+
+/// The sound sections of `text`, and what speaks against the others.
+pub(crate) fn split_with(text: &str) -> (Vec<Section>, Report) {
+    let mut splitter = Splitter::default();
+    if text.len() > MAX_DOCUMENT_BYTES {
+        let message = format!("{} bytes long; at most {MAX_DOCUMENT_BYTES}", text.len());
+        splitter.report.push_whole(message);
+        return splitter.finish();
+    }
+    for (line, item) in numbered(text) {
+        splitter.push(line, item);
+    }
+    splitter.finish()
+}
+
+#[derive(Default)]
+struct Splitter<'a> {
+    sections: Vec<Section>,
+    report: Report,
+    seen: HashSet<Id>,
+    open: Open<'a>,
+    /// Comments that the next header may claim.
+    pending: Vec<&'a str>,
+}
+
+/// The section that is being read.
+#[derive(Default)]
+struct Open<'a> {
+    /// Header as written; none before the first section.
+    header: Option<&'a str>,
+    /// Name, unless the header is bad.
+    id: Option<Id>,
+    /// Line of the first line of `text`.
+    line: u32,
+    text: String,
+}
+
+impl<'a> Splitter<'a> {
+    fn push(&mut self, line: u32, item: Item<'a>) {
+        match item {
+            Item::Section(header) => self.open(line, header, header.parse()),
+            Item::Error(header) => {
+                let message = format!("`{}` lacks its closing `]`", excerpt(header));
+                self.open(line, header, Err(message));
+            }
+            Item::Comment(comment) => self.pending.push(comment),
+            Item::Blank => self.body(""),
+            Item::Property(key, Some(value)) => {
+                if self.open.header.is_none() {
+                    let key = excerpt(key);
+                    self.find(line, format!("key `{key}` stands before the first section"));
+                }
+                self.body(&format!("{key} = {value}"));
+            }
+            Item::Property(key, None) => {
+                let hint = if key.starts_with('#') { "; comments start with `;`" } else { "" };
+                self.find(line, format!("`{}` is no `key = value`{hint}", excerpt(key)));
+                self.body("");
+            }
+            Item::SectionEnd => {}
+        }
+    }
+
+    fn open(&mut self, line: u32, header: &'a str, id: Result<Id, String>) {
+        let comments = std::mem::take(&mut self.pending);
+        let mut text = String::new();
+        if self.open.header.is_none() {
+            text = std::mem::take(&mut self.open.text);
+        }
+        self.close();
+        for comment in &comments {
+            push_comment(&mut text, comment);
+        }
+        let above = u32::try_from(text.lines().count()).unwrap_or(line);
+        self.open = Open { header: Some(header), id: None, line: line - above.min(line), text };
+        match id.and_then(|id| self.admit(id)) {
+            Ok(id) => {
+                self.body(&format!("[{id}]"));
+                self.open.id = Some(id);
+            }
+            Err(message) => self.find(line, message),
+        }
+    }
+
+    /// Refuses a section that stands twice, or one too many.
+    fn admit(&mut self, id: Id) -> Result<Id, String> {
+        if self.sections.len() >= MAX_SECTIONS {
+            return Err(format!("more than {MAX_SECTIONS} sections"));
+        }
+        if !self.seen.insert(id.clone()) {
+            return Err("the section stands twice in the document".to_owned());
+        }
+        Ok(id)
+    }
+
+    /// Adds a line to the open section, after the comments that no header claimed.
+    fn body(&mut self, line: &str) {
+        for comment in std::mem::take(&mut self.pending) {
+            push_comment(&mut self.open.text, comment);
+        }
+        self.open.text.push_str(line);
+        self.open.text.push('\n');
+    }
+
+    fn close(&mut self) {
+        let open = std::mem::take(&mut self.open);
+        let Some(id) = open.id else { return };
+        let text = open.text.trim_start_matches('\n');
+        let blank = u32::try_from(open.text.len() - text.len()).unwrap_or(0);
+        let text = text.trim_end_matches('\n').into();
+        self.sections.push(Section { id, line: open.line + blank, text });
+    }
+
+    fn find(&mut self, line: u32, message: String) {
+        let section = excerpt(self.open.header.unwrap_or_default());
+        self.report.push(Finding { line, section, message });
+    }
+
+    fn finish(mut self) -> (Vec<Section>, Report) {
+        self.body("");
+        self.close();
+        (self.sections, self.report)
+    }
+}
+
+fn push_comment(text: &mut String, comment: &str) {
+    text.push_str("; ");
+    text.push_str(comment);
+    text.push('\n');
+}
--- a/crates/document/src/upstream.rs
+++ b/crates/document/src/upstream.rs
@@ -1,8 +1,13 @@
 //! A backend server of a service.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 
-use crate::{Domain, ServiceId, UpstreamId};
+use crate::{Domain, ServiceId, UpstreamId, keys::Keys};
+
+/// Most requests that an upstream works on at once.
+const MAX_SLOTS: u32 = 4_096;
+/// Most connections to an upstream.
+const MAX_CONNECTIONS: u32 = 65_535;
 
 /// A backend server of a service.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -20,3 +25,20 @@
     /// Connections that it accepts from all entry hosts together.
     pub connections: u32,
 }
+
+impl Upstream {
+    pub(crate) fn read(id: UpstreamId, keys: &mut Keys<'_>) -> Self {
+        keys.require(&["service", "address", "domain", "slots", "connections"]);
+        let nowhere = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
+        Self {
+            id,
+            service: keys.name("service").unwrap_or_default(),
+            address: keys.address("address").unwrap_or(nowhere),
+            domain: keys.name("domain").unwrap_or_default(),
+            slots: keys.number("slots", 1..=MAX_SLOTS, "requests").unwrap_or_default(),
+            connections: keys
+                .number("connections", 1..=MAX_CONNECTIONS, "connections")
+                .unwrap_or_default(),
+        }
+    }
+}
