Add admission by rank, retry budgets and shrinking deadlines

A gate gives out a service's slots: ranks below their floor first, then by order; callers of a rank by start-time fair queueing; what can't be answered in time is refused at once. Random sequences of calls found a dispatch at the very deadline when the expected time is zero; the queue now expires a request at its latest start, not after it.

--- /dev/null
+++ b/crates/admission/src/estimate.rs
@@ -0,0 +1,27 @@
+//! A smoothed mean of durations.
+
+use std::time::Duration;
+
+/// Weight of a new sample is one in this many.
+const SMOOTHING: f64 = 16.0;
+
+/// An exponentially weighted mean.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Estimate {
+    seconds: Option<f64>,
+}
+
+impl Estimate {
+    pub(crate) fn record(&mut self, sample: Duration) {
+        let sample = sample.as_secs_f64();
+        self.seconds = Some(match self.seconds {
+            Some(mean) => mean + (sample - mean) / SMOOTHING,
+            None => sample,
+        });
+    }
+
+    /// The mean in seconds, or `prior` before the first sample.
+    pub(crate) fn seconds_or(self, prior: Duration) -> f64 {
+        self.seconds.unwrap_or(prior.as_secs_f64())
+    }
+}
--- /dev/null
+++ b/crates/admission/src/gate.rs
@@ -0,0 +1,336 @@
+//! Decides which request may hold one of a service's slots.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    Displacement, Event, Rank, Reason, Refusal, Request, RequestId, Settings, Snapshot, Verdict,
+    lane::Lane, queue::Entry,
+};
+
+/// Index of a lane; lanes are never moved.
+type LaneIndex = usize;
+
+/// Share of a slot below which a rank's service rate counts as none.
+const MIN_SHARE: f64 = 1e-6;
+
+/// Decides which request may hold one of a service's slots on one entry host.
+///
+/// Invariants: never more requests hold a slot than the capacity allowed when the last of them was
+/// admitted; a request that waited past its latest start is never admitted; each request that was
+/// offered ends exactly once, by a refusal, an event, a cancellation or a release.
+#[derive(Debug)]
+pub struct Gate {
+    settings: Settings,
+    capacity: u32,
+    in_flight: u32,
+    queued: usize,
+    lanes: Vec<Lane>,
+    /// Lanes, first served first.
+    order: Vec<LaneIndex>,
+    /// Requests that hold a slot.
+    holders: HashMap<RequestId, LaneIndex>,
+}
+
+impl Gate {
+    /// A gate that gives out `capacity` slots.
+    #[must_use]
+    pub fn new(now: Instant, settings: Settings, ranks: &[Rank], capacity: u32) -> Self {
+        let mut gate = Self {
+            settings,
+            capacity,
+            in_flight: 0,
+            queued: 0,
+            lanes: Vec::new(),
+            order: Vec::new(),
+            holders: HashMap::new(),
+        };
+        gate.define_lanes(now, ranks);
+        gate
+    }
+
+    /// Changes the number of slots; those in use stay in use.
+    pub fn set_capacity(&mut self, now: Instant, capacity: u32) -> Vec<Event> {
+        self.advance(now);
+        self.capacity = capacity;
+        self.lanes.iter_mut().for_each(|it| it.set_capacity(capacity));
+        self.dispatch(now)
+    }
+
+    /// Changes the ranks. Requests of a rank that is gone are served last and take no new company.
+    pub fn set_ranks(&mut self, now: Instant, ranks: &[Rank]) -> Vec<Event> {
+        self.advance(now);
+        self.define_lanes(now, ranks);
+        self.dispatch(now)
+    }
+
+    /// Changes the settings.
+    pub fn set_settings(&mut self, settings: Settings) {
+        self.settings = settings;
+    }
+
+    /// Asks for a slot.
+    pub fn offer(&mut self, now: Instant, request: Request) -> Verdict {
+        let Some(index) = self.lane_index(&request.rank) else {
+            return self.refuse(Reason::UnknownRank, self.settings.max_retry_after);
+        };
+        if self.is_known(request.id) {
+            return self.refuse(Reason::DuplicateId, self.settings.max_retry_after);
+        }
+        self.advance(now);
+        if now >= request.deadline {
+            return self.refuse_late(index, Duration::ZERO);
+        }
+        if self.has_slot_for(index, request.expected) {
+            self.occupy(index, request.id);
+            return Verdict::Admitted;
+        }
+        self.enqueue(now, index, request)
+    }
+
+    /// Gives back the slot of `id`; `served` is the time that a backend server took for a whole
+    /// answer, `None` if the attempt says nothing about that.
+    pub fn release(&mut self, now: Instant, id: RequestId, served: Option<Duration>) -> Vec<Event> {
+        self.advance(now);
+        if let Some(index) = self.holders.remove(&id) {
+            self.in_flight -= 1;
+            let lane = &mut self.lanes[index];
+            lane.in_flight -= 1;
+            if let Some(sample) = served {
+                lane.service.record(sample);
+            }
+        }
+        self.dispatch(now)
+    }
+
+    /// Takes back a request, whether it waits or holds a slot.
+    pub fn cancel(&mut self, now: Instant, id: RequestId) -> Vec<Event> {
+        if self.holders.contains_key(&id) {
+            return self.release(now, id, None);
+        }
+        self.advance(now);
+        for lane in &mut self.lanes {
+            if lane.queue.remove(id).is_some() {
+                lane.counts.cancelled += 1;
+                self.queued -= 1;
+            }
+        }
+        self.dispatch(now)
+    }
+
+    /// Drops what can't be answered in time any more and fills free slots.
+    pub fn tick(&mut self, now: Instant) -> Vec<Event> {
+        self.advance(now);
+        self.dispatch(now)
+    }
+
+    /// The state, for status pages and metrics.
+    #[must_use]
+    pub fn snapshot(&self) -> Snapshot {
+        let lanes = self.order.iter().map(|it| self.lanes[*it].snapshot()).collect();
+        Snapshot { capacity: self.capacity, lanes }
+    }
+
+    fn define_lanes(&mut self, now: Instant, ranks: &[Rank]) {
+        for lane in &mut self.lanes {
+            lane.redefine(ranks.iter().find(|it| it.id == lane.rank));
+        }
+        for rank in ranks {
+            if !self.lanes.iter().any(|it| it.rank == rank.id) {
+                self.lanes.push(Lane::new(now, rank, self.capacity));
+            }
+        }
+        self.lanes.iter_mut().for_each(|it| it.set_capacity(self.capacity));
+        self.order = (0..self.lanes.len()).collect();
+        self.order.sort_by_key(|it| self.lanes[*it].order);
+    }
+
+    fn lane_index(&self, rank: &str) -> Option<LaneIndex> {
+        self.lanes.iter().position(|it| it.is_current && &*it.rank == rank)
+    }
+
+    fn is_known(&self, id: RequestId) -> bool {
+        let is_queued = || self.lanes.iter().any(|it| it.queue.contains(id));
+        self.holders.contains_key(&id) || (self.queued > 0 && is_queued())
+    }
+
+    fn advance(&mut self, now: Instant) {
+        let backlogged = self.lanes.iter().filter(|it| !it.queue.is_empty()).count();
+        for lane in &mut self.lanes {
+            let own = usize::from(!lane.queue.is_empty());
+            lane.advance(now, backlogged > own);
+        }
+    }
+
+    fn free_slots(&self) -> u32 {
+        self.capacity.saturating_sub(self.in_flight)
+    }
+
+    /// Whether a new request may have a free slot without taking one that a waiting request of
+    /// another lane has by its floor.
+    fn has_slot_for(&self, index: LaneIndex, expected: Duration) -> bool {
+        let free = self.free_slots();
+        if free == 0 {
+            return false;
+        }
+        if self.queued > 0 {
+            let others = self.lanes.iter().enumerate().filter(|(it, _)| *it != index);
+            let owed = others.filter(|(_, it)| !it.queue.is_empty() && it.is_below_floor()).count();
+            if free as usize <= owed {
+                return false;
+            }
+        }
+        self.lanes[index].is_below_floor() || self.may_borrow(index, expected)
+    }
+
+    /// Whether a lane may have a free slot beyond its floor: long work leaves more urgent ranks
+    /// some of their unused floor, since it would hold the slot past their deadlines.
+    fn may_borrow(&self, index: LaneIndex, expected: Duration) -> bool {
+        let lane = &self.lanes[index];
+        let limit = self.settings.long_work;
+        if expected <= limit && lane.service_seconds(expected) <= limit.as_secs_f64() {
+            return true;
+        }
+        let most = f64::from(self.capacity) * f64::from(self.settings.headroom_percent) / 100.0;
+        let headroom: f64 = self
+            .lanes
+            .iter()
+            .filter(|it| it.order < lane.order)
+            .map(|it| (it.floor() - f64::from(it.in_flight)).max(0.0))
+            .sum();
+        f64::from(self.free_slots()) >= headroom.min(most).floor() + 1.0
+    }
+
+    fn occupy(&mut self, index: LaneIndex, id: RequestId) {
+        self.in_flight += 1;
+        self.holders.insert(id, index);
+        let lane = &mut self.lanes[index];
+        lane.in_flight += 1;
+        lane.counts.admitted += 1;
+    }
+
+    fn enqueue(&mut self, now: Instant, index: LaneIndex, request: Request) -> Verdict {
+        let Some(latest_start) = request.latest_start().filter(|it| *it > now) else {
+            return self.refuse_late(index, request.expected);
+        };
+        let queue = &self.lanes[index].queue;
+        let wait = self.wait_for(index, queue.position(&request.caller), request.expected);
+        let slack = latest_start.saturating_duration_since(now);
+        if wait > slack {
+            return self.refuse_late(index, wait.saturating_sub(slack));
+        }
+        let displaced = self.displace(now, index, &request);
+        if displaced.is_none() && self.lanes[index].queue.len() >= self.settings.queue_limit {
+            self.lanes[index].counts.refused_full += 1;
+            return self.refuse(Reason::QueueFull, wait);
+        }
+        let Request { id, caller, expected, .. } = request;
+        self.lanes[index].queue.push(Entry { id, caller, expected, since: now, latest_start });
+        self.queued += 1;
+        Verdict::Queued { displaced }
+    }
+
+    /// Drops a request of the caller that has most waiting, if the queue is full or that request
+    /// can't be answered in time behind all others.
+    fn displace(
+        &mut self,
+        now: Instant,
+        index: LaneIndex,
+        request: &Request,
+    ) -> Option<Displacement> {
+        let lane = &self.lanes[index];
+        let victim = lane.queue.excess_of_other(&request.caller, self.settings.discipline)?;
+        let id = victim.id;
+        let wait = self.wait_for(index, lane.queue.len(), victim.expected);
+        let slack = victim.latest_start.saturating_duration_since(now);
+        if lane.queue.len() < self.settings.queue_limit && wait <= slack {
+            return None;
+        }
+        let lane = &mut self.lanes[index];
+        lane.queue.remove(id);
+        lane.counts.displaced += 1;
+        self.queued -= 1;
+        Some(Displacement { id, retry_after: self.advice(wait.saturating_sub(slack)) })
+    }
+
+    /// Time until `ahead` requests of a lane and one more have been given a slot.
+    fn wait_for(&self, index: LaneIndex, ahead: usize, expected: Duration) -> Duration {
+        let share = self.expected_share(index);
+        if share < MIN_SHARE {
+            return Duration::MAX;
+        }
+        let service = self.lanes[index].service_seconds(expected);
+        let turns = f64::from(u32::try_from(ahead).unwrap_or(u32::MAX)) + 1.0;
+        Duration::try_from_secs_f64(turns * service / share).unwrap_or(Duration::MAX)
+    }
+
+    /// Slots that a backlogged lane can count on: its floor, or what more urgent lanes leave of
+    /// the capacity beyond the floors that less urgent ones claim.
+    fn expected_share(&self, index: LaneIndex) -> f64 {
+        let lane = &self.lanes[index];
+        let mut left = f64::from(self.capacity);
+        for (other_index, other) in self.lanes.iter().enumerate() {
+            if other_index == index {
+                continue;
+            }
+            left -= if other.order <= lane.order { other.usage() } else { other.claimed_floor() };
+        }
+        left.max(lane.floor()).min(f64::from(self.capacity))
+    }
+
+    fn refuse_late(&mut self, index: LaneIndex, excess: Duration) -> Verdict {
+        self.lanes[index].counts.refused_deadline += 1;
+        self.refuse(Reason::Deadline, excess)
+    }
+
+    fn refuse(&self, reason: Reason, retry_after: Duration) -> Verdict {
+        Verdict::Refused(Refusal { reason, retry_after: self.advice(retry_after) })
+    }
+
+    fn advice(&self, excess: Duration) -> Duration {
+        excess.max(self.settings.min_retry_after).min(self.settings.max_retry_after)
+    }
+
+    /// Drops expired requests, then fills free slots.
+    fn dispatch(&mut self, now: Instant) -> Vec<Event> {
+        if self.queued == 0 {
+            return Vec::new();
+        }
+        let mut events = Vec::new();
+        for lane in &mut self.lanes {
+            while let Some(entry) = lane.queue.pop_expired(now) {
+                lane.counts.expired += 1;
+                self.queued -= 1;
+                events.push(Event::Expire(entry.id));
+            }
+        }
+        while let Some(index) = self.next_lane(now) {
+            let Some(entry) = self.lanes[index].queue.pop(self.settings.discipline, now) else {
+                break;
+            };
+            self.queued -= 1;
+            self.occupy(index, entry.id);
+            events.push(Event::Admit(entry.id));
+        }
+        events
+    }
+
+    /// The lane that gets the next free slot: the first below its floor, else the first that may
+    /// borrow.
+    fn next_lane(&self, now: Instant) -> Option<LaneIndex> {
+        if self.queued == 0 || self.free_slots() == 0 {
+            return None;
+        }
+        let backlogged = || self.order.iter().filter(|it| !self.lanes[**it].queue.is_empty());
+        let may_borrow = |index: LaneIndex| {
+            let next = self.lanes[index].queue.peek(self.settings.discipline, now);
+            next.is_some_and(|it| self.may_borrow(index, it.expected))
+        };
+        backlogged()
+            .find(|it| self.lanes[**it].is_below_floor())
+            .or_else(|| backlogged().find(|it| may_borrow(**it)))
+            .copied()
+    }
+}
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,1 +1,36 @@
-//! admission
+//! Admission by rank for one service on one entry host, retry budgets and shrinking deadlines.
+//!
+//! A [`Gate`] decides which request may hold one of the service's slots: urgent work first, yet
+//! each rank keeps a guaranteed share; callers of a rank are served fairly; a request that can't
+//! be answered before its deadline is refused at once. The crate knows nothing of sockets, threads
+//! or clocks: every call takes the time, and the same calls give the same answers.
+
+mod budget;
+mod deadline;
+mod estimate;
+mod event;
+mod gate;
+mod lane;
+mod queue;
+mod rank;
+mod request;
+mod settings;
+mod snapshot;
+mod verdict;
+
+pub use budget::Budget;
+pub use deadline::Deadline;
+pub use event::Event;
+pub use gate::Gate;
+pub use rank::Rank;
+pub use request::Request;
+pub use settings::{Discipline, Settings};
+pub use snapshot::{Counts, Lane, Snapshot};
+pub use verdict::{Displacement, Reason, Refusal, Verdict};
+
+/// Id of a request, unique among the requests that a gate holds.
+pub type RequestId = u64;
+/// Name of a rank.
+pub type RankId = std::sync::Arc<str>;
+/// Name of a caller.
+pub type Caller = std::sync::Arc<str>;
--- /dev/null
+++ b/crates/admission/src/queue.rs
@@ -0,0 +1,169 @@
+//! Waiting requests of one rank, served fairly between callers.
+//!
+//! Start-time fair queueing: each caller carries a virtual start time that grows by the expected
+//! service time of what it is given, and the caller with the smallest one goes next. A caller is
+//! tracked only while it has waiting requests, so the queue limit bounds the number of callers.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    time::{Duration, Instant},
+};
+
+use crate::{Caller, Discipline, RequestId};
+
+/// Place of a request in the order of arrival.
+type Sequence = u64;
+
+/// A waiting request.
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    pub(crate) id: RequestId,
+    pub(crate) caller: Caller,
+    pub(crate) expected: Duration,
+    pub(crate) since: Instant,
+    pub(crate) latest_start: Instant,
+}
+
+impl Entry {
+    /// Whether the entry has used up half of the time that it can wait.
+    fn is_overdue(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.since) * 2 > self.latest_start - self.since
+    }
+}
+
+/// The waiting requests of one caller.
+#[derive(Debug)]
+struct Backlog {
+    start_tag: Duration,
+    entries: BTreeMap<Sequence, Entry>,
+}
+
+impl Backlog {
+    fn next(&self, discipline: Discipline, now: Instant) -> Option<(Sequence, &Entry)> {
+        let (oldest, entry) = self.entries.first_key_value()?;
+        let newest_first = discipline == Discipline::NewestUnderOverload && entry.is_overdue(now);
+        if newest_first {
+            return self.entries.last_key_value().map(|(sequence, it)| (*sequence, it));
+        }
+        Some((*oldest, entry))
+    }
+
+    /// The entry that would be served last.
+    fn last(&self, discipline: Discipline) -> Option<&Entry> {
+        match discipline {
+            Discipline::OldestFirst => self.entries.values().next_back(),
+            Discipline::NewestUnderOverload => self.entries.values().next(),
+        }
+    }
+}
+
+/// Waiting requests of one rank; every operation is logarithmic in their number.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    backlogs: HashMap<Caller, Backlog>,
+    by_start_tag: BTreeSet<(Duration, Caller)>,
+    by_length: BTreeSet<(usize, Caller)>,
+    by_latest_start: BTreeSet<(Instant, RequestId)>,
+    places: HashMap<RequestId, (Caller, Sequence)>,
+    virtual_time: Duration,
+    next_sequence: Sequence,
+}
+
+impl Queue {
+    pub(crate) fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    pub(crate) fn contains(&self, id: RequestId) -> bool {
+        self.places.contains_key(&id)
+    }
+
+    /// Number of requests that would be served before a new one of `caller`, about.
+    pub(crate) fn position(&self, caller: &Caller) -> usize {
+        let callers = self.backlogs.len();
+        self.len().min((self.len_of(caller) + 1) * callers)
+    }
+
+    pub(crate) fn len_of(&self, caller: &Caller) -> usize {
+        self.backlogs.get(caller).map_or(0, |it| it.entries.len())
+    }
+
+    pub(crate) fn push(&mut self, entry: Entry) {
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        let caller = entry.caller.clone();
+        self.places.insert(entry.id, (caller.clone(), sequence));
+        self.by_latest_start.insert((entry.latest_start, entry.id));
+        let start_tag = self.virtual_time;
+        let backlog = self.backlogs.entry(caller.clone()).or_insert_with(|| {
+            self.by_start_tag.insert((start_tag, caller.clone()));
+            Backlog { start_tag, entries: BTreeMap::new() }
+        });
+        let len = backlog.entries.len();
+        backlog.entries.insert(sequence, entry);
+        self.by_length.remove(&(len, caller.clone()));
+        self.by_length.insert((len + 1, caller));
+    }
+
+    /// The request that [`pop`](Self::pop) would take.
+    pub(crate) fn peek(&self, discipline: Discipline, now: Instant) -> Option<&Entry> {
+        let (_, caller) = self.by_start_tag.first()?;
+        self.backlogs[caller].next(discipline, now).map(|(_, it)| it)
+    }
+
+    /// Takes the next request and charges its caller.
+    pub(crate) fn pop(&mut self, discipline: Discipline, now: Instant) -> Option<Entry> {
+        let (start_tag, caller) = self.by_start_tag.pop_first()?;
+        let backlog = self.backlogs.get_mut(&caller)?;
+        let (_, next) = backlog.next(discipline, now)?;
+        let (id, expected) = (next.id, next.expected);
+        self.virtual_time = start_tag;
+        backlog.start_tag = start_tag + expected;
+        self.by_start_tag.insert((backlog.start_tag, caller));
+        self.remove(id)
+    }
+
+    /// Takes out one request wherever it stands.
+    pub(crate) fn remove(&mut self, id: RequestId) -> Option<Entry> {
+        let (caller, sequence) = self.places.remove(&id)?;
+        let backlog = self.backlogs.get_mut(&caller)?;
+        let len = backlog.entries.len();
+        let entry = backlog.entries.remove(&sequence)?;
+        self.by_latest_start.remove(&(entry.latest_start, id));
+        self.by_length.remove(&(len, caller.clone()));
+        if len > 1 {
+            self.by_length.insert((len - 1, caller));
+            return Some(entry);
+        }
+        self.by_start_tag.remove(&(backlog.start_tag, caller.clone()));
+        self.backlogs.remove(&caller);
+        Some(entry)
+    }
+
+    /// Takes out a request that can't be answered in time any more.
+    pub(crate) fn pop_expired(&mut self, now: Instant) -> Option<Entry> {
+        let (latest_start, id) = *self.by_latest_start.first()?;
+        if latest_start > now {
+            return None;
+        }
+        self.remove(id)
+    }
+
+    /// The request that the caller with the longest backlog would be served last, if that backlog
+    /// is longer than `caller`'s would be with one more.
+    pub(crate) fn excess_of_other(
+        &self,
+        caller: &Caller,
+        discipline: Discipline,
+    ) -> Option<&Entry> {
+        let (len, longest) = self.by_length.last()?;
+        if longest == caller || *len <= self.len_of(caller) + 1 {
+            return None;
+        }
+        self.backlogs[longest].last(discipline)
+    }
+}
--- /dev/null
+++ b/crates/admission/tests/gate_invariants.rs
@@ -0,0 +1,197 @@
+//! Invariants of a gate under any sequence of calls.
+
+use std::{
+    collections::BTreeMap,
+    env,
+    time::{Duration, Instant},
+};
+
+use admission::{Discipline, Event, Gate, Rank, Request, RequestId, Settings, Verdict};
+use quickcheck::{Arbitrary, Gen};
+
+const CASES: u64 = 300;
+const CAPACITY: u32 = 6;
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Offer { rank: u8, caller: u8, deadline_ms: u8, expected_ms: u8 },
+    Release(u8),
+    Cancel(u8),
+    Wait(u8),
+    Capacity(u8),
+    Ranks(bool),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 12 {
+            0..=5 => Self::Offer {
+                rank: u8::arbitrary(g) % 3,
+                caller: u8::arbitrary(g) % 4,
+                deadline_ms: u8::arbitrary(g),
+                expected_ms: u8::arbitrary(g) % 30,
+            },
+            6 | 7 => Self::Release(u8::arbitrary(g)),
+            8 => Self::Cancel(u8::arbitrary(g)),
+            9 => Self::Wait(u8::arbitrary(g) % 40),
+            10 => Self::Capacity(u8::arbitrary(g) % 10),
+            _ => Self::Ranks(bool::arbitrary(g)),
+        }
+    }
+}
+
+fn ranks(with_last: bool) -> Vec<Rank> {
+    let all = [("urgent", 0, 40), ("standard", 1, 25), ("bulk", 2, 15)];
+    let count = if with_last { 3 } else { 2 };
+    let rank = |(id, order, floor_percent): &(&str, u8, u8)| Rank {
+        id: (*id).into(),
+        order: *order,
+        floor_percent: *floor_percent,
+    };
+    all.iter().take(count).map(rank).collect()
+}
+
+/// What the gate was told and said, kept apart from it.
+struct Ledger {
+    now: Instant,
+    gate: Gate,
+    capacity: u32,
+    waiting: BTreeMap<RequestId, Instant>,
+    running: Vec<RequestId>,
+    offered: u64,
+    ended: u64,
+}
+
+impl Ledger {
+    fn new(discipline: Discipline) -> Self {
+        let now = Instant::now();
+        let settings = Settings { discipline, queue_limit: 12, ..Settings::default() };
+        Self {
+            now,
+            gate: Gate::new(now, settings, &ranks(true), CAPACITY),
+            capacity: CAPACITY,
+            waiting: BTreeMap::new(),
+            running: Vec::new(),
+            offered: 0,
+            ended: 0,
+        }
+    }
+
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Offer { rank, caller, deadline_ms, expected_ms } => {
+                self.offer(rank, caller, deadline_ms, expected_ms);
+            }
+            Step::Release(pick) if !self.running.is_empty() => {
+                let id = self.running.swap_remove(usize::from(pick) % self.running.len());
+                self.ended += 1;
+                let served = Some(Duration::from_millis(u64::from(pick)));
+                let events = self.gate.release(self.now, id, served);
+                self.note(&events);
+            }
+            Step::Cancel(pick) if !self.waiting.is_empty() => {
+                let nth = usize::from(pick) % self.waiting.len();
+                let id = *self.waiting.keys().nth(nth).expect("a waiting request");
+                self.waiting.remove(&id);
+                self.ended += 1;
+                let events = self.gate.cancel(self.now, id);
+                self.note(&events);
+            }
+            Step::Release(_) | Step::Cancel(_) => {}
+            Step::Wait(ms) => {
+                self.now += Duration::from_millis(u64::from(ms));
+                let events = self.gate.tick(self.now);
+                self.note(&events);
+            }
+            Step::Capacity(slots) => {
+                self.capacity = u32::from(slots);
+                let events = self.gate.set_capacity(self.now, self.capacity);
+                self.note(&events);
+            }
+            Step::Ranks(with_last) => {
+                let events = self.gate.set_ranks(self.now, &ranks(with_last));
+                self.note(&events);
+            }
+        }
+    }
+
+    fn offer(&mut self, rank: u8, caller: u8, deadline_ms: u8, expected_ms: u8) {
+        let id = self.offered;
+        self.offered += 1;
+        let expected = Duration::from_millis(u64::from(expected_ms));
+        let deadline = self.now + Duration::from_millis(u64::from(deadline_ms));
+        let rank = ["urgent", "standard", "bulk"][usize::from(rank)].into();
+        let caller = caller.to_string().into();
+        let request = Request { id, rank, caller, deadline, expected };
+        match self.gate.offer(self.now, request) {
+            Verdict::Admitted => self.run(id, deadline),
+            Verdict::Queued { displaced } => {
+                self.waiting.insert(id, deadline);
+                if let Some(it) = displaced {
+                    self.waiting.remove(&it.id).expect("a displaced request was waiting");
+                    self.ended += 1;
+                }
+            }
+            Verdict::Refused(refusal) => {
+                assert!(!refusal.retry_after.is_zero());
+                self.ended += 1;
+            }
+        }
+    }
+
+    fn note(&mut self, events: &[Event]) {
+        for event in events {
+            match *event {
+                Event::Admit(id) => {
+                    let deadline = self.waiting.remove(&id).expect("admitted once, from the queue");
+                    self.run(id, deadline);
+                }
+                Event::Expire(id) => {
+                    self.waiting.remove(&id).expect("expired once, from the queue");
+                    self.ended += 1;
+                }
+            }
+        }
+    }
+
+    fn run(&mut self, id: RequestId, deadline: Instant) {
+        assert!(self.now < deadline, "dispatched after the deadline");
+        self.running.push(id);
+        assert!(self.running.len() <= self.capacity as usize, "above capacity");
+    }
+
+    fn agree(&self) {
+        let lanes = self.gate.snapshot().lanes;
+        let queued: usize = lanes.iter().map(|it| it.queued).sum();
+        let in_flight: u32 = lanes.iter().map(|it| it.in_flight).sum();
+        assert_eq!(queued, self.waiting.len());
+        assert_eq!(in_flight as usize, self.running.len());
+        assert_eq!(self.offered, self.ended + (queued + self.running.len()) as u64);
+    }
+}
+
+fn check(discipline: Discipline) {
+    let first = env::var("SEED").ok().and_then(|it| it.parse().ok()).unwrap_or(1);
+    for seed in first..first + CASES {
+        let mut source = Gen::from_size_and_seed(200, seed);
+        let mut ledger = Ledger::new(discipline);
+        for step in Vec::<Step>::arbitrary(&mut source) {
+            ledger.take(step);
+            ledger.agree();
+        }
+        // Whatever waits ends by itself, with no slot ever coming free.
+        ledger.take(Step::Wait(u8::MAX));
+        ledger.take(Step::Wait(u8::MAX));
+        assert!(ledger.waiting.is_empty(), "seed {seed}: a request waits for ever");
+    }
+}
+
+#[test]
+fn oldest_first_keeps_them() {
+    check(Discipline::OldestFirst);
+}
+
+#[test]
+fn newest_first_keeps_them() {
+    check(Discipline::NewestUnderOverload);
+}
