--- /dev/null
+++ b/crates/balance/src/limit.rs
@@ -0,0 +1,72 @@
+//! The limit of own requests in flight to an upstream.
+
+use crate::Report;
+
+/// Share of the limit that remains after an upstream reported a queue.
+const QUEUE_BACKOFF: f64 = 0.8;
+/// Share of the limit that remains after an upstream shed a request.
+const OVERLOAD_BACKOFF: f64 = 0.5;
+/// Growth of the limit for an answer with room to spare.
+const GROWTH: f64 = 0.5;
+/// Multiple of the usual service time from which an answer without a report speaks of overload.
+const SLOW_ANSWER: f64 = 3.0;
+
+/// Limit of own requests in flight, which grows additively and shrinks multiplicatively.
+///
+/// Each entry host probes for room by itself: where upstreams report a queue, all hosts shrink
+/// towards an even share; a lone host grows to all the slots.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Limit {
+    value: f64,
+    slots: f64,
+}
+
+impl Limit {
+    /// A limit that starts at an even share of `slots` among `hosts`, and at least at 1.
+    pub(crate) fn new(slots: u32, hosts: u32) -> Self {
+        let slots = f64::from(slots.max(1));
+        Self { value: (slots / f64::from(hosts.max(1))).max(1.0), slots }
+    }
+
+    /// Changes the slots and keeps what was learnt.
+    pub(crate) fn set_slots(&mut self, slots: u32) {
+        self.slots = f64::from(slots.max(1));
+        self.value = self.value.min(self.slots);
+    }
+
+    /// Own requests that may be in flight at once; at least 1.
+    pub(crate) fn value(&self) -> f64 {
+        self.value
+    }
+
+    /// Takes in a report that came with an answer.
+    pub(crate) fn reported(&mut self, report: Report) {
+        if report.queued > 0 {
+            self.scale(QUEUE_BACKOFF);
+        } else if f64::from(report.occupied) < self.slots {
+            self.grow();
+        }
+    }
+
+    /// Takes in an answer without a report, of `slowness` times the usual service time.
+    pub(crate) fn answered(&mut self, slowness: f64) {
+        if slowness > SLOW_ANSWER {
+            self.scale(QUEUE_BACKOFF);
+        } else {
+            self.grow();
+        }
+    }
+
+    /// Takes in that the upstream shed a request.
+    pub(crate) fn overloaded(&mut self) {
+        self.scale(OVERLOAD_BACKOFF);
+    }
+
+    fn grow(&mut self) {
+        self.value = (self.value + GROWTH).min(self.slots);
+    }
+
+    fn scale(&mut self, share: f64) {
+        self.value = (self.value * share).max(1.0);
+    }
+}
