Add the daemon: listener, routing table, admission, attempts and whole answers

Requests are answered from whole bodies only; each ends in one of done, not-run and unknown. HTTP towards callers and backend servers goes through hyper, the library that jsonrpsee already brings. A trial of tiny_http 0.12 as the callers' listener: a 200 MiB header line raised the process from 2 MiB to 208 MiB, and once descriptors ran out its accept loop ended and connections were refused from then on. It stays on the admin listener, which callers do not reach.

--- /dev/null
+++ b/crates/daemon/src/admin.rs
@@ -0,0 +1,102 @@
+//! The side of the daemon that operators see: `/metrics`, `/status`, `/explain`.
+
+use std::{
+    io::Cursor,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use serde::Serialize;
+use tiny_http::{Header, Method, Request, Response, Server};
+
+use crate::state::State;
+
+/// Time after which a stopped listener notices that it should end.
+const POLL: Duration = Duration::from_millis(100);
+/// Decisions listed by `/explain` without an id.
+const LAST_DECISIONS: usize = 50;
+
+/// Why the listener could not start.
+#[derive(Debug, thiserror::Error)]
+#[error("admin listener on {address}: {reason}")]
+pub struct Error {
+    address: SocketAddr,
+    reason: String,
+}
+
+/// A listener, or why it could not start.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+type Answer = Response<Cursor<Vec<u8>>>;
+
+/// Starts the listener in a thread of its own and returns its address.
+///
+/// # Errors
+///
+/// Fails if the address can't be used.
+pub fn start(state: Arc<State>, stop: Arc<AtomicBool>) -> Result<SocketAddr> {
+    let address = state.settings.admin_address;
+    let server = Server::http(address).map_err(|e| Error { address, reason: e.to_string() })?;
+    let bound = server.server_addr().to_ip().unwrap_or(address);
+    thread::spawn(move || serve(&state, &server, &stop));
+    Ok(bound)
+}
+
+fn serve(state: &State, server: &Server, stop: &AtomicBool) {
+    while !stop.load(Ordering::Relaxed) {
+        match server.recv_timeout(POLL) {
+            Ok(Some(req)) => respond(state, req),
+            Ok(None) => {}
+            Err(e) => log::error!("admin listener: {e}"),
+        }
+    }
+}
+
+fn respond(state: &State, req: Request) {
+    let answer = match (req.method(), path(req.url())) {
+        (Method::Get, "/status") => json(&state.status()),
+        (Method::Get, "/explain") => json(&state.recorder.last(LAST_DECISIONS)),
+        (Method::Get, it) if it.starts_with("/explain/") => explain(state, it),
+        _ => error(404, "known paths: /metrics, /status, /explain, /explain/REQUEST"),
+    };
+    if let Err(e) = req.respond(answer) {
+        log::debug!("admin listener: {e}");
+    }
+}
+
+fn explain(state: &State, path: &str) -> Answer {
+    let id = path.trim_start_matches("/explain/");
+    match state.recorder.explain(id) {
+        Some(it) => json(&*it),
+        None => error(404, "this host keeps no decision of that id"),
+    }
+}
+
+fn path(url: &str) -> &str {
+    url.split('?').next().unwrap_or(url)
+}
+
+fn json<T: Serialize>(it: &T) -> Answer {
+    let text = serde_json::to_vec(it).unwrap_or_default();
+    typed(Response::from_data(text), "application/json")
+}
+
+fn error(status: u16, message: &str) -> Answer {
+    #[derive(Serialize)]
+    struct Message<'a> {
+        error: &'a str,
+    }
+    json(&Message { error: message }).with_status_code(status)
+}
+
+fn typed(answer: Answer, kind: &str) -> Answer {
+    match Header::from_bytes("Content-Type", kind) {
+        Ok(it) => answer.with_header(it),
+        Err(()) => answer,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/caller/listener.rs
@@ -0,0 +1,118 @@
+//! Accepts connections from callers, within limits, until told to stop.
+
+use std::{convert::Infallible, future::Future, net::SocketAddr, sync::Arc, time::Duration};
+
+use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore, watch},
+};
+
+use crate::caller::reply::Reply;
+
+/// Time allowed for the head of a request, and for an idle connection to send its next one.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
+/// Largest head of a request in bytes.
+const HEAD_LIMIT_BYTES: usize = 32 * 1024;
+/// Most headers in a request.
+const HEADER_LIMIT: usize = 100;
+/// Pause after a failed accept, so that a shortage of descriptors doesn't spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Answers requests.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request from `caller`.
+    fn handle(
+        self: Arc<Self>,
+        req: Request<Incoming>,
+        caller: SocketAddr,
+    ) -> impl Future<Output = Reply> + Send;
+}
+
+/// Accepts connections and serves them with a [`Handler`].
+#[derive(Debug)]
+pub struct Listener {
+    socket: TcpListener,
+    connections: Arc<Semaphore>,
+}
+
+impl Listener {
+    /// A listener that serves at most `limit` connections at once; others wait in the kernel's
+    /// queue.
+    #[must_use]
+    pub fn new(socket: TcpListener, limit: usize) -> Self {
+        Self { socket, connections: Arc::new(Semaphore::new(limit)) }
+    }
+
+    /// Serves until `stop` turns true; then waits until every connection has sent its last reply.
+    pub async fn run<H: Handler>(self, handler: Arc<H>, mut stop: watch::Receiver<bool>) {
+        let (busy, mut drained) = tokio::sync::mpsc::channel::<Infallible>(1);
+        loop {
+            let accepted = tokio::select! {
+                it = self.accept() => it,
+                () = stopped(&mut stop) => break,
+            };
+            let Some((stream, caller, permit)) = accepted else { continue };
+            let connection =
+                serve(stream, caller, Arc::clone(&handler), stop.clone(), busy.clone());
+            tokio::spawn(async move {
+                connection.await;
+                drop(permit);
+            });
+        }
+        drop(busy);
+        drained.recv().await;
+    }
+
+    async fn accept(&self) -> Option<(TcpStream, SocketAddr, OwnedSemaphorePermit)> {
+        let permit = Arc::clone(&self.connections).acquire_owned().await.ok()?;
+        match self.socket.accept().await {
+            Ok((stream, caller)) => Some((stream, caller, permit)),
+            Err(e) => {
+                log::warn!("accept failed: {e}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                None
+            }
+        }
+    }
+}
+
+/// Serves one connection; holds `_busy` until its last reply is sent.
+async fn serve<H: Handler>(
+    stream: TcpStream,
+    caller: SocketAddr,
+    handler: Arc<H>,
+    mut stop: watch::Receiver<bool>,
+    _busy: tokio::sync::mpsc::Sender<Infallible>,
+) {
+    if let Err(e) = stream.set_nodelay(true) {
+        log::debug!("caller {caller}: {e}");
+    }
+    let service = service_fn(move |req| {
+        let handler = Arc::clone(&handler);
+        async move { Ok::<_, Infallible>(handler.handle(req, caller).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(HEAD_LIMIT_BYTES)
+        .max_headers(HEADER_LIMIT)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let served = tokio::select! {
+        it = connection.as_mut() => it,
+        () = stopped(&mut stop) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(e) = served {
+        log::debug!("caller {caller}: {e}");
+    }
+}
+
+/// Waits until `stop` turns true or nobody is left to turn it.
+async fn stopped(stop: &mut watch::Receiver<bool>) {
+    let _turned = stop.wait_for(|it| *it).await;
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,1 +1,21 @@
-//! daemon
+//! The fireflydrum daemon: one on each entry host, all equal, nothing kept on disk.
+//!
+//! Decisions are made by the crates without I/O (`admission`, `balance`, `order`, `member`,
+//! `document`). This crate puts sockets, timers and threads round them.
+
+pub mod admin;
+pub mod caller;
+pub mod configuration;
+pub mod decision;
+pub mod id;
+pub mod path;
+pub mod process;
+pub mod service;
+pub mod settings;
+pub mod state;
+pub mod status;
+pub mod table;
+pub mod upstream;
+
+pub use process::Process;
+pub use settings::Settings;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,2 +1,108 @@
-//! placeholder
-fn main() {}
+//! `fireflydrumd`: the daemon of an entry host.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use daemon::{Process, Settings};
+use lexopt::prelude::*;
+
+const HELP: &str = "\
+fireflydrumd: entry host of the fireflydrum load balancer
+
+usage: fireflydrumd [--check] SETTINGS
+
+  SETTINGS   INI file with the section [daemon]
+  --check    report every finding in SETTINGS and exit
+  --help     print this page
+  --version  print the version
+
+exit codes: 0 stopped as planned, 1 could not start, 2 wrong arguments or settings
+";
+
+struct Arguments {
+    settings: PathBuf,
+    check_only: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments = match parse_arguments() {
+        Ok(Some(it)) => it,
+        Ok(None) => return ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("fireflydrumd: {e}; see --help");
+            return ExitCode::from(2);
+        }
+    };
+    let settings = match read_settings(&arguments.settings) {
+        Ok(it) => it,
+        Err(text) => {
+            eprint!("{text}");
+            return ExitCode::from(2);
+        }
+    };
+    if arguments.check_only {
+        println!("{}: no findings", arguments.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    if let Err(e) = start_log(settings.log_level) {
+        eprintln!("fireflydrumd: log: {e}");
+        return ExitCode::FAILURE;
+    }
+    run(settings)
+}
+
+fn parse_arguments() -> Result<Option<Arguments>, lexopt::Error> {
+    let mut parser = lexopt::Parser::from_env();
+    let mut settings = None;
+    let mut check_only = false;
+    while let Some(it) = parser.next()? {
+        match it {
+            Long("help") | Short('h') => {
+                print!("{HELP}");
+                return Ok(None);
+            }
+            Long("version") => {
+                println!("fireflydrumd {}", env!("CARGO_PKG_VERSION"));
+                return Ok(None);
+            }
+            Long("check") => check_only = true,
+            Value(it) if settings.is_none() => settings = Some(PathBuf::from(it)),
+            it => return Err(it.unexpected()),
+        }
+    }
+    let settings = settings.ok_or("no SETTINGS file named")?;
+    Ok(Some(Arguments { settings, check_only }))
+}
+
+fn read_settings(path: &std::path::Path) -> Result<Settings, String> {
+    let name = path.display();
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}\n"))?;
+    Settings::parse(&text).map_err(|findings| {
+        let lines: Vec<_> = findings.iter().map(|it| format!("{name}: {it}\n")).collect();
+        lines.concat()
+    })
+}
+
+fn start_log(level: log::LevelFilter) -> Result<(), log::SetLoggerError> {
+    fern::Dispatch::new()
+        .level(level)
+        .format(|out, message, record| {
+            let now = std::time::SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+            let (level, target) = (record.level(), record.target());
+            out.finish(format_args!("{:.3} {level} {target} {message}", now.as_secs_f64()));
+        })
+        .chain(std::io::stderr())
+        .apply()
+}
+
+fn run(settings: Settings) -> ExitCode {
+    let process = match Process::start(settings) {
+        Ok(it) => it,
+        Err(e) => {
+            log::error!("{e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    process.wait_for_signal();
+    process.stop();
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/daemon/src/path.rs
@@ -0,0 +1,147 @@
+//! The path of a request: route, limits, admission, attempts, reply.
+//!
+//! Each request ends in exactly one outcome. `not-run` is told only if no attempt can have reached
+//! a backend server's handler.
+
+pub mod attempts;
+pub mod draft;
+pub mod plan;
+
+use std::{net::SocketAddr, sync::Arc};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, StatusCode, body::Incoming};
+
+use crate::{
+    caller::{
+        body::{self, Held},
+        directions, header,
+        listener::Handler,
+        reply::{self, Outcome, Refusal, Reply},
+    },
+    id,
+    state::State,
+    upstream::attempt::{Answer, Message},
+};
+
+use draft::Draft;
+pub use plan::Plan;
+
+/// A value, or the refusal that the caller gets in its place.
+pub type Result<T, E = Refusal> = std::result::Result<T, E>;
+
+/// Answers the requests of callers.
+pub struct Path {
+    state: Arc<State>,
+}
+
+impl Path {
+    /// A path over the state of a daemon.
+    #[must_use]
+    pub fn new(state: Arc<State>) -> Self {
+        Self { state }
+    }
+}
+
+impl Handler for Path {
+    async fn handle(self: Arc<Self>, req: Request<Incoming>, caller: SocketAddr) -> Reply {
+        let id = self.state.ids.next();
+        if req.uri().path() == directions::PATH {
+            return directions::answer(&self.state, &req, id);
+        }
+        let mut draft = Draft::new(&self.state, id);
+        match answer(&self.state, req, caller, id, &mut draft).await {
+            Ok(it) => {
+                draft.close(Outcome::Done, it.status, "");
+                whole(it, id)
+            }
+            Err(it) => {
+                draft.close(it.outcome, it.status, it.reason);
+                it.reply(id)
+            }
+        }
+    }
+}
+
+async fn answer(
+    state: &Arc<State>,
+    req: Request<Incoming>,
+    caller: SocketAddr,
+    id: id::Request,
+    draft: &mut Draft,
+) -> Result<Answer> {
+    let accepted = state.clock.now();
+    let (head, body) = req.into_parts();
+    let plan = plan::make(state, &head, caller, id, accepted)?;
+    draft.plan(&plan);
+    let body = read(state, body, &plan).await?;
+    let message = plan::message(head, body.bytes.clone());
+    if plan.route.config.idempotent {
+        return attempts::run(state, &plan, &message, draft).await;
+    }
+    // A caller that goes away must not cut an order off half way: the order runs to its end in a
+    // task of its own.
+    run_detached(state, plan, message, body, draft).await
+}
+
+async fn run_detached(
+    state: &Arc<State>,
+    plan: Plan,
+    message: Message,
+    body: Held,
+    draft: &mut Draft,
+) -> Result<Answer> {
+    let state = Arc::clone(state);
+    let mut detached = draft.detach(&state, plan.id);
+    let task = tokio::spawn(async move {
+        let res = attempts::run(&state, &plan, &message, &mut detached).await;
+        drop(body);
+        (res, detached)
+    });
+    match task.await {
+        Ok((res, detached)) => {
+            draft.join(detached);
+            res
+        }
+        Err(e) => Err(Refusal {
+            status: StatusCode::INTERNAL_SERVER_ERROR,
+            outcome: Outcome::Unknown,
+            reason: "internal",
+            message: format!("the request failed inside the daemon: {e}"),
+            ..Refusal::default()
+        }),
+    }
+}
+
+async fn read(state: &State, body: Incoming, plan: &Plan) -> Result<Held> {
+    let limit = plan.limits.body_limit_bytes;
+    let read = state.request_memory.read(body, limit, plan.deadline.at()).await;
+    read.map_err(|e| {
+        let (status, reason) = match e {
+            body::Error::TooLarge(_) => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
+            body::Error::Cut => (StatusCode::BAD_REQUEST, "body-cut"),
+            body::Error::Late => (StatusCode::REQUEST_TIMEOUT, "body-late"),
+        };
+        Refusal { status, reason, message: e.to_string(), ..Refusal::default() }
+    })
+}
+
+/// The reply that carries a backend server's whole answer.
+fn whole(answer: Answer, id: id::Request) -> Reply {
+    let is_empty = answer.body.bytes.is_empty();
+    let body = if is_empty {
+        body::Whole::from(Full::new(Bytes::new()))
+    } else {
+        answer.body.into_whole()
+    };
+    let mut res = Reply::new(body);
+    *res.status_mut() = answer.status;
+    *res.headers_mut() = answer.headers;
+    if !is_empty {
+        res.headers_mut().remove(hyper::header::CONTENT_LENGTH);
+    }
+    res.headers_mut().remove(header::LOAD);
+    reply::set_outcome(&mut res, Outcome::Done, id);
+    res
+}
--- /dev/null
+++ b/crates/daemon/src/path/attempts.rs
@@ -0,0 +1,205 @@
+//! Admission and attempts: which upstreams are tried, and when to stop.
+
+use std::{sync::Arc, time::Duration};
+
+use balance::UpstreamId;
+use hyper::StatusCode;
+
+use crate::{
+    caller::{
+        header,
+        reply::{Outcome, Refusal},
+    },
+    decision::{Attempt as Record, micros},
+    path::{Draft, Plan, Result},
+    service::{Flight, Permit},
+    state::State,
+    upstream::{
+        attempt::{self, Answer, Attempt, Message},
+        pool::Reuse,
+    },
+};
+
+/// Attempts for one request at most.
+const ATTEMPT_LIMIT: usize = 3;
+
+/// Waits for a slot and tries upstreams until one answers.
+///
+/// # Errors
+///
+/// The refusal for the caller. Its outcome is `not-run` only if no attempt can have reached a
+/// backend server's handler.
+pub async fn run(
+    state: &Arc<State>,
+    plan: &Plan,
+    message: &Message,
+    draft: &mut Draft,
+) -> Result<Answer> {
+    let mut permit = admit(state, plan, draft).await?;
+    let mut tried: Vec<UpstreamId> = Vec::new();
+    let mut outcome = Outcome::NotRun;
+    loop {
+        let deadline = plan.deadline.at();
+        let chosen = plan.route.service.choose(&tried, deadline).await;
+        let flight = chosen.map_err(|it| no_upstream(it, outcome))?;
+        tried.push(Arc::clone(flight.upstream()));
+        let started = state.clock.now();
+        let reason = flight.reason();
+        let upstream = flight.upstream().to_string();
+        let res = send(state, plan, message, flight, tried.len()).await;
+        let took = state.clock.now().saturating_duration_since(started);
+        let result = describe(&res);
+        draft.attempt(Record { upstream, reason, result, took_us: micros(took) });
+        let failure = match res {
+            Ok(it) if it.status.is_server_error() && may_retry(state, plan, &tried) => {
+                outcome = Outcome::Unknown;
+                continue;
+            }
+            Ok(it) => {
+                note_success(plan, &mut permit, took, &it);
+                return Ok(it);
+            }
+            Err(it) => it,
+        };
+        if !failure.is_not_run() {
+            outcome = Outcome::Unknown;
+        }
+        let is_safe = failure.is_not_run() || plan.route.config.idempotent;
+        if !is_safe || state.clock.now() >= deadline || !may_repeat(state, plan, &failure, &tried) {
+            return Err(failed(&failure, outcome));
+        }
+    }
+}
+
+async fn admit(state: &State, plan: &Plan, draft: &mut Draft) -> Result<Permit> {
+    let offered = state.clock.now();
+    let request = admission::Request {
+        id: plan.id.number,
+        rank: Arc::clone(&plan.route.config.rank),
+        caller: Arc::clone(&plan.caller),
+        deadline: plan.deadline.at(),
+        expected: plan.route.expected(),
+    };
+    let admitted = plan.route.service.admit(request).await;
+    draft.queued(state.clock.now().saturating_duration_since(offered));
+    admitted.map_err(not_admitted)
+}
+
+/// Sends the message to one upstream and tells the balancer what came of it.
+async fn send(
+    state: &State,
+    plan: &Plan,
+    message: &Message,
+    flight: Flight,
+    number: usize,
+) -> attempt::Result<Answer> {
+    let Some(pool) = plan.route.service.pool(flight.upstream()) else {
+        return Err(attempt::Error::NotSent("the upstream was removed".into()));
+    };
+    let attempt = Attempt {
+        clock: &*state.clock,
+        pool: &pool,
+        id: format!("{}.{number}", plan.id),
+        reuse: if plan.route.config.idempotent { Reuse::Idle } else { Reuse::Fresh },
+        answer_limit: plan.limits.answer_limit_bytes,
+        budget: &state.answer_memory,
+        deadline: plan.deadline.at(),
+    };
+    let started = state.clock.now();
+    let res = attempt.run(message).await;
+    let latency = state.clock.now().saturating_duration_since(started);
+    flight.land(balance::Answer { outcome: verdict(&res), latency, report: report(&res) });
+    res
+}
+
+fn verdict(res: &attempt::Result<Answer>) -> balance::Outcome {
+    match res {
+        Ok(it) if it.status == StatusCode::SERVICE_UNAVAILABLE => balance::Outcome::Overload,
+        Ok(it) if it.status.is_server_error() => balance::Outcome::Failure,
+        Ok(_) => balance::Outcome::Success,
+        Err(attempt::Error::Shed) => balance::Outcome::Overload,
+        Err(attempt::Error::NotSent(_)) => balance::Outcome::NotSent,
+        Err(_) => balance::Outcome::Failure,
+    }
+}
+
+fn report(res: &attempt::Result<Answer>) -> Option<balance::Report> {
+    let answer = res.as_ref().ok()?;
+    crate::upstream::load::parse(answer.headers.get(header::LOAD)?.to_str().ok()?)
+}
+
+fn describe(res: &attempt::Result<Answer>) -> String {
+    match res {
+        Ok(it) => it.status.as_u16().to_string(),
+        Err(e) => e.to_string(),
+    }
+}
+
+fn note_success(plan: &Plan, permit: &mut Permit, took: Duration, answer: &Answer) {
+    permit.served(took);
+    if !answer.status.is_server_error() {
+        plan.route.served(took);
+        plan.route.service.retries().record_success();
+    }
+}
+
+/// Whether a whole answer that tells of an error may be thrown away for another try.
+fn may_retry(state: &State, plan: &Plan, tried: &[UpstreamId]) -> bool {
+    plan.route.config.idempotent && tried.len() < ATTEMPT_LIMIT && spend_retry(state, plan)
+}
+
+/// Whether a failed attempt may be followed by another. An upstream that can't be reached was given
+/// no work, so trying another costs nothing of the budget.
+fn may_repeat(state: &State, plan: &Plan, failure: &attempt::Error, tried: &[UpstreamId]) -> bool {
+    if tried.len() >= ATTEMPT_LIMIT {
+        return false;
+    }
+    matches!(failure, attempt::Error::NotSent(_)) || spend_retry(state, plan)
+}
+
+fn spend_retry(state: &State, plan: &Plan) -> bool {
+    plan.route.service.retries().try_retry(state.clock.now())
+}
+
+fn not_admitted(it: admission::Refusal) -> Refusal {
+    let (status, reason, message) = match it.reason {
+        admission::Reason::Deadline => {
+            (StatusCode::SERVICE_UNAVAILABLE, "deadline", "can't be answered before its deadline")
+        }
+        admission::Reason::QueueFull => {
+            (StatusCode::SERVICE_UNAVAILABLE, "queue-full", "too many requests wait already")
+        }
+        admission::Reason::UnknownRank | admission::Reason::DuplicateId => {
+            (StatusCode::INTERNAL_SERVER_ERROR, "internal", "the route's rank isn't in force")
+        }
+    };
+    Refusal {
+        status,
+        reason,
+        message: message.into(),
+        retry_after: it.retry_after,
+        ..Refusal::default()
+    }
+}
+
+fn no_upstream(it: balance::Refusal, outcome: Outcome) -> Refusal {
+    Refusal {
+        outcome,
+        reason: "no-upstream",
+        message: it.to_string(),
+        retry_after: it.retry_after,
+        ..Refusal::default()
+    }
+}
+
+fn failed(failure: &attempt::Error, outcome: Outcome) -> Refusal {
+    let (status, reason) = match failure {
+        attempt::Error::Late => (StatusCode::GATEWAY_TIMEOUT, "upstream-late"),
+        attempt::Error::NotSent(_) => (StatusCode::SERVICE_UNAVAILABLE, "upstream-unreachable"),
+        attempt::Error::Shed => (StatusCode::SERVICE_UNAVAILABLE, "upstream-shed"),
+        attempt::Error::TooLarge(_) => (StatusCode::BAD_GATEWAY, "answer-too-large"),
+        attempt::Error::Broken(_) => (StatusCode::BAD_GATEWAY, "answer-broken"),
+        attempt::Error::Swapped => (StatusCode::BAD_GATEWAY, "answer-swapped"),
+    };
+    Refusal { status, outcome, reason, message: failure.to_string(), ..Refusal::default() }
+}
--- /dev/null
+++ b/crates/daemon/src/service.rs
@@ -0,0 +1,346 @@
+//! What a daemon holds for one service: admission, choice of upstreams, connections.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
+    time::{Duration, Instant},
+};
+
+use admission::{Event, Gate, RequestId, Verdict};
+use balance::{Balancer, Dispatch, UpstreamId};
+use clock::Clock;
+use tokio::sync::{Notify, oneshot};
+
+use crate::upstream::pool::Pool;
+
+type Pools = HashMap<UpstreamId, Arc<Pool>>;
+
+/// What a daemon holds for one service. Survives changes of the configuration.
+pub struct Service {
+    clock: Arc<dyn Clock>,
+    config: RwLock<Arc<document::Service>>,
+    admission: Mutex<Admission>,
+    balancer: Mutex<Balancer>,
+    retries: Mutex<admission::Budget>,
+    pools: RwLock<Pools>,
+    finished: Notify,
+}
+
+struct Admission {
+    gate: Gate,
+    waiting: HashMap<RequestId, oneshot::Sender<Event>>,
+}
+
+/// What a service is made of, in one version of the configuration.
+#[derive(Clone, Debug)]
+pub struct Parts {
+    /// Limits of the service.
+    pub service: Arc<document::Service>,
+    /// Ranks of work.
+    pub ranks: Vec<admission::Rank>,
+    /// Upstreams of the service.
+    pub upstreams: Vec<document::Upstream>,
+    /// Failure domain of this host.
+    pub domain: balance::Domain,
+    /// Seed of the balancer's random numbers.
+    pub seed: u64,
+}
+
+impl Parts {
+    fn balanced(&self) -> Vec<balance::Upstream> {
+        let convert = |it: &document::Upstream| balance::Upstream {
+            id: Arc::clone(&it.id),
+            domain: Arc::clone(&it.domain),
+            slots: it.slots,
+        };
+        self.upstreams.iter().map(convert).collect()
+    }
+
+    fn slots(&self) -> u32 {
+        self.upstreams.iter().map(|it| it.slots).sum()
+    }
+
+    fn gate_settings(&self) -> admission::Settings {
+        admission::Settings {
+            queue_limit: self.service.queue_limit as usize,
+            ..admission::Settings::default()
+        }
+    }
+}
+
+impl Service {
+    /// A service without any traffic yet.
+    #[must_use]
+    pub fn new(parts: &Parts, clock: Arc<dyn Clock>) -> Self {
+        let now = clock.now();
+        let settings = balance::Settings {
+            probe_budget_per_s: parts.service.probe_budget_per_s,
+            ..balance::Settings::default()
+        };
+        let domain = Arc::clone(&parts.domain);
+        let balancer = Balancer::new(settings, domain, parts.balanced(), parts.seed, now);
+        let gate = Gate::new(now, parts.gate_settings(), &parts.ranks, parts.slots());
+        let retries = admission::Budget::new(now, parts.service.retry_budget_percent);
+        let res = Self {
+            clock,
+            config: RwLock::new(Arc::clone(&parts.service)),
+            admission: Mutex::new(Admission { gate, waiting: HashMap::new() }),
+            balancer: Mutex::new(balancer),
+            retries: Mutex::new(retries),
+            pools: RwLock::default(),
+            finished: Notify::new(),
+        };
+        res.update_pools(parts);
+        res
+    }
+
+    /// Takes in a new version of the configuration; requests in progress go on.
+    pub fn update(&self, parts: &Parts) {
+        let now = self.clock.now();
+        self.update_pools(parts);
+        {
+            let mut balancer = self.balancer();
+            balancer.update(now, parts.balanced());
+            balancer.set_probe_budget(now, parts.service.probe_budget_per_s);
+        }
+        lock(&self.retries).set_percent(parts.service.retry_budget_percent);
+        *self.config.write().unwrap_or_else(PoisonError::into_inner) = Arc::clone(&parts.service);
+        let mut admission = lock(&self.admission);
+        admission.gate.set_settings(parts.gate_settings());
+        let mut events = admission.gate.set_ranks(now, &parts.ranks);
+        events.extend(admission.gate.set_capacity(now, parts.slots()));
+        admission.deliver(events);
+    }
+
+    /// Limits of the service.
+    #[must_use]
+    pub fn config(&self) -> Arc<document::Service> {
+        Arc::clone(&self.config.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// The choice of upstreams; held for moments only.
+    pub fn balancer(&self) -> MutexGuard<'_, Balancer> {
+        lock(&self.balancer)
+    }
+
+    /// The retry budget; held for moments only.
+    pub fn retries(&self) -> MutexGuard<'_, admission::Budget> {
+        lock(&self.retries)
+    }
+
+    /// Connections to an upstream; `None` if the configuration no longer names it.
+    #[must_use]
+    pub fn pool(&self, upstream: &UpstreamId) -> Option<Arc<Pool>> {
+        let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
+        pools.get(upstream).cloned()
+    }
+
+    /// Waits for a slot.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, if the request isn't let in, loses its place or can't be answered in time any
+    /// more. The request was not dispatched.
+    pub async fn admit(
+        self: &Arc<Self>,
+        request: admission::Request,
+    ) -> Result<Permit, admission::Refusal> {
+        let id = request.id;
+        let (deliver, delivered) = oneshot::channel();
+        let verdict = {
+            let mut admission = lock(&self.admission);
+            let verdict = admission.gate.offer(self.clock.now(), request);
+            if let Verdict::Queued { displaced } = verdict {
+                admission.waiting.insert(id, deliver);
+                if let Some(it) = displaced {
+                    admission.waiting.remove(&it.id);
+                }
+            }
+            verdict
+        };
+        // From here on the permit gives the slot, or the place in the queue, back when dropped.
+        match verdict {
+            Verdict::Refused(it) => return Err(it),
+            Verdict::Admitted => {
+                return Ok(Permit { service: Arc::clone(self), id, waits: false, served: None });
+            }
+            Verdict::Queued { .. } => {}
+        }
+        let mut permit = Permit { service: Arc::clone(self), id, waits: true, served: None };
+        match delivered.await {
+            Ok(Event::Admit(_)) => {
+                permit.waits = false;
+                Ok(permit)
+            }
+            Ok(Event::Expire(_)) => Err(refusal(admission::Reason::Deadline)),
+            Err(_displaced) => Err(refusal(admission::Reason::QueueFull)),
+        }
+    }
+
+    /// Chooses an upstream, waiting for room if none has any, until `deadline`.
+    ///
+    /// # Errors
+    ///
+    /// The reason why there is no upstream.
+    pub async fn choose(
+        self: &Arc<Self>,
+        tried: &[UpstreamId],
+        deadline: Instant,
+    ) -> balance::Result<Flight> {
+        loop {
+            let refusal = match self.balancer().choose(self.clock.now(), tried) {
+                Ok(choice) => return Ok(self.fly(choice)),
+                Err(it) => it,
+            };
+            let waited = self.clock.now() + refusal.retry_after;
+            if refusal.reason != balance::Reason::Full || waited >= deadline {
+                return Err(refusal);
+            }
+            tokio::select! {
+                () = self.finished.notified() => {}
+                () = tokio::time::sleep_until(waited.into()) => {}
+            }
+        }
+    }
+
+    /// Moves time on for requests that wait.
+    pub fn tick(&self) {
+        let mut admission = lock(&self.admission);
+        let events = admission.gate.tick(self.clock.now());
+        admission.deliver(events);
+    }
+
+    /// State of admission, for status pages and metrics.
+    #[must_use]
+    pub fn snapshot(&self) -> admission::Snapshot {
+        lock(&self.admission).gate.snapshot()
+    }
+
+    fn fly(self: &Arc<Self>, choice: balance::Choice) -> Flight {
+        let balance::Choice { dispatch, chosen, runner_up, weighed } = choice;
+        Flight { service: Arc::clone(self), dispatch: Some(dispatch), chosen, runner_up, weighed }
+    }
+
+    fn land(&self, dispatch: Dispatch, answer: balance::Answer) {
+        self.balancer().finished(self.clock.now(), dispatch, answer);
+        self.finished.notify_one();
+    }
+
+    fn update_pools(&self, parts: &Parts) {
+        let mut pools = self.pools.write().unwrap_or_else(PoisonError::into_inner);
+        let known = std::mem::take(&mut *pools);
+        for it in &parts.upstreams {
+            let kept = known.get(&it.id).filter(|pool| pool.address() == it.address).cloned();
+            let pool = kept.unwrap_or_else(|| Arc::new(Pool::new(it.address, it.slots as usize)));
+            pools.insert(Arc::clone(&it.id), pool);
+        }
+    }
+
+    fn release(&self, id: RequestId, waits: bool, served: Option<Duration>) {
+        let now = self.clock.now();
+        let mut admission = lock(&self.admission);
+        admission.waiting.remove(&id);
+        let events = if waits {
+            admission.gate.cancel(now, id)
+        } else {
+            admission.gate.release(now, id, served)
+        };
+        admission.deliver(events);
+    }
+}
+
+impl Admission {
+    fn deliver(&mut self, events: Vec<Event>) {
+        for it in events {
+            let (Event::Admit(id) | Event::Expire(id)) = it;
+            if let Some(waiting) = self.waiting.remove(&id) {
+                // A receiver that is gone gives its slot back by itself.
+                let _gone = waiting.send(it);
+            }
+        }
+    }
+}
+
+/// A slot held by a request; given back when dropped.
+#[must_use = "the slot is given back when the permit is dropped"]
+pub struct Permit {
+    service: Arc<Service>,
+    id: RequestId,
+    waits: bool,
+    served: Option<Duration>,
+}
+
+impl Permit {
+    /// Notes the time that a backend server took for the whole answer.
+    pub fn served(&mut self, took: Duration) {
+        self.served = Some(took);
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.service.release(self.id, self.waits, self.served);
+    }
+}
+
+/// An attempt in flight; counts as cancelled if it is dropped before it lands.
+#[must_use = "the attempt is cancelled when the flight is dropped"]
+pub struct Flight {
+    service: Arc<Service>,
+    dispatch: Option<Dispatch>,
+    /// Figures of the chosen upstream.
+    pub chosen: balance::Candidate,
+    runner_up: Option<balance::Candidate>,
+    weighed: u32,
+}
+
+impl Flight {
+    /// Upstream that was chosen.
+    #[must_use]
+    pub fn upstream(&self) -> &UpstreamId {
+        &self.chosen.upstream
+    }
+
+    /// Tells the balancer how the attempt ended.
+    pub fn land(mut self, answer: balance::Answer) {
+        if let Some(it) = self.dispatch.take() {
+            self.service.land(it, answer);
+        }
+    }
+
+    /// The candidates and their figures, for the log.
+    #[must_use]
+    pub fn reason(&self) -> String {
+        let mut res = format!("{} weighed; {}", self.weighed, figures(&self.chosen));
+        if let Some(it) = &self.runner_up {
+            res.push_str("; before ");
+            res.push_str(&figures(it));
+        }
+        res
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        let Some(it) = self.dispatch.take() else { return };
+        let latency = self.service.clock.now().saturating_duration_since(it.at());
+        let outcome = balance::Outcome::Cancelled;
+        self.service.land(it, balance::Answer { outcome, latency, report: None });
+    }
+}
+
+fn figures(it: &balance::Candidate) -> String {
+    let expected = it.expected.as_micros();
+    format!("{} expected {expected} us, own {}, others {:.1}", it.upstream, it.own, it.others)
+}
+
+fn refusal(reason: admission::Reason) -> admission::Refusal {
+    let retry_after = admission::Settings::default().max_retry_after;
+    admission::Refusal { reason, retry_after }
+}
+
+/// Locks even if another thread panicked while it held the lock: the states that are kept here are
+/// consistent between any two calls.
+fn lock<T>(it: &Mutex<T>) -> MutexGuard<'_, T> {
+    it.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/daemon/src/status.rs
@@ -0,0 +1,44 @@
+//! What a daemon tells operators about itself.
+
+use serde::{Deserialize, Serialize};
+
+/// What a daemon tells operators about itself.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Status {
+    /// Random id of this start of the daemon.
+    pub incarnation: String,
+    /// Version of the configuration in force; 0 before the first.
+    pub version: u64,
+    /// Decisions whose log lines were dropped because the log was slow.
+    pub decisions_dropped: u64,
+    /// Services with their load.
+    pub services: Vec<Service>,
+}
+
+/// Load of one service on one host.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Service {
+    /// Name of the service.
+    pub id: String,
+    /// Slots that this host may use.
+    pub capacity: u32,
+    /// Upstreams that are ejected.
+    pub ejected: usize,
+    /// Ranks, first served first.
+    pub ranks: Vec<Rank>,
+}
+
+/// Load of one rank of a service on one host.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Rank {
+    /// Name of the rank.
+    pub id: String,
+    /// Requests that wait for a slot.
+    pub queued: usize,
+    /// Requests that hold a slot.
+    pub in_flight: u32,
+    /// Requests that were given a slot.
+    pub admitted: u64,
+    /// Requests that were refused, displaced or expired.
+    pub refused: u64,
+}
--- /dev/null
+++ b/crates/daemon/src/table.rs
@@ -0,0 +1,154 @@
+//! The routing table: one accepted version of the configuration, ready for the request path.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use clock::Clock;
+use document::{Document, ServiceId};
+
+use crate::{
+    decision::micros,
+    service::{Parts, Service},
+};
+
+/// Time that a route's requests are expected to take before the first was answered.
+const INITIAL_EXPECTED: Duration = Duration::from_millis(5);
+/// Weight of the newest sample in the expected time, as a divisor.
+const EXPECTED_WEIGHT: u64 = 8;
+
+/// One accepted version of the configuration.
+#[derive(Default)]
+pub struct Table {
+    /// Version: the offset of the accepted publication; 0 before the first.
+    pub version: u64,
+    /// The document itself.
+    pub document: Arc<Document>,
+    /// Services by name.
+    pub services: HashMap<ServiceId, Arc<Service>>,
+    /// Routes by path prefix.
+    routes: HashMap<String, Vec<Arc<Route>>>,
+}
+
+/// A route with its service.
+pub struct Route {
+    /// The route as configured.
+    pub config: document::Route,
+    /// Service that answers.
+    pub service: Arc<Service>,
+    expected_us: AtomicU64,
+}
+
+impl Route {
+    /// Time that a backend server is expected to need.
+    #[must_use]
+    pub fn expected(&self) -> Duration {
+        Duration::from_micros(self.expected_us.load(Ordering::Relaxed))
+    }
+
+    /// Takes the time of a whole answer into account.
+    pub fn served(&self, took: Duration) {
+        let old = self.expected_us.load(Ordering::Relaxed);
+        let new = old - old / EXPECTED_WEIGHT + micros(took) / EXPECTED_WEIGHT;
+        self.expected_us.store(new, Ordering::Relaxed);
+    }
+}
+
+impl Table {
+    /// The table for `document`; services that `old` already holds keep their state.
+    #[must_use]
+    pub fn build(
+        document: &Arc<Document>,
+        version: u64,
+        old: &Self,
+        domain: &balance::Domain,
+        clock: &Arc<dyn Clock>,
+        seed: u64,
+    ) -> Self {
+        let ranks = ranks(document);
+        let mut upstreams: HashMap<ServiceId, Vec<document::Upstream>> = HashMap::new();
+        for it in &document.upstreams {
+            upstreams.entry(Arc::clone(&it.service)).or_default().push(it.clone());
+        }
+        let mut res = Self { version, document: Arc::clone(document), ..Self::default() };
+        for it in &document.services {
+            let parts = Parts {
+                service: Arc::new(it.clone()),
+                ranks: ranks.clone(),
+                upstreams: upstreams.remove(&it.id).unwrap_or_default(),
+                domain: Arc::clone(domain),
+                seed,
+            };
+            let service = match old.services.get(&it.id) {
+                Some(service) => {
+                    service.update(&parts);
+                    Arc::clone(service)
+                }
+                None => Arc::new(Service::new(&parts, Arc::clone(clock))),
+            };
+            res.services.insert(Arc::clone(&it.id), service);
+        }
+        res.add_routes(old);
+        res
+    }
+
+    /// The route for a request: the longest path prefix of the method. `HEAD` falls back to `GET`.
+    #[must_use]
+    pub fn route(&self, method: &str, path: &str) -> Option<&Arc<Route>> {
+        self.find(method, path).or_else(|| match method {
+            "HEAD" => self.find("GET", path),
+            _ => None,
+        })
+    }
+
+    /// Whether a route of any method covers `path`.
+    #[must_use]
+    pub fn knows_path(&self, path: &str) -> bool {
+        prefixes(path).any(|it| self.routes.contains_key(it))
+    }
+
+    fn find(&self, method: &str, path: &str) -> Option<&Arc<Route>> {
+        prefixes(path)
+            .filter_map(|it| self.routes.get(it))
+            .find_map(|it| it.iter().find(|route| route.config.method == method))
+    }
+
+    fn add_routes(&mut self, old: &Self) {
+        let document = Arc::clone(&self.document);
+        for it in &document.routes {
+            let Some(service) = self.services.get(&it.service) else { continue };
+            let known = old.find(&it.method, &it.path).filter(|known| known.config.id == it.id);
+            let expected = known.map_or(INITIAL_EXPECTED, |it| it.expected());
+            let route = Route {
+                config: it.clone(),
+                service: Arc::clone(service),
+                expected_us: AtomicU64::new(micros(expected)),
+            };
+            self.routes.entry(it.path.clone()).or_default().push(Arc::new(route));
+        }
+    }
+}
+
+/// The prefixes of a path that a route may name, longest first: `/a/b`, `/a/`, `/a`, `/`.
+fn prefixes(path: &str) -> impl Iterator<Item = &str> {
+    let cuts = path.char_indices().rev().filter(|(_, it)| *it == '/').flat_map(|(at, _)| {
+        let with_slash = &path[..=at];
+        let without = &path[..at];
+        [with_slash, without]
+    });
+    std::iter::once(path).chain(cuts).filter(|it| !it.is_empty())
+}
+
+fn ranks(document: &Document) -> Vec<admission::Rank> {
+    let convert = |it: &document::Rank| admission::Rank {
+        id: Arc::clone(&it.id),
+        order: it.order,
+        floor_percent: it.floor_percent,
+    };
+    document.ranks.iter().map(convert).collect()
+}
--- /dev/null
+++ b/crates/daemon/src/upstream/pool.rs
@@ -0,0 +1,90 @@
+//! Idle connections to one backend server.
+
+use std::{
+    net::SocketAddr,
+    sync::Mutex,
+    time::{Duration, Instant},
+};
+
+use crate::upstream::connection::{Connection, Result};
+
+/// Idle time after which a connection is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
+/// Idle time up to which a connection may carry a non-idempotent request. The older an idle
+/// connection, the likelier the backend server closes it just as the request is written, which
+/// would leave the outcome unknown.
+const FRESH_LIMIT: Duration = Duration::from_secs(1);
+
+/// Which idle connections may carry a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reuse {
+    /// Any connection that is still open.
+    Idle,
+    /// Only a connection used a moment ago.
+    Fresh,
+}
+
+/// Idle connections to one backend server.
+#[derive(Debug)]
+pub struct Pool {
+    address: SocketAddr,
+    idle_limit: usize,
+    idle: Mutex<Vec<Connection>>,
+}
+
+impl Pool {
+    /// A pool that keeps at most `idle_limit` idle connections.
+    #[must_use]
+    pub fn new(address: SocketAddr, idle_limit: usize) -> Self {
+        Self { address, idle_limit, idle: Mutex::default() }
+    }
+
+    /// Address that the connections go to.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Takes an idle connection or opens one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no connection can be opened; nothing was sent.
+    pub async fn take(&self, reuse: Reuse, now: Instant) -> Result<Connection> {
+        while let Some(mut it) = self.pop(reuse, now) {
+            if it.ready().await {
+                return Ok(it);
+            }
+        }
+        let mut res = Connection::open(self.address, now).await?;
+        res.ready().await;
+        Ok(res)
+    }
+
+    /// Returns a connection whose answer was read to its end.
+    pub fn put(&self, mut connection: Connection, now: Instant) {
+        if !connection.is_open() {
+            return;
+        }
+        connection.idle_since = now;
+        let Ok(mut idle) = self.idle.lock() else { return };
+        if idle.len() < self.idle_limit {
+            idle.push(connection);
+        }
+    }
+
+    /// The connection used last, if it may carry the request; closes those that idle too long.
+    fn pop(&self, reuse: Reuse, now: Instant) -> Option<Connection> {
+        let limit = match reuse {
+            Reuse::Idle => IDLE_LIMIT,
+            Reuse::Fresh => FRESH_LIMIT,
+        };
+        let mut idle = self.idle.lock().ok()?;
+        idle.retain(|it| it.is_open() && now.duration_since(it.idle_since) < IDLE_LIMIT);
+        let newest = idle.last()?;
+        if now.duration_since(newest.idle_since) >= limit {
+            return None;
+        }
+        idle.pop()
+    }
+}
--- /dev/null
+++ b/crates/ini/src/excerpt.rs
@@ -0,0 +1,15 @@
+//! Excerpts of hostile texts, fit for messages.
+
+/// Longest excerpt in characters.
+const EXCERPT_CHARS: usize = 40;
+
+/// The start of `text` without control characters.
+#[must_use]
+pub fn excerpt(text: &str) -> String {
+    let mut res: String =
+        text.chars().take(EXCERPT_CHARS).map(|it| if it.is_control() { '?' } else { it }).collect();
+    if text.chars().nth(EXCERPT_CHARS).is_some() {
+        res.push('…');
+    }
+    res
+}
--- /dev/null
+++ b/crates/ini/src/keys.rs
@@ -0,0 +1,182 @@
+//! Reads the keys of one section and collects what is wrong with them.
+
+use std::{fmt::Display, net::SocketAddr, ops::RangeInclusive, str::FromStr, time::Duration};
+
+use crate::{Finding, Section, excerpt};
+
+/// The keys of one section.
+///
+/// Each reader returns `None` if the key is absent, and also if its value is bad, which is then
+/// found; the section counts only if [`Keys::finish`] has no finding.
+pub struct Keys<'a> {
+    section: &'a Section,
+    entries: Vec<Entry<'a>>,
+    findings: Vec<Finding>,
+}
+
+struct Entry<'a> {
+    key: &'a str,
+    value: &'a str,
+    line: u32,
+    is_read: bool,
+}
+
+impl<'a> Keys<'a> {
+    /// The keys of `section`, none of them read yet.
+    #[must_use]
+    pub fn new(section: &'a Section) -> Self {
+        let mut keys = Self { section, entries: Vec::new(), findings: Vec::new() };
+        for it in &section.entries {
+            keys.push(Entry { key: &it.key, value: &it.value, line: it.line, is_read: false });
+        }
+        keys
+    }
+
+    fn push(&mut self, entry: Entry<'a>) {
+        if let Some(first) = self.entries.iter().find(|it| it.key == entry.key) {
+            let message =
+                format!("key `{}` stands twice, first on line {}", excerpt(entry.key), first.line);
+            return self.find(entry.line, message);
+        }
+        self.entries.push(entry);
+    }
+
+    /// Finds each of `keys` that is absent.
+    pub fn require(&mut self, keys: &[&str]) {
+        for key in keys {
+            if !self.entries.iter().any(|it| it.key == *key) {
+                self.find(self.section.line, format!("missing key `{key}`"));
+            }
+        }
+    }
+
+    /// A text that is not empty.
+    pub fn text(&mut self, key: &str) -> Option<&'a str> {
+        self.read(key, |value| match value {
+            "" => Err("is empty".to_owned()),
+            _ => Ok(value),
+        })
+    }
+
+    /// `yes` or `no`.
+    pub fn flag(&mut self, key: &str) -> Option<bool> {
+        self.read(key, |value| match value {
+            "yes" => Ok(true),
+            "no" => Ok(false),
+            _ => Err(format!("`{}` is neither `yes` nor `no`", excerpt(value))),
+        })
+    }
+
+    /// One of `words`.
+    pub fn word(&mut self, key: &str, words: &[&str]) -> Option<&'a str> {
+        self.read(key, |value| {
+            let is_known = words.contains(&value);
+            let message = || format!("`{}` is none of {}", excerpt(value), words.join(", "));
+            is_known.then_some(value).ok_or_else(message)
+        })
+    }
+
+    /// A path of an HTTP request.
+    pub fn path(&mut self, key: &str) -> Option<&'a str> {
+        self.read(key, |value| {
+            let is_path = value.starts_with('/')
+                && value.bytes().all(|it| it.is_ascii_graphic() && !matches!(it, b'?' | b'#'));
+            let message = || {
+                let value = excerpt(value);
+                format!("`{value}` is no path: starts with `/`, without blanks, `?` and `#`")
+            };
+            is_path.then_some(value).ok_or_else(message)
+        })
+    }
+
+    /// An IP number and a port.
+    pub fn address(&mut self, key: &str) -> Option<SocketAddr> {
+        self.read(key, |value| {
+            let address = value.parse().ok().filter(|it: &SocketAddr| it.port() != 0);
+            address.ok_or_else(|| {
+                let value = excerpt(value);
+                format!("`{value}` is no address: IP number and port, as in 10.0.0.1:8080")
+            })
+        })
+    }
+
+    /// A number of `unit` within `range`.
+    pub fn number<T>(&mut self, key: &str, range: RangeInclusive<T>, unit: &str) -> Option<T>
+    where
+        T: Display + FromStr + PartialOrd,
+    {
+        self.read(key, |value| {
+            let number = value.parse().ok().filter(|it| range.contains(it));
+            number.ok_or_else(|| out_of_range(value, range.start(), range.end(), unit))
+        })
+    }
+
+    /// A time with its unit, `ms` or `s`.
+    pub fn duration(&mut self, key: &str, range: RangeInclusive<Duration>) -> Option<Duration> {
+        self.read(key, |value| {
+            let duration = parse_duration(value).filter(|it| range.contains(it));
+            duration.ok_or_else(|| {
+                let (low, high) = (range.start().as_millis(), range.end().as_millis());
+                out_of_range(value, &low, &high, "ms, written as in `250ms` or `2s`")
+            })
+        })
+    }
+
+    /// A size with its unit: bytes, or `KiB`, `MiB`.
+    pub fn size(&mut self, key: &str, range: RangeInclusive<u64>) -> Option<u64> {
+        self.read(key, |value| {
+            let size = parse_size(value).filter(|it| range.contains(it));
+            size.ok_or_else(|| {
+                let unit = "bytes, written as in `65536`, `64KiB` or `1MiB`";
+                out_of_range(value, range.start(), range.end(), unit)
+            })
+        })
+    }
+
+    /// Every finding, those for keys that nobody read included.
+    #[must_use]
+    pub fn finish(mut self) -> Vec<Finding> {
+        for entry in std::mem::take(&mut self.entries) {
+            if !entry.is_read {
+                let message = format!("unknown key `{}`", excerpt(entry.key));
+                self.find(entry.line, message);
+            }
+        }
+        self.findings.sort_by_key(|it| it.line);
+        self.findings
+    }
+
+    /// A value that `parse` understands; its error says what would be right.
+    pub fn read<T>(
+        &mut self,
+        key: &str,
+        parse: impl FnOnce(&'a str) -> Result<T, String>,
+    ) -> Option<T> {
+        let entry = self.entries.iter_mut().find(|it| it.key == key)?;
+        entry.is_read = true;
+        let (value, line) = (entry.value, entry.line);
+        parse(value).map_err(|message| self.find(line, format!("{key}: {message}"))).ok()
+    }
+
+    fn find(&mut self, line: u32, message: String) {
+        self.findings.push(self.section.finding(line, message));
+    }
+}
+
+fn out_of_range(value: &str, low: &dyn Display, high: &dyn Display, unit: &str) -> String {
+    format!("`{}` is not from {low} to {high} {unit}", excerpt(value))
+}
+
+fn parse_duration(value: &str) -> Option<Duration> {
+    if let Some(number) = value.strip_suffix("ms") {
+        return number.trim_end().parse().ok().map(Duration::from_millis);
+    }
+    value.strip_suffix('s')?.trim_end().parse().ok().map(Duration::from_secs)
+}
+
+fn parse_size(value: &str) -> Option<u64> {
+    let units = [("KiB", 1 << 10), ("MiB", 1 << 20)];
+    let unit = units.iter().find_map(|(unit, factor)| Some((value.strip_suffix(unit)?, *factor)));
+    let (number, factor) = unit.unwrap_or((value, 1));
+    number.trim_end().parse::<u64>().ok()?.checked_mul(factor)
+}
