--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -143,8 +143,7 @@
     let state = Arc::clone(state);
     let stop = Arc::clone(stop);
     thread::spawn(move || {
-        let log =
-            platform::Http::new(state.settings.platform_address, platform::Settings::default());
+        let log = platform::Http::new(state.settings.log_address, platform::Settings::default());
         configuration::follow(&state, &log, &stop);
     });
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -21,8 +21,10 @@
     pub peer_address: SocketAddr,
     /// Address of `/metrics`, `/status`, `/explain` and `/drain`.
     pub admin_address: SocketAddr,
-    /// Address of the platform's log and host list.
-    pub platform_address: SocketAddr,
+    /// Address of the platform's log.
+    pub log_address: SocketAddr,
+    /// Address of the platform's host list.
+    pub hosts_address: SocketAddr,
     /// Peers' addresses to start from; more are learned from heartbeats.
     pub peers: Vec<SocketAddr>,
     /// Secret that all daemons of a fleet share.
@@ -54,7 +56,8 @@
             caller_address: any,
             peer_address: any,
             admin_address: any,
-            platform_address: any,
+            log_address: any,
+            hosts_address: any,
             peers: Vec::new(),
             peers_token: String::new(),
             domain: String::new(),
@@ -101,7 +104,8 @@
             "caller_address",
             "peer_address",
             "admin_address",
-            "platform_address",
+            "log_address",
+            "hosts_address",
             "peers_token",
             "domain",
         ]);
@@ -127,7 +131,8 @@
             ("caller_address", &mut self.caller_address),
             ("peer_address", &mut self.peer_address),
             ("admin_address", &mut self.admin_address),
-            ("platform_address", &mut self.platform_address),
+            ("log_address", &mut self.log_address),
+            ("hosts_address", &mut self.hosts_address),
         ];
         for (key, field) in addresses {
             if let Some(it) = keys.address(key) {
--- /dev/null
+++ b/crates/fleet/src/fleet.rs
@@ -0,0 +1,171 @@
+//! A fleet: daemons, backend servers, log and host list.
+
+use std::{
+    fmt::Write,
+    io,
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use daemon::Process;
+use standin::{backend::Backend, hosts::Hosts, log::Log};
+
+use crate::Service;
+
+/// Secret that the daemons of a fleet share.
+const PEERS_TOKEN: &str = "loopback-fleet-token";
+/// Pause between two looks at a condition.
+const LOOK_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Why a fleet could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A stand-in could not start.
+    #[error("stand-in: {0}")]
+    Standin(#[from] io::Error),
+    /// A daemon could not start.
+    #[error("daemon: {0}")]
+    Daemon(#[from] daemon::process::Error),
+    /// Something did not happen in time.
+    #[error("not within {0:?}: {1}")]
+    Timeout(Duration, String),
+}
+
+/// A fleet, or why it could not start.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// What a fleet is made of.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Number of daemons.
+    pub daemons: usize,
+    /// Services with their backend servers.
+    pub services: Vec<Service>,
+    /// Settings of each daemon; the addresses are filled in.
+    pub daemon: daemon::Settings,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let daemon = daemon::Settings {
+            peers_token: PEERS_TOKEN.into(),
+            log_decisions: false,
+            ..daemon::Settings::default()
+        };
+        Self { daemons: 1, services: vec![Service::default()], daemon }
+    }
+}
+
+/// A running fleet; it ends when dropped.
+pub struct Fleet {
+    /// Running daemons.
+    pub daemons: Vec<Process>,
+    /// Backend servers by service, in the order of the settings.
+    pub backends: Vec<Vec<Backend>>,
+    /// The platform's log.
+    pub log: Log,
+    /// The platform's host list.
+    pub hosts: Hosts,
+    settings: Settings,
+}
+
+impl Fleet {
+    /// Starts a fleet, publishes its document and waits until it is in force everywhere.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a part can't start or the document is not in force within 10 s.
+    pub fn start(settings: Settings) -> Result<Self> {
+        let mut backends = Vec::new();
+        for it in &settings.services {
+            let started: io::Result<Vec<_>> =
+                (0..it.upstreams).map(|_| Backend::start(it.backend)).collect();
+            backends.push(started?);
+        }
+        let log = Log::start(standin::log::Settings::default())?;
+        let hosts = Hosts::start()?;
+        let mut res = Self { daemons: Vec::new(), backends, log, hosts, settings };
+        let version = res.publish(&res.document());
+        for number in 0..res.settings.daemons {
+            let daemon = res.start_daemon(number)?;
+            res.daemons.push(daemon);
+        }
+        res.await_version(version)?;
+        Ok(res)
+    }
+
+    /// Starts one more daemon; the caller keeps it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon can't start.
+    pub fn start_daemon(&self, number: usize) -> Result<Process> {
+        let settings = daemon::Settings {
+            log_address: self.log.address(),
+            hosts_address: self.hosts.address(),
+            domain: ["a", "b", "c"][number % 3].into(),
+            ..self.settings.daemon.clone()
+        };
+        Ok(Process::start(settings)?)
+    }
+
+    /// The document of the fleet's services.
+    #[must_use]
+    pub fn document(&self) -> String {
+        let mut res = String::from("[team operations]\nadmin = yes\n");
+        for (order, (rank, floor)) in
+            [("urgent", 40), ("normal", 25), ("bulk", 10)].iter().enumerate()
+        {
+            // Writing to a string can't fail.
+            let _ = write!(res, "[rank {rank}]\norder = {order}\nfloor_percent = {floor}\n");
+        }
+        for (service, backends) in self.settings.services.iter().zip(&self.backends) {
+            let addresses: Vec<_> = backends.iter().map(Backend::address).collect();
+            res.push_str(&service.sections(&addresses));
+        }
+        res
+    }
+
+    /// Publishes a document and returns the version that it will have.
+    #[must_use]
+    pub fn publish(&self, document: &str) -> u64 {
+        let offset =
+            self.log.inject(daemon::configuration::STREAM, Bytes::from(document.to_owned()));
+        offset + 1
+    }
+
+    /// Waits until every daemon has `version` in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails after 10 s.
+    pub fn await_version(&self, version: u64) -> Result<()> {
+        await_that(Duration::from_secs(10), &format!("version {version} in force"), || {
+            self.daemons.iter().all(|it| it.version() >= version)
+        })
+    }
+
+    /// Address of a daemon for callers.
+    #[must_use]
+    pub fn address(&self, number: usize) -> SocketAddr {
+        self.daemons[number].caller_address()
+    }
+}
+
+/// Waits until a condition holds.
+///
+/// # Errors
+///
+/// Fails with `what` after `limit`.
+pub fn await_that(limit: Duration, what: &str, mut holds: impl FnMut() -> bool) -> Result<()> {
+    let started = Instant::now();
+    while !holds() {
+        if started.elapsed() > limit {
+            return Err(Error::Timeout(limit, what.to_owned()));
+        }
+        thread::sleep(LOOK_INTERVAL);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/fleet/src/service.rs
@@ -0,0 +1,73 @@
+//! One service of a fleet and the routes that lead to it.
+
+use std::{fmt::Write, net::SocketAddr};
+
+use standin::backend;
+
+/// One service of a fleet: `/NAME` leads to it, by `GET` idempotent and by `POST` not.
+#[derive(Clone, Debug)]
+pub struct Service {
+    /// Name of the service, and of its path.
+    pub name: String,
+    /// Rank of its work.
+    pub rank: String,
+    /// Number of its upstreams.
+    pub upstreams: usize,
+    /// Size and speed of each upstream.
+    pub backend: backend::Settings,
+    /// Deadline of its routes in milliseconds.
+    pub deadline_ms: u64,
+    /// Whether `POST` without a key is allowed.
+    pub allow_unkeyed: bool,
+    /// Further keys of the section `[service NAME]`, one a line.
+    pub extra: String,
+}
+
+impl Default for Service {
+    fn default() -> Self {
+        Self {
+            name: "stock".into(),
+            rank: "urgent".into(),
+            upstreams: 3,
+            backend: backend::Settings::default(),
+            deadline_ms: 2_000,
+            allow_unkeyed: false,
+            extra: String::new(),
+        }
+    }
+}
+
+impl Service {
+    /// The service's sections of a document.
+    #[must_use]
+    pub fn sections(&self, addresses: &[SocketAddr]) -> String {
+        let Self { name, rank, deadline_ms, extra, .. } = self;
+        let slots = self.backend.slots;
+        let connections = self.backend.connections;
+        let unkeyed = if self.allow_unkeyed { "yes" } else { "no" };
+        let mut res = format!("[service {name}]\nowner = operations\n{extra}\n");
+        for (method, idempotent) in [("GET", "yes"), ("POST", "no")] {
+            let id = format!("{name}-{}", method.to_lowercase());
+            let key = if idempotent == "no" {
+                format!("allow_unkeyed = {unkeyed}\n")
+            } else {
+                String::new()
+            };
+            // Writing to a string can't fail.
+            let _ = write!(
+                res,
+                "[route {id}]\nservice = {name}\nmethod = {method}\npath = /{name}\nrank = {rank}\n\
+                 idempotent = {idempotent}\n{key}deadline = {deadline_ms}ms\n",
+            );
+        }
+        for (number, address) in addresses.iter().enumerate() {
+            let domain = ["a", "b", "c"][number % 3];
+            let _ = write!(
+                res,
+                "[upstream {name}-{number}]\nservice = {name}\naddress = {address}\n\
+                 domain = {domain}\nslots = {slots}\nconnections = {connections}\n",
+            );
+        }
+        res
+    }
+}
