Add a stand-in backend server with faults that are switched while it runs

Slots, a FIFO queue, load on each answer, executions counted by idempotency key from the moment that work starts. A body error straight after its data made hyper drop the head of the answer too, so the cut answer yields once before it ends. Cancelled requests free their slot, tested in the slot and in the queue.

--- /dev/null
+++ b/crates/standin/src/backend/answer.rs
@@ -0,0 +1,74 @@
+//! The body of an answer, whole or cut.
+
+use std::{
+    io,
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+
+/// The body of an answer, whole or cut.
+pub(super) struct Answer {
+    data: Option<Bytes>,
+    stated_bytes: u64,
+    end: End,
+}
+
+/// What follows the data.
+enum End {
+    Whole,
+    /// An error, after the server had an occasion to send the data.
+    Cut {
+        flushed: bool,
+    },
+}
+
+impl Answer {
+    /// A body that arrives as it is.
+    pub(super) fn whole(data: Bytes) -> Self {
+        Self { stated_bytes: data.len() as u64, data: Some(data), end: End::Whole }
+    }
+
+    /// A body of which the first half arrives before the connection ends.
+    pub(super) fn cut(data: &Bytes) -> Self {
+        let stated_bytes = data.len() as u64;
+        Self {
+            data: Some(data.slice(..data.len() / 2)),
+            stated_bytes,
+            end: End::Cut { flushed: false },
+        }
+    }
+}
+
+impl Body for Answer {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        if let Some(it) = self.data.take().filter(|it| !it.is_empty()) {
+            return Poll::Ready(Some(Ok(Frame::data(it))));
+        }
+        match &mut self.end {
+            End::Whole => Poll::Ready(None),
+            End::Cut { flushed: true } => Poll::Ready(Some(Err(io::Error::other("answer cut")))),
+            End::Cut { flushed } => {
+                *flushed = true;
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.data.as_ref().is_none_or(Bytes::is_empty) && matches!(self.end, End::Whole)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.stated_bytes)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/backend/state.rs
@@ -0,0 +1,127 @@
+//! What a backend server knows of itself.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use tokio::sync::{Semaphore, watch};
+
+use super::{Execution, Faults, Load, Settings};
+
+/// What a backend server knows of itself.
+pub(super) struct State {
+    pub(super) settings: Settings,
+    pub(super) faults: watch::Sender<Faults>,
+    pub(super) slots: Semaphore,
+    queued: AtomicUsize,
+    probes: AtomicU64,
+    book: Mutex<Book>,
+}
+
+/// An id of an attempt and the answer to it.
+pub(super) type Exchange = (String, Bytes);
+
+struct Book {
+    since: Instant,
+    total: Execution,
+    by_key: BTreeMap<String, Execution>,
+    previous: Exchange,
+}
+
+impl State {
+    pub(super) fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            faults: watch::Sender::new(Faults::default()),
+            slots: Semaphore::new(settings.slots),
+            queued: AtomicUsize::new(0),
+            probes: AtomicU64::new(0),
+            book: Mutex::new(Book {
+                since: Instant::now(),
+                total: Execution::default(),
+                by_key: BTreeMap::new(),
+                previous: ("another".to_owned(), Bytes::from_static(b"another")),
+            }),
+        }
+    }
+
+    pub(super) fn load(&self) -> Load {
+        Load {
+            in_flight: self.settings.slots - self.slots.available_permits(),
+            queued: self.queued.load(Ordering::Acquire),
+        }
+    }
+
+    /// Counts a request that waits for as long as the guard lives; none if the queue is full.
+    pub(super) fn enqueue(&self) -> Option<Queued<'_>> {
+        let before = self.queued.fetch_add(1, Ordering::AcqRel);
+        let queued = Queued { queued: &self.queued };
+        (before < self.settings.queue_limit || self.slots.available_permits() > 0).then_some(queued)
+    }
+
+    /// Time that a request takes now.
+    pub(super) fn service_time(&self) -> Duration {
+        let cold_for = self.settings.cold_start.saturating_sub(self.book().since.elapsed());
+        let cold = match self.settings.cold_start.as_secs_f64() {
+            0.0 => 0.0,
+            whole => cold_for.as_secs_f64() / whole,
+        };
+        let factor = 1.0 + cold * (self.settings.cold_factor - 1.0).max(0.0);
+        self.settings.service_time.mul_f64(factor * self.faults.borrow().slow_factor)
+    }
+
+    pub(super) fn cool(&self) {
+        self.book().since = Instant::now();
+    }
+
+    /// Counts an event of the request with the key `key`, if it has one.
+    pub(super) fn count(&self, key: Option<&str>, change: impl Fn(&mut Execution)) {
+        let mut book = self.book();
+        change(&mut book.total);
+        if let Some(key) = key {
+            change(book.by_key.entry(key.to_owned()).or_default());
+        }
+    }
+
+    pub(super) fn execution(&self, key: &str) -> Execution {
+        self.book().by_key.get(key).copied().unwrap_or_default()
+    }
+
+    pub(super) fn total(&self) -> Execution {
+        self.book().total
+    }
+
+    /// Keeps this exchange and returns the one before it.
+    pub(super) fn exchange(&self, exchange: Exchange) -> Exchange {
+        std::mem::replace(&mut self.book().previous, exchange)
+    }
+
+    pub(super) fn count_probe(&self) {
+        self.probes.fetch_add(1, Ordering::AcqRel);
+    }
+
+    pub(super) fn probes(&self) -> u64 {
+        self.probes.load(Ordering::Acquire)
+    }
+
+    fn book(&self) -> MutexGuard<'_, Book> {
+        self.book.lock().expect("no handler panics with the lock")
+    }
+}
+
+/// A request that waits for a slot.
+pub(super) struct Queued<'a> {
+    queued: &'a AtomicUsize,
+}
+
+impl Drop for Queued<'_> {
+    fn drop(&mut self) {
+        self.queued.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 //! dropped. Faults are switched on while it runs. They serve tests, demonstrations and measurements
 //! and know nothing of the daemon.
 
+pub mod backend;
 pub mod hosts;
 pub mod log;
 mod server;
