--- /dev/null
+++ b/crates/order/src/batcher.rs
@@ -0,0 +1,154 @@
+//! Groups what must be appended, so that the log sees few appends.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Instant,
+};
+
+use crate::{
+    Batch, Body, Claim, Fingerprint, Finished, Incarnation, Key, Record, Settings, Started, Stream,
+    action::Action,
+};
+
+/// An order that waits to be appended.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct Pending {
+    pub(crate) key: Key,
+    pub(crate) fingerprint: Fingerprint,
+}
+
+/// What an append carries that somebody waits for.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum Content {
+    /// Orders, started or claimed.
+    Orders(Vec<Key>),
+    /// A revocation.
+    Revocation(Incarnation),
+}
+
+/// Groups what must be appended.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+pub(crate) struct Batcher {
+    started: VecDeque<Pending>,
+    claimed: VecDeque<Pending>,
+    finished: VecDeque<Finished>,
+    finished_since: Option<Instant>,
+    revocations: VecDeque<Incarnation>,
+    in_flight: BTreeMap<Batch, Content>,
+    next_batch: Batch,
+    next_append: Option<Instant>,
+    claims_first: bool,
+}
+
+impl Batcher {
+    pub(crate) fn push_started(&mut self, pending: Pending) {
+        self.started.push_back(pending);
+    }
+
+    pub(crate) fn push_claim(&mut self, pending: Pending) {
+        self.claimed.push_back(pending);
+    }
+
+    pub(crate) fn push_revocation(&mut self, incarnation: Incarnation) {
+        self.revocations.push_back(incarnation);
+    }
+
+    pub(crate) fn push_finished(&mut self, finished: Finished, limit: usize, now: Instant) {
+        if self.finished.len() >= limit {
+            self.finished.pop_front();
+        }
+        self.finished.push_back(finished);
+        self.finished_since.get_or_insert(now);
+    }
+
+    /// Drops an order that was given up before its append.
+    pub(crate) fn withdraw(&mut self, key: &Key) {
+        self.started.retain(|it| it.key != *key);
+        self.claimed.retain(|it| it.key != *key);
+    }
+
+    /// Drops what concerns the stream of an incarnation that was revoked.
+    pub(crate) fn retire(&mut self) {
+        self.started.clear();
+        self.finished.clear();
+        self.finished_since = None;
+    }
+
+    /// Forgets an append that came to an end and returns what it carried.
+    pub(crate) fn complete(&mut self, batch: Batch) -> Option<Content> {
+        self.in_flight.remove(&batch)
+    }
+
+    /// When the next append is due; nothing if none is, or all wait for an earlier one's end.
+    pub(crate) fn next_wakeup(&self, settings: &Settings, now: Instant) -> Option<Instant> {
+        if self.in_flight.len() >= settings.append_limit {
+            return None;
+        }
+        let ready = !self.started.is_empty()
+            || !self.claimed.is_empty()
+            || !self.revocations.is_empty()
+            || self.finished.len() >= settings.batch_limit;
+        let due = if ready {
+            Some(now)
+        } else {
+            self.finished_since.map(|it| it + settings.finish_interval)
+        };
+        due.map(|it| self.next_append.map_or(it, |next| next.max(it)))
+    }
+
+    /// The append that is due, if any, and what it carries.
+    pub(crate) fn flush(
+        &mut self,
+        incarnation: Incarnation,
+        settings: &Settings,
+        now: Instant,
+    ) -> Option<(Action, Vec<Key>)> {
+        if self.next_wakeup(settings, now).is_none_or(|it| it > now) {
+            return None;
+        }
+        let (stream, body, content) = self.next_content(incarnation, settings.batch_limit);
+        let batch = self.next_batch;
+        self.next_batch += 1;
+        self.next_append = Some(now + settings.append_interval);
+        let keys = match &content {
+            Content::Orders(keys) => keys.clone(),
+            Content::Revocation(_) => Vec::new(),
+        };
+        self.in_flight.insert(batch, content);
+        let record = Record::new(body).encode();
+        Some((Action::Append { batch, stream, record }, keys))
+    }
+
+    /// Revocations go first, because a caller waits for each; claims and orders take turns.
+    fn next_content(&mut self, own: Incarnation, limit: usize) -> (Stream, Body, Content) {
+        if let Some(it) = self.revocations.pop_front() {
+            return (Stream::Orders(it), Body::Revoked { by: own }, Content::Revocation(it));
+        }
+        let claims = !self.claimed.is_empty() && (self.claims_first || self.started.is_empty());
+        self.claims_first = !claims;
+        if claims { self.next_claims(own, limit) } else { self.next_orders(own, limit) }
+    }
+
+    fn next_claims(&mut self, own: Incarnation, limit: usize) -> (Stream, Body, Content) {
+        let taken: Vec<Pending> = take_front(&mut self.claimed, limit);
+        let claims = taken.iter().filter_map(|it| Claim::of(it.key, it.fingerprint)).collect();
+        let keys = taken.iter().map(|it| it.key).collect();
+        (Stream::Claims, Body::Claims { owner: own, claims }, Content::Orders(keys))
+    }
+
+    fn next_orders(&mut self, own: Incarnation, limit: usize) -> (Stream, Body, Content) {
+        let taken: Vec<Pending> = take_front(&mut self.started, limit);
+        let started = taken.iter().filter_map(|it| Started::of(it.key, it.fingerprint)).collect();
+        let finished = take_front(&mut self.finished, limit);
+        if self.finished.is_empty() {
+            self.finished_since = None;
+        }
+        let keys = taken.iter().map(|it| it.key).collect();
+        (Stream::Orders(own), Body::Orders { started, finished }, Content::Orders(keys))
+    }
+}
+
+fn take_front<T>(queue: &mut VecDeque<T>, limit: usize) -> Vec<T> {
+    let count = queue.len().min(limit);
+    queue.drain(..count).collect()
+}
--- /dev/null
+++ b/crates/order/src/store.rs
@@ -0,0 +1,120 @@
+//! The orders that an engine answers for, with a bound on the memory of their answers.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Instant,
+};
+
+use crate::{
+    Key, Outcome, Ticket,
+    entry::{Entry, Phase, Waiter},
+};
+
+/// Orders by key.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+pub(crate) struct Store {
+    entries: BTreeMap<Key, Entry>,
+    /// Orders that haven't come to an outcome.
+    active: BTreeSet<Key>,
+    /// Orders whose answers are held, oldest first.
+    answered: VecDeque<Key>,
+    answer_bytes: usize,
+}
+
+impl Store {
+    pub(crate) fn get(&self, key: &Key) -> Option<&Entry> {
+        self.entries.get(key)
+    }
+
+    /// For changes other than finishing.
+    pub(crate) fn get_mut(&mut self, key: &Key) -> Option<&mut Entry> {
+        self.entries.get_mut(key)
+    }
+
+    pub(crate) fn insert(&mut self, key: Key, entry: Entry) {
+        self.active.insert(key);
+        self.entries.insert(key, entry);
+    }
+
+    /// Records an outcome and returns the requests to answer with it. Answers beyond `limit` bytes
+    /// are dropped, oldest first; that the orders ran stays recorded.
+    pub(crate) fn finish(&mut self, key: &Key, outcome: Outcome, limit: usize) -> Vec<Waiter> {
+        let Some(entry) = self.entries.get_mut(key) else { return Vec::new() };
+        let res = entry.take_waiters();
+        if let Outcome::Done(answer) = &outcome {
+            self.answer_bytes += answer.size();
+            self.answered.push_back(*key);
+        }
+        entry.phase = Phase::Finished(outcome);
+        self.active.remove(key);
+        self.drop_answers(limit);
+        res
+    }
+
+    pub(crate) fn remove(&mut self, key: &Key) -> Option<Entry> {
+        self.active.remove(key);
+        let entry = self.entries.remove(key)?;
+        if let Phase::Finished(Outcome::Done(answer)) = &entry.phase {
+            self.answer_bytes -= answer.size();
+            self.answered.retain(|it| it != key);
+        }
+        Some(entry)
+    }
+
+    /// Keys of the orders that haven't come to an outcome.
+    pub(crate) fn active(&self) -> impl Iterator<Item = (&Key, &Entry)> {
+        self.active.iter().filter_map(|key| Some((key, self.entries.get(key)?)))
+    }
+
+    /// Keys between two, both included.
+    pub(crate) fn keys(&self, first: Key, last: Key) -> Vec<Key> {
+        self.entries.range(first..=last).map(|(key, _)| *key).collect()
+    }
+
+    /// Orders held.
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Memory of the answers held, in bytes.
+    pub(crate) fn answer_bytes(&self) -> usize {
+        self.answer_bytes
+    }
+
+    /// Stops a repeat from waiting; returns the keys of orders that the request was to run.
+    pub(crate) fn abandon(&mut self, ticket: Ticket) -> Vec<Key> {
+        let mut res = Vec::new();
+        for key in &self.active {
+            let Some(entry) = self.entries.get_mut(key) else { continue };
+            entry.waiters.retain(|it| it.ticket != ticket);
+            if entry.runner.ticket == ticket && entry.is_waiting_for_log() {
+                res.push(*key);
+            }
+        }
+        res
+    }
+
+    /// Removes and returns the repeats whose deadline has passed.
+    pub(crate) fn expire_waiters(&mut self, now: Instant) -> Vec<Ticket> {
+        let mut res = Vec::new();
+        for key in &self.active {
+            let Some(entry) = self.entries.get_mut(key) else { continue };
+            let (late, kept) = entry.waiters.iter().partition(|it| it.deadline <= now);
+            entry.waiters = kept;
+            let late: Vec<Waiter> = late;
+            res.extend(late.iter().map(|it| it.ticket));
+        }
+        res
+    }
+
+    fn drop_answers(&mut self, limit: usize) {
+        while self.answer_bytes > limit {
+            let Some(key) = self.answered.pop_front() else { return };
+            let Some(entry) = self.entries.get_mut(&key) else { continue };
+            if let Phase::Finished(Outcome::Done(answer)) = &entry.phase {
+                self.answer_bytes -= answer.size();
+                entry.phase = Phase::Finished(Outcome::Unkept);
+            }
+        }
+    }
+}
