--- a/crates/daemon/src/decision.rs
+++ b/crates/daemon/src/decision.rs
@@ -16,7 +16,7 @@
 
 use serde::Serialize;
 
-use crate::{caller::reply::Outcome, id};
+use crate::{caller::reply::Outcome, id, process::THREAD_NAME};
 
 /// Records that wait for the log at most.
 const QUEUE_LIMIT: usize = 16_384;
@@ -103,7 +103,10 @@
     pub fn start(lines: bool) -> Arc<Self> {
         let (queue, receiver) = mpsc::sync_channel(QUEUE_LIMIT);
         if lines {
-            thread::spawn(move || write_lines(&receiver));
+            let writer = thread::Builder::new().name(THREAD_NAME.into());
+            if let Err(e) = writer.spawn(move || write_lines(&receiver)) {
+                log::error!("decisions can't be logged: {e}");
+            }
         }
         Arc::new(Self { queue, ring: Mutex::default(), dropped: AtomicU64::new(0) })
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod configuration;
 pub mod decision;
 pub mod id;
+pub mod logs;
 pub mod path;
 pub mod process;
 pub mod service;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -43,7 +43,7 @@
         println!("{}: no findings", arguments.settings.display());
         return ExitCode::SUCCESS;
     }
-    if let Err(e) = start_log(settings.log_level) {
+    if let Err(e) = daemon::logs::dispatch(settings.log_level).chain(std::io::stderr()).apply() {
         eprintln!("fireflydrumd: log: {e}");
         return ExitCode::FAILURE;
     }
@@ -82,18 +82,6 @@
     })
 }
 
-fn start_log(level: log::LevelFilter) -> Result<(), log::SetLoggerError> {
-    fern::Dispatch::new()
-        .level(level)
-        .format(|out, message, record| {
-            let now = std::time::SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
-            let (level, target) = (record.level(), record.target());
-            out.finish(format_args!("{:.3} {level} {target} {message}", now.as_secs_f64()));
-        })
-        .chain(std::io::stderr())
-        .apply()
-}
-
 fn run(settings: Settings) -> ExitCode {
     let process = match Process::start(settings) {
         Ok(it) => it,
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -14,6 +14,8 @@
 
 use crate::{Settings, admin, caller::listener::Listener, configuration, path::Path, state::State};
 
+/// Name of the daemon's threads.
+pub const THREAD_NAME: &str = "fireflydrumd";
 /// Time between two looks at requests that wait.
 const TICK: Duration = Duration::from_millis(5);
 
@@ -61,7 +63,7 @@
         let state = Arc::new(State::new(settings, clock, fastrand::u64(1..)));
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(state.settings.threads)
-            .thread_name("caller")
+            .thread_name(THREAD_NAME)
             .enable_all()
             .build()?;
         let address = state.settings.caller_address;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,6 @@
 //! Chores and measurements for developers: `cargo xtask COMMAND`.
 
+mod load;
 mod tour;
 
 use std::process::ExitCode;
@@ -7,6 +8,7 @@
 const HELP: &str = "\
 usage: cargo xtask COMMAND [OPTIONS]
 
+  load      measures what the daemon adds to a call, on loopback
   tour      shows the whole path on loopback, in one process
   help      prints this page
 
@@ -17,6 +19,7 @@
     let mut arguments = std::env::args().skip(1);
     let command = arguments.next().unwrap_or_default();
     match command.as_str() {
+        "load" => load::run(),
         "tour" => tour::run(),
         "help" | "--help" | "-h" => {
             print!("{HELP}");
