--- a/crates/document/src/check.rs
+++ b/crates/document/src/check.rs
@@ -13,16 +13,16 @@
 };
 
 /// A section and what it describes, if its keys are sound.
-pub(crate) type Entry<'a> = (&'a Section, Option<&'a Item>);
+pub(crate) type Part<'a> = (&'a Section, Option<&'a Item>);
 
 /// Checks references, uniqueness and sums over all sections of a document.
 ///
-/// Of two sections that can't both stand, the later of `entries` has the finding.
-pub(crate) fn check<'a, I>(entries: impl Fn() -> I, report: &mut Report)
+/// Of two sections that can't both stand, the later of `parts` has the finding.
+pub(crate) fn check<'a, I>(parts: impl Fn() -> I, report: &mut Report)
 where
-    I: Iterator<Item = Entry<'a>>,
+    I: Iterator<Item = Part<'a>>,
 {
-    let known = entries().map(|(section, _)| &section.id).collect();
+    let known = parts().map(|(section, _)| &section.id).collect();
     let mut checker = Checker {
         known,
         report,
@@ -32,7 +32,7 @@
         paths: HashMap::new(),
         addresses: HashMap::new(),
     };
-    for (section, item) in entries() {
+    for (section, item) in parts() {
         match item {
             Some(item) => checker.visit(section, item),
             // A broken team section may be the one that holds `admin = yes`.
@@ -93,7 +93,7 @@
     }
 
     fn finish(self) {
-        if !self.known.is_empty() && !self.has_admin {
+        if !self.has_admin {
             let message = "no team has `admin = yes`; nobody could change ranks and teams";
             self.report.push_whole(message.to_owned());
         }
--- /dev/null
+++ b/crates/document/src/fold/window.rs
@@ -0,0 +1,53 @@
+//! The ids of recent publications.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+};
+
+use crate::{Offset, PublicationId};
+
+/// Records after which a publication's base is too old to be judged.
+///
+/// A repeat of a publication has the base of the first, so it expires no later than its id is
+/// forgotten: the ids of this many records are enough to count every publication once.
+pub const WINDOW: Offset = 4_096;
+
+/// The ids of recent publications, with the offsets at which they were judged.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Window {
+    order: VecDeque<(Offset, PublicationId)>,
+    offsets: HashMap<PublicationId, Offset>,
+}
+
+impl PartialEq for Window {
+    fn eq(&self, other: &Self) -> bool {
+        self.order == other.order
+    }
+}
+
+impl Window {
+    /// Forgets what a record at `now` can't repeat any more.
+    pub(crate) fn prune(&mut self, now: Offset) {
+        while let Some((offset, _)) = self.order.front()
+            && now.saturating_sub(*offset) > WINDOW
+        {
+            if let Some((_, id)) = self.order.pop_front() {
+                self.offsets.remove(&id);
+            }
+        }
+    }
+
+    pub(crate) fn first(&self, id: &PublicationId) -> Option<Offset> {
+        self.offsets.get(id).copied()
+    }
+
+    pub(crate) fn insert(&mut self, id: &PublicationId, offset: Offset) {
+        self.order.push_back((offset, Arc::clone(id)));
+        self.offsets.insert(Arc::clone(id), offset);
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &(Offset, PublicationId)> {
+        self.order.iter()
+    }
+}
--- a/crates/document/src/lib.rs
+++ b/crates/document/src/lib.rs
@@ -7,23 +7,31 @@
 mod check;
 mod document;
 mod finding;
+mod fold;
 mod item;
 mod keys;
 mod name;
+pub mod publication;
 mod rank;
+pub mod replica;
 mod report;
 mod route;
 pub mod section;
 mod service;
+pub mod snapshot;
 mod split;
 mod team;
 mod upstream;
+pub mod verdict;
 
 pub use document::Document;
 pub use finding::Finding;
+pub use fold::{Fold, RULES, WINDOW};
 pub use item::Item;
 pub use name::MAX_NAME_BYTES;
+pub use publication::{Publication, PublicationId};
 pub use rank::Rank;
+pub use replica::Replica;
 pub use report::MAX_FINDINGS;
 pub use route::Route;
 pub use section::Section;
@@ -31,6 +39,7 @@
 pub use split::{MAX_DOCUMENT_BYTES, MAX_SECTIONS, split};
 pub use team::Team;
 pub use upstream::Upstream;
+pub use verdict::Verdict;
 
 /// Name of a service, unique in a document.
 pub type ServiceId = std::sync::Arc<str>;
@@ -44,5 +53,9 @@
 pub type Domain = std::sync::Arc<str>;
 /// Name of a team, unique in a document.
 pub type TeamId = std::sync::Arc<str>;
+/// Position of a record in the log.
+pub type Offset = u64;
+/// Version of the document: the offset of the publication that made it; it only grows.
+pub type Version = Offset;
 /// A document, or every finding that speaks against it.
 pub type Result<T, E = Vec<Finding>> = std::result::Result<T, E>;
--- /dev/null
+++ b/crates/document/src/snapshot/duty.rs
@@ -0,0 +1,99 @@
+//! Decides when a host appends a snapshot.
+//!
+//! All hosts decide alike, and each waits a while of its own before it writes, so that one of them
+//! usually spares the others the work. Nobody is elected: two snapshots do no harm.
+
+use std::time::{Duration, Instant};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{Fold, Offset, snapshot};
+
+/// When a host appends a snapshot.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// Records after the newest snapshot that make the next one due.
+    pub records: Offset,
+    /// Age of the newest snapshot that makes the next one due; well below the log's retention.
+    pub age: Duration,
+    /// Longest wait before a host writes a snapshot that is due.
+    pub spread: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self { records: 256, age: Duration::from_hours(1), spread: Duration::from_secs(30) }
+    }
+}
+
+/// One host's share in writing snapshots.
+#[derive(Clone, Debug)]
+pub struct Duty {
+    settings: Settings,
+    /// Tells this host's wait from those of the others.
+    host: String,
+    newest: Newest,
+    due_at: Option<Instant>,
+}
+
+/// The newest usable snapshot that the host knows of.
+#[derive(Clone, Copy, Debug)]
+struct Newest {
+    end: Offset,
+    written_at: Option<Instant>,
+}
+
+impl Duty {
+    /// The duty of `host`, which knows of no snapshot yet.
+    #[must_use]
+    pub fn new(host: &str, settings: Settings) -> Self {
+        let newest = Newest { end: 0, written_at: None };
+        Self { settings, host: host.to_owned(), newest, due_at: None }
+    }
+
+    /// Takes note of a record of the snapshots' stream; one that nobody can use doesn't count.
+    ///
+    /// `wall_s` is the wall-clock time in seconds since 1970, for the snapshot's age.
+    pub fn see(&mut self, record: &[u8], now: Instant, wall_s: u64) {
+        let Ok(fold) = snapshot::decode(record) else { return };
+        let age = Duration::from_secs(wall_s.saturating_sub(snapshot::written_s(record)));
+        self.note(fold.end(), now.checked_sub(age).unwrap_or(now));
+    }
+
+    /// Takes note that this host appended a snapshot of everything before `end`.
+    pub fn wrote(&mut self, end: Offset, now: Instant) {
+        self.note(end, now);
+    }
+
+    /// Whether this host should append a snapshot of `fold` now.
+    pub fn is_due(&mut self, fold: &Fold, now: Instant) -> bool {
+        if !self.is_needed(fold, now) {
+            self.due_at = None;
+            return false;
+        }
+        let wait = self.wait();
+        now >= *self.due_at.get_or_insert_with(|| now + wait)
+    }
+
+    fn note(&mut self, end: Offset, written_at: Instant) {
+        self.newest = Newest { end, written_at: Some(written_at) };
+        self.due_at = None;
+    }
+
+    fn is_needed(&self, fold: &Fold, now: Instant) -> bool {
+        if fold.version().is_none() {
+            return false;
+        }
+        let Some(written_at) = self.newest.written_at else { return true };
+        let is_behind = fold.end().saturating_sub(self.newest.end) >= self.settings.records;
+        is_behind || now.saturating_duration_since(written_at) >= self.settings.age
+    }
+
+    /// A wait that differs between hosts, and for each host between snapshots.
+    fn wait(&self) -> Duration {
+        const STEPS: u32 = 1_024;
+        let hash = xxh3_64_with_seed(self.host.as_bytes(), self.newest.end);
+        let step = u32::try_from(hash % u64::from(STEPS)).unwrap_or(0);
+        self.settings.spread * step / STEPS
+    }
+}
--- /dev/null
+++ b/crates/document/tests/replica_start.rs
@@ -0,0 +1,205 @@
+//! Where a replica starts, and what it does when the log or its snapshots fail it.
+
+mod util;
+
+use document::{
+    Fold, Offset, Replica, publication,
+    replica::{Progress, State},
+    snapshot,
+};
+use util::{first, publication as make, publish, set};
+
+/// A log with two streams, of which the oldest records are gone.
+#[derive(Clone, Default)]
+struct Log {
+    records: Vec<Vec<u8>>,
+    records_first: usize,
+    snapshots: Vec<Vec<u8>>,
+    snapshots_first: usize,
+}
+
+impl Log {
+    /// A log of `count` accepted publications, and the fold of it all.
+    fn new(count: usize) -> (Self, Fold) {
+        let (mut log, mut fold) = (Self::default(), Fold::default());
+        for it in 0..count {
+            let record =
+                make(&format!("p{it}"), "ops", fold.end(), vec![set(util::FIRST)]).encode();
+            fold.apply(fold.end(), &record);
+            log.records.push(record);
+        }
+        (log, fold)
+    }
+
+    fn snapshot(&mut self, end: usize) {
+        let mut fold = Fold::default();
+        for (offset, record) in self.records[..end].iter().enumerate() {
+            fold.apply(offset as Offset, record);
+        }
+        self.snapshots.push(snapshot::encode(&fold, 0));
+    }
+
+    fn answer(&self, replica: &mut Replica) -> Option<Progress> {
+        let request = replica.request()?;
+        let (records, first) = match request.stream {
+            publication::STREAM => (&self.records, self.records_first),
+            snapshot::STREAM => (&self.snapshots, self.snapshots_first),
+            other => panic!("no stream {other}"),
+        };
+        let from = usize::try_from(request.from).expect("a small offset").min(records.len());
+        if from < first {
+            return Some(replica.gone());
+        }
+        let found = records[from..].iter().zip(from as Offset..).take(request.limit.min(3));
+        let found: Vec<_> = found.map(|(it, offset)| (offset, it.clone())).collect();
+        let next = (from + found.len()) as Offset;
+        Some(replica.take(first as Offset, next, &found))
+    }
+
+    /// Lets the replica read until it is current or comes no further; returns its warnings.
+    fn follow(&self, replica: &mut Replica) -> Vec<String> {
+        let mut warnings = Vec::new();
+        for _ in 0..100 {
+            let Some(progress) = self.answer(replica) else { break };
+            warnings.extend(progress.warnings);
+            if progress.should_wait {
+                break;
+            }
+        }
+        warnings
+    }
+}
+
+/// Starts a replica and compares its state and the reasons for which it passed over snapshots.
+fn check(log: &Log, state: State, warnings: &[&str]) -> Replica {
+    let mut replica = Replica::default();
+    let found = log.follow(&mut replica);
+    assert_eq!(found.len(), warnings.len(), "{found:?}");
+    for (found, expected) in found.iter().zip(warnings) {
+        assert!(found.contains(expected), "{found}");
+    }
+    assert_eq!(replica.state(), state);
+    replica
+}
+
+#[test]
+fn empty_log() {
+    let replica = check(&Log::default(), State::Following, &[]);
+    assert_eq!(replica.fold().version(), None);
+}
+
+#[test]
+fn whole_log() {
+    let (log, fold) = Log::new(10);
+    assert_eq!(check(&log, State::Following, &[]).fold(), &fold);
+}
+
+#[test]
+fn newest_snapshot() {
+    let (mut log, fold) = Log::new(10);
+    log.snapshot(4);
+    log.snapshot(7);
+    log.records_first = 6;
+    assert_eq!(check(&log, State::Following, &[]).fold(), &fold);
+}
+
+#[test]
+fn damaged_snapshots() {
+    let (mut log, fold) = Log::new(10);
+    log.snapshot(6);
+    let sound = log.snapshots[0].clone();
+    let mut flipped = sound.clone();
+    *flipped.last_mut().expect("a body") ^= 1;
+    log.snapshots.extend([b"foreign".to_vec(), flipped, sound[..sound.len() / 2].to_vec()]);
+    let mut longer = log.clone();
+    longer.records.extend(Log::new(12).0.records.split_off(10));
+    longer.snapshot(12);
+    log.snapshots.push(longer.snapshots.pop().expect("a snapshot"));
+    log.records_first = 3;
+    let warnings = ["doesn't go on", "checksum", "checksum", "no header"];
+    assert_eq!(check(&log, State::Following, &warnings).fold(), &fold);
+}
+
+/// A snapshot made under later rules is passed over, and the replica halts where those rules begin.
+#[test]
+fn newer_rules() {
+    let (mut log, fold) = Log::new(3);
+    let newer =
+        |it: &[u8]| String::from_utf8_lossy(it).replace("\"rules\":1", "\"rules\":9").into_bytes();
+    log.records.push(newer(&log.records[2]));
+    log.snapshot(3);
+    log.snapshots.push(newer(&log.snapshots[0]));
+    let replica = check(&log, State::Halted { rules: 9 }, &["rules 9"]);
+    assert_eq!((replica.fold().end(), replica.request()), (3, None));
+    assert_eq!(replica.fold().version(), fold.version());
+}
+
+#[test]
+fn retention_gap() {
+    let (mut log, fold) = Log::new(10);
+    log.records_first = 5;
+    let mut replica = check(&log, State::Gap, &[]);
+    log.snapshot(4);
+    assert_eq!(log.follow(&mut replica).len(), 1);
+    assert_eq!(replica.state(), State::Gap);
+    log.snapshot(5);
+    log.follow(&mut replica);
+    assert_eq!((replica.state(), replica.fold()), (State::Following, &fold));
+}
+
+/// A replica that was away longer than the log keeps records goes on from a snapshot, and keeps its
+/// version until then.
+#[test]
+fn fallen_behind() {
+    let (mut log, fold) = Log::new(10);
+    let mut replica = Replica::default();
+    let whole = std::mem::take(&mut log.records);
+    log.records = whole[..4].to_vec();
+    log.follow(&mut replica);
+    log.records = whole;
+    log.snapshot(3);
+    log.records_first = 6;
+    log.follow(&mut replica);
+    assert_eq!((replica.state(), replica.fold().version()), (State::Gap, Some(3)));
+    log.snapshot(8);
+    log.follow(&mut replica);
+    assert_eq!((replica.state(), replica.fold()), (State::Following, &fold));
+}
+
+#[test]
+fn lost_records() {
+    let (log, fold) = Log::new(10);
+    let mut replica = check(&log, State::Following, &[]);
+    let (shorter, _) = Log::new(4);
+    shorter.follow(&mut replica);
+    assert_eq!((replica.state(), replica.fold()), (State::Ahead, &fold));
+    log.follow(&mut replica);
+    assert_eq!((replica.state(), replica.fold()), (State::Following, &fold));
+}
+
+#[test]
+fn peer_snapshot() {
+    let (log, fold) = Log::new(10);
+    let (_, older) = Log::new(4);
+    let mut replica = Replica::default();
+    assert_eq!(replica.offer(&snapshot::encode(&older, 0)), Ok(true));
+    assert_eq!(replica.offer(&snapshot::encode(&fold, 0)), Ok(true));
+    assert_eq!(replica.offer(&snapshot::encode(&older, 0)), Ok(false));
+    assert!(replica.offer(b"foreign\n").is_err());
+    assert_eq!(replica.fold(), &fold);
+    log.follow(&mut replica);
+    assert_eq!((replica.state(), replica.fold()), (State::Following, &fold));
+}
+
+/// What a snapshot must hold besides the sections: offsets, removals and ids.
+#[test]
+fn snapshot_whole() {
+    let mut fold = first();
+    publish(&mut fold, "stock", vec![util::remove("upstream one")]);
+    publish(&mut fold, "nobody", vec![set("[team x]")]);
+    fold.apply(3, b"foreign");
+    assert_eq!(snapshot::decode(&snapshot::encode(&fold, 5)), Ok(fold.clone()));
+    assert_eq!(snapshot::written_s(&snapshot::encode(&fold, 5)), 5);
+    assert_eq!(snapshot::digest(&fold), snapshot::digest(&fold.clone()));
+    assert_ne!(snapshot::digest(&fold), snapshot::digest(&first()));
+}
