--- a/crates/document/src/item.rs
+++ b/crates/document/src/item.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use crate::{Rank, Result, Route, Section, Service, Team, Upstream, keys::Keys, section::Kind};
+use ini::Keys;
+
+use crate::{Rank, Result, Route, Section, Service, Team, Upstream, section::Kind};
 
 /// What a section describes.
 #[derive(Clone, Debug, PartialEq)]
@@ -26,7 +28,8 @@
     ///
     /// Every finding in the section.
     pub fn parse(section: &Section) -> Result<Self> {
-        let mut keys = Keys::new(section);
+        let lines = section.lines();
+        let mut keys = Keys::new(&lines);
         let id = Arc::clone(&section.id.name);
         let item = match section.id.kind {
             Kind::Team => Self::Team(Team::read(id, &mut keys)),
--- a/crates/document/src/lib.rs
+++ b/crates/document/src/lib.rs
@@ -6,10 +6,8 @@
 
 mod check;
 mod document;
-mod finding;
 mod fold;
 mod item;
-mod keys;
 mod name;
 pub mod publication;
 mod rank;
@@ -25,8 +23,8 @@
 pub mod verdict;
 
 pub use document::Document;
-pub use finding::Finding;
 pub use fold::{Fold, RULES, WINDOW};
+pub use ini::Finding;
 pub use item::Item;
 pub use name::MAX_NAME_BYTES;
 pub use publication::{Publication, PublicationId};
--- a/crates/document/src/name.rs
+++ b/crates/document/src/name.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use ini::excerpt;
+
 /// Longest name, in bytes.
 pub const MAX_NAME_BYTES: usize = 64;
 
@@ -16,12 +18,3 @@
     }
     Ok(name.into())
 }
-
-/// The start of a value, short enough for a message.
-pub(crate) fn excerpt(value: &str) -> String {
-    let mut short: String = value.chars().take(MAX_NAME_BYTES).collect();
-    if short.len() < value.len() {
-        short.push('…');
-    }
-    short
-}
--- a/crates/document/src/rank.rs
+++ b/crates/document/src/rank.rs
@@ -1,6 +1,8 @@
 //! A rank of work.
 
-use crate::{RankId, keys::Keys};
+use ini::Keys;
+
+use crate::RankId;
 
 /// A rank of work: which requests are served first, and what no flood may take from it.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
--- a/crates/document/src/route.rs
+++ b/crates/document/src/route.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use crate::{RankId, RouteId, ServiceId, keys::Keys};
+use ini::Keys;
+
+use crate::{RankId, RouteId, ServiceId, name};
 
 /// Methods that a route may name.
 const METHODS: [&str; 7] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
@@ -43,8 +45,8 @@
         Self {
             id,
             path: keys.path("path").unwrap_or_default().to_owned(),
-            service: keys.name("service").unwrap_or_default(),
-            rank: keys.name("rank").unwrap_or_default(),
+            service: keys.read("service", name::check).unwrap_or_default(),
+            rank: keys.read("rank", name::check).unwrap_or_default(),
             idempotent: keys.flag("idempotent").unwrap_or(is_safe),
             allow_unkeyed: keys.flag("allow_unkeyed").unwrap_or(false),
             deadline: keys
--- a/crates/document/src/section.rs
+++ b/crates/document/src/section.rs
@@ -60,6 +60,22 @@
         Finding { line, section: self.id.to_string(), message }
     }
 
+    /// The header's line and the keys with theirs.
+    pub(crate) fn lines(&self) -> ini::Section {
+        let (mut line, mut entries) = (self.line, Vec::new());
+        for (at, item) in self.items() {
+            match item {
+                Item::Section(_) => line = at,
+                Item::Property(key, Some(value)) => {
+                    let (key, value) = (key.to_owned(), value.to_owned());
+                    entries.push(ini::Entry { key, value, line: at });
+                }
+                _ => {}
+            }
+        }
+        ini::Section { name: self.id.to_string(), line, entries }
+    }
+
     /// The lines of the section with their numbers.
     pub(crate) fn items(&self) -> impl Iterator<Item = (u32, Item<'_>)> {
         numbered(&self.text).map(|(line, it)| (line + self.line - 1, it))
--- a/crates/document/src/service.rs
+++ b/crates/document/src/service.rs
@@ -1,6 +1,8 @@
 //! A service and its limits.
 
-use crate::{ServiceId, TeamId, keys::Keys};
+use ini::Keys;
+
+use crate::{ServiceId, TeamId, name};
 
 /// Largest probe budget of a service, in probes a second.
 const MAX_PROBES_PER_S: f64 = 10_000.0;
@@ -53,7 +55,7 @@
         let default = Self::default();
         Self {
             id,
-            owner: keys.name("owner").unwrap_or(default.owner),
+            owner: keys.read("owner", name::check).unwrap_or(default.owner),
             probe_budget_per_s: keys
                 .number("probe_budget_per_s", 0.0..=MAX_PROBES_PER_S, "probes a second")
                 .unwrap_or(default.probe_budget_per_s),
--- a/crates/document/src/split.rs
+++ b/crates/document/src/split.rs
@@ -5,11 +5,11 @@
 
 use std::collections::HashSet;
 
+use ini::excerpt;
 use ini_core::Item;
 
 use crate::{
     Finding, Result,
-    name::excerpt,
     report::Report,
     section::{Id, Section, numbered},
 };
@@ -76,6 +76,11 @@
             }
             Item::Comment(comment) => self.pending.push(comment),
             Item::Blank => self.body(""),
+            Item::Property(key, _) if key.starts_with(['[', ';']) => {
+                let key = excerpt(key);
+                self.find(line, format!("`{key}`: headers and comments start at the line's start"));
+                self.body("");
+            }
             Item::Property(key, Some(value)) => {
                 if self.open.header.is_none() {
                     let key = excerpt(key);
--- a/crates/document/src/team.rs
+++ b/crates/document/src/team.rs
@@ -1,6 +1,8 @@
 //! A team that owns sections.
 
-use crate::{TeamId, keys::Keys};
+use ini::Keys;
+
+use crate::TeamId;
 
 /// A team that owns sections.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
--- a/crates/document/src/upstream.rs
+++ b/crates/document/src/upstream.rs
@@ -2,7 +2,9 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 
-use crate::{Domain, ServiceId, UpstreamId, keys::Keys};
+use ini::Keys;
+
+use crate::{Domain, ServiceId, UpstreamId, name};
 
 /// Most requests that an upstream works on at once.
 const MAX_SLOTS: u32 = 4_096;
@@ -32,9 +34,9 @@
         let nowhere = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
         Self {
             id,
-            service: keys.name("service").unwrap_or_default(),
+            service: keys.read("service", name::check).unwrap_or_default(),
             address: keys.address("address").unwrap_or(nowhere),
-            domain: keys.name("domain").unwrap_or_default(),
+            domain: keys.read("domain", name::check).unwrap_or_default(),
             slots: keys.number("slots", 1..=MAX_SLOTS, "requests").unwrap_or_default(),
             connections: keys
                 .number("connections", 1..=MAX_CONNECTIONS, "connections")
--- a/crates/document/tests/parse_findings.rs
+++ b/crates/document/tests/parse_findings.rs
@@ -27,7 +27,7 @@
 #[test]
 fn bad_shape() {
     check(
-        "key = 1\n[team a\nadmin = yes\n[planet mars]\n[team ops]\nadmin = yes\n# note\nword\n[team ops]\n[team x y]\n[team]\n",
+        "key = 1\n[team a\nadmin = yes\n[planet mars]\n[team ops]\nadmin = yes\n# note\nword\n[team ops]\n[team x y]\n[team]\n [team b]\n ;a=b\n",
         &[
             "line 1: [] key `key` stands before the first section",
             "line 2: [[team a] `[team a` lacks its closing `]`",
@@ -37,6 +37,8 @@
             "line 9: [team ops] the section stands twice",
             "line 10: [team x y] `x y` is no name",
             "line 11: [team] `` is no name",
+            "line 12: [team] `[team b]`: headers and comments start at the line's start",
+            "line 13: [team] `;a`: headers and comments start at the line's start",
         ],
     );
 }
--- a/crates/ini/src/keys.rs
+++ b/crates/ini/src/keys.rs
@@ -4,6 +4,11 @@
 
 use crate::{Finding, Section, excerpt};
 
+/// Most different keys of a section.
+const MAX_KEYS: usize = 64;
+/// Most findings in a section before the rest of it stays unread.
+const MAX_FINDINGS: usize = 1_000;
+
 /// The keys of one section.
 ///
 /// Each reader returns `None` if the key is absent, and also if its value is bad, which is then
@@ -27,6 +32,9 @@
     pub fn new(section: &'a Section) -> Self {
         let mut keys = Self { section, entries: Vec::new(), findings: Vec::new() };
         for it in &section.entries {
+            if keys.findings.len() > MAX_FINDINGS {
+                break;
+            }
             keys.push(Entry { key: &it.key, value: &it.value, line: it.line, is_read: false });
         }
         keys
@@ -38,6 +46,9 @@
                 format!("key `{}` stands twice, first on line {}", excerpt(entry.key), first.line);
             return self.find(entry.line, message);
         }
+        if self.entries.len() == MAX_KEYS {
+            return self.find(entry.line, format!("more than {MAX_KEYS} keys"));
+        }
         self.entries.push(entry);
     }
 
--- a/crates/ini/src/lib.rs
+++ b/crates/ini/src/lib.rs
@@ -11,7 +11,7 @@
 pub use excerpt::excerpt;
 pub use finding::Finding;
 pub use keys::Keys;
-pub use section::{Section, sections};
+pub use section::{Entry, Section, sections};
 
 /// A value, or every finding that speaks against its text.
 pub type Result<T, E = Vec<Finding>> = std::result::Result<T, E>;
