--- a/crates/standin/src/backend/handler.rs
+++ b/crates/standin/src/backend/handler.rs
@@ -37,7 +37,7 @@
 }
 
 async fn probe(state: &State) -> Response<Answer> {
-    time::sleep(state.settings.probe_time).await;
+    wait(state.settings.probe_time).await;
     state.count_probe();
     let body = reported(state);
     respond(state, StatusCode::OK, Bytes::from(body))
@@ -55,13 +55,13 @@
 
     let slot = take_slot(state, key.as_deref(), deadline).await?;
     state.count(key.as_deref(), |it| it.started += 1);
-    time::sleep(state.service_time()).await;
+    wait(state.service_time()).await;
     wait_while_stalled(state).await;
     state.count(key.as_deref(), |it| it.finished += 1);
     drop(slot);
 
     let faults = state.faults.borrow().clone();
-    time::sleep(faults.answer_delay).await;
+    wait(faults.answer_delay).await;
     Ok(answer(state, reset, &faults, attempt.unwrap_or_default(), answer_body(state, path, body)))
 }
 
@@ -99,6 +99,13 @@
     Ok(slot.expect("the semaphore is never closed"))
 }
 
+/// Waits; a timer would turn no wait at all into one of a millisecond.
+async fn wait(time: Duration) {
+    if !time.is_zero() {
+        time::sleep(time).await;
+    }
+}
+
 async fn wait_while_stalled(state: &State) {
     let mut faults = state.faults.subscribe();
     // The sender lives in the state, so that waiting can't fail.
