Explore the order protocol's core exhaustively and at random

cargo xtask orders runs the real engines against a log, a network and a backend server that are plain data, visits every state of small instances and makes long random runs of larger ones.

The denial now carries the replies.

--- a/crates/order/src/engine.rs
+++ b/crates/order/src/engine.rs
@@ -12,9 +12,9 @@
 };
 
 use crate::{
-    Answer, Event, Fingerprint, Finished, Incarnation, Key, Outcome, Reason, Session, Settings,
-    Started, Stream, Ticket, action::Action, batcher::Batcher, claims::Claims, entry::Phase,
-    forward::Forward, issuer::Issuer, recovery::Recovery, store::Store,
+    Answer, Denial, Event, Fingerprint, Finished, Incarnation, Key, Outcome, Reason, Session,
+    Settings, Started, Stream, Ticket, action::Action, batcher::Batcher, claims::Claims,
+    entry::Phase, forward::Forward, issuer::Issuer, recovery::Recovery, store::Store,
 };
 
 /// The order protocol of one daemon.
@@ -91,27 +91,28 @@
     ///
     /// # Errors
     ///
-    /// The order's outcome if it must not be dispatched (any more).
-    pub fn permit(&mut self, key: &Key, now: Instant) -> Result<(), Outcome> {
-        let Some(entry) = self.store.get_mut(key) else {
-            return Err(Outcome::Unknown(Reason::SessionUnknown));
+    /// The order's outcome if it must not be dispatched (any more), and what is to be done besides.
+    pub fn permit(&mut self, key: &Key, now: Instant) -> Result<(), Denial> {
+        let mut actions = Vec::new();
+        let outcome = match self.store.get_mut(key) {
+            None => Outcome::Unknown(Reason::SessionUnknown),
+            Some(entry) => match &entry.phase {
+                Phase::Ready if now < entry.runner.deadline => {
+                    entry.phase = Phase::Dispatched;
+                    return Ok(());
+                }
+                Phase::Ready => {
+                    let outcome = Outcome::NotRun(Reason::Deadline);
+                    self.finish(key, &outcome, now, &mut actions);
+                    outcome
+                }
+                Phase::Finished(outcome) => outcome.clone(),
+                Phase::Queued | Phase::Appended | Phase::Dispatched => {
+                    Outcome::Unknown(Reason::Pending)
+                }
+            },
         };
-        match &entry.phase {
-            Phase::Ready if now < entry.runner.deadline => {
-                entry.phase = Phase::Dispatched;
-                Ok(())
-            }
-            Phase::Ready => {
-                let outcome = Outcome::NotRun(Reason::Deadline);
-                let mut acts = Vec::new();
-                self.finish(key, &outcome, now, &mut acts);
-                Err(outcome)
-            }
-            Phase::Finished(outcome) => Err(outcome.clone()),
-            Phase::Queued | Phase::Appended | Phase::Dispatched => {
-                Err(Outcome::Unknown(Reason::Pending))
-            }
-        }
+        Err(Denial { outcome, actions })
     }
 
     /// Incarnations of this daemon: the current one, and earlier ones whose sessions live on.
--- a/crates/order/src/lib.rs
+++ b/crates/order/src/lib.rs
@@ -11,6 +11,7 @@
 mod answer;
 mod batcher;
 mod claims;
+mod denial;
 mod engine;
 mod entry;
 mod event;
@@ -30,6 +31,7 @@
 
 pub use action::Action;
 pub use answer::Answer;
+pub use denial::Denial;
 pub use engine::Engine;
 pub use event::{Event, Landing, Submission};
 pub use fingerprint::Fingerprint;
--- /dev/null
+++ b/xtask/src/orders/options.rs
@@ -0,0 +1,59 @@
+//! Arguments of the command.
+
+use std::ffi::OsString;
+
+use lexopt::{Arg, Parser, ValueExt};
+
+use super::guard::Guard;
+
+/// What the command prints for `--help`.
+pub(crate) const HELP: &str = "\
+usage: cargo xtask orders [OPTIONS]
+  --small         the small part that tests run
+  --faults N      faults in each exhaustive scenario (default 2, small 1)
+  --limit N       states after which a scenario is cut short
+  --walks N       random runs of each random scenario
+  --seed N        seed of the first random run
+  --break GUARD   take a guard of the protocol away; a check must notice";
+
+/// Arguments of the command.
+#[derive(Clone, Debug)]
+pub(crate) struct Options {
+    pub(crate) small: bool,
+    pub(crate) faults: u8,
+    pub(crate) limit: u64,
+    pub(crate) walks: u64,
+    pub(crate) seed: u64,
+    pub(crate) guard: Option<Guard>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self { small: false, faults: 2, limit: 20_000_000, walks: 20_000, seed: 1, guard: None }
+    }
+}
+
+impl Options {
+    /// Reads the arguments; nothing if only help is wanted.
+    pub(crate) fn parse(
+        args: impl Iterator<Item = OsString>,
+    ) -> Result<Option<Self>, lexopt::Error> {
+        let mut res = Self::default();
+        let mut parser = Parser::from_args(args);
+        while let Some(arg) = parser.next()? {
+            match arg {
+                Arg::Long("small") => {
+                    res = Self { small: true, faults: 1, walks: 300, ..res };
+                }
+                Arg::Long("faults") => res.faults = parser.value()?.parse()?,
+                Arg::Long("limit") => res.limit = parser.value()?.parse()?,
+                Arg::Long("walks") => res.walks = parser.value()?.parse()?,
+                Arg::Long("seed") => res.seed = parser.value()?.parse()?,
+                Arg::Long("break") => res.guard = Some(parser.value()?.parse()?),
+                Arg::Long("help") => return Ok(None),
+                _ => return Err(arg.unexpected()),
+            }
+        }
+        Ok(Some(res))
+    }
+}
