--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -1,11 +1,15 @@
 //! The balancer of one service.
 
-use std::{collections::HashMap, time::Instant};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
 use crate::{
     Answer, Candidate, Choice, Digest, Dispatch, Domain, Entry, HostId, Outcome, Reason, Refusal,
     Report, Result, Settings, Upstream, UpstreamId,
     bucket::Bucket,
+    limit::Limit,
     moment::{self, Moment, duration},
     peers::Peers,
     ranking::{Place, Ranking},
@@ -105,6 +109,9 @@
         let at = self.moment(now);
         self.hosts = hosts.max(1);
         self.bucket.set_rate(self.settings.probe_budget_per_s / f64::from(self.hosts), at);
+        if self.serial == 0 {
+            self.states.iter_mut().for_each(|it| it.limit = Limit::new(it.upstream.slots, hosts));
+        }
     }
 
     /// Sets the probes a second that all entry hosts together may send; 0 sends none.
@@ -231,6 +238,24 @@
         self.spread_digests();
     }
 
+    /// Requests that may be in flight to all upstreams together at `now`, those that are included.
+    #[must_use]
+    pub fn capacity(&self, now: Instant) -> u32 {
+        let at = self.moment(now);
+        let means = self.service.means(at, &self.settings);
+        let trusted = self.trusts_failures();
+        let open = |it: &&State| it.may_work(at, trusted);
+        let room = |it: &State| it.room(at, &self.settings, means);
+        let own: u32 = self.states.iter().map(State::own).sum();
+        own + self.states.iter().filter(open).map(room).sum::<u32>()
+    }
+
+    /// Mean time that the service's upstreams work on a request, without waiting.
+    #[must_use]
+    pub fn service_time(&self, now: Instant) -> Duration {
+        duration(self.service.means(self.moment(now), &self.settings).service_time)
+    }
+
     /// Own requests in flight to an upstream.
     #[must_use]
     pub fn in_flight(&self, upstream: &str) -> u32 {
@@ -258,7 +283,7 @@
             }
             let index = (start + step) % len;
             let state = &self.states[index];
-            if state.leaving || (trusted && state.health.is_ejected(at)) {
+            if !state.may_work(at, trusted) {
                 continue;
             }
             if tried.contains(&state.upstream.id) {
--- a/crates/balance/src/state.rs
+++ b/crates/balance/src/state.rs
@@ -79,6 +79,12 @@
         u32::try_from(self.flights.len()).unwrap_or(u32::MAX)
     }
 
+    /// Whether the upstream may be given work; ejection counts only if failures are `trusted`.
+    pub(crate) fn may_work(&self, now: Moment, trusted: bool) -> bool {
+        let ejected = trusted && self.health.is_ejected(now);
+        !(self.leaving || ejected)
+    }
+
     /// Own requests that a report received at `now` counts.
     pub(crate) fn own_in_report(&self, now: Moment, settings: &Settings) -> usize {
         let latest = now - settings.round_trip.as_secs_f64();
@@ -120,18 +126,24 @@
             expected: service_time * stretch / ramp + distance + penalty,
             stretch,
             others,
-            has_room: self.has_room(now, settings, present, ramp),
+            has_room: self.room_beside(now, settings, others) > 0,
         }
     }
 
-    fn has_room(&self, now: Moment, settings: &Settings, present: f64, ramp: f64) -> bool {
+    /// Further own requests that may be sent now.
+    pub(crate) fn room(&self, now: Moment, settings: &Settings, means: Means) -> u32 {
+        let (others, _) = self.others(now, settings, means);
+        self.room_beside(now, settings, others)
+    }
+
+    fn room_beside(&self, now: Moment, settings: &Settings, others: f64) -> u32 {
         if self.health.is_on_trial(now) {
-            return self.flights.is_empty();
+            return u32::from(self.flights.is_empty());
         }
-        let headroom = f64::from(settings.headroom_percent) / 100.0;
-        let limit = (self.limit.value() * ramp).max(1.0);
+        let most = self.slots() * (1.0 + f64::from(settings.headroom_percent) / 100.0) - others;
+        let limit = (self.limit.value() * self.ramp(now, settings)).max(1.0);
         let own = f64::from(self.own());
-        own + 1.0 <= limit && present + 1.0 <= self.slots() * (1.0 + headroom)
+        floor(most.min(limit) - own)
     }
 
     /// Estimate of others' requests at the upstream, and by how much it may be wrong.
@@ -167,3 +179,9 @@
 fn smooth_excess(excess: f64, error: f64) -> f64 {
     0.5 * (excess + excess.hypot(error))
 }
+
+/// The whole part of a number, 0 if it is negative.
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "cut to the range")]
+fn floor(it: f64) -> u32 {
+    it.clamp(0.0, f64::from(u32::MAX)) as u32
+}
