--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod load;
 mod orders;
+mod policy;
 mod tour;
 
 use std::process::ExitCode;
@@ -11,6 +12,7 @@
 
   load      measures what the daemon adds to a call, on loopback
   orders    explores the order protocol's core under faults
+  policy    compares the choice of upstreams with baselines and an oracle
   tour      shows the whole path on loopback, in one process
   help      prints this page
 
@@ -23,6 +25,7 @@
     match command.to_str().unwrap_or_default() {
         "load" => load::run(),
         "orders" => orders::run(args),
+        "policy" => policy::run(&mut lexopt::Parser::from_args(args)),
         "tour" => tour::run(),
         "help" | "--help" | "-h" => {
             print!("{HELP}");
