--- /dev/null
+++ b/crates/daemon/src/configuration/follower.rs
@@ -0,0 +1,175 @@
+//! Reads the log, folds it, and writes snapshots.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, SystemTime},
+};
+
+use bytes::Bytes;
+use document::{
+    Fold, Offset, Replica, Verdict, replica,
+    snapshot::{self, Duty},
+};
+use platform::{Backoff, Log};
+
+use crate::{configuration::Source, state::State};
+
+/// Time between two looks at the log's end.
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Shortest and longest wait after a failed read.
+const BACKOFF_BASE: Duration = Duration::from_millis(200);
+const BACKOFF_LIMIT: Duration = Duration::from_secs(2);
+
+/// Reads the log, folds it, and writes snapshots.
+pub struct Follower {
+    state: Arc<State>,
+    log: Box<dyn Log>,
+    peers: Box<dyn Source>,
+    replica: Replica,
+    duty: Duty,
+    backoff: Backoff,
+}
+
+impl Follower {
+    /// A follower that has read nothing yet.
+    #[must_use]
+    pub fn new(state: Arc<State>, log: Box<dyn Log>, peers: Box<dyn Source>) -> Self {
+        let incarnation = state.ids.incarnation();
+        let rng = fastrand::Rng::with_seed(incarnation);
+        Self {
+            duty: Duty::new(&format!("{incarnation:016x}"), snapshot::Settings::default()),
+            backoff: Backoff::new(BACKOFF_BASE, BACKOFF_LIMIT, rng),
+            replica: Replica::default(),
+            state,
+            log,
+            peers,
+        }
+    }
+
+    /// Follows the log until `stop` is set.
+    pub fn run(mut self, stop: &AtomicBool) {
+        while !stop.load(Ordering::Relaxed) {
+            let wait = self.step();
+            thread::sleep(wait);
+        }
+    }
+
+    /// Reads one page and returns how long to wait before the next.
+    fn step(&mut self) -> Duration {
+        let Some(request) = self.replica.request() else {
+            // Nothing more can be folded by this release; the version in force stays.
+            return POLL_INTERVAL;
+        };
+        let progress = match self.log.read(request.stream, request.from, request.limit) {
+            Ok(page) => {
+                let records: Vec<_> =
+                    page.records.into_iter().map(|it| (it.offset, it.data)).collect();
+                self.replica.take(page.first, page.next, &records)
+            }
+            Err(platform::Error::Gone { .. }) => self.replica.gone(),
+            Err(e) => return self.wait_after(&e),
+        };
+        self.backoff.succeeded();
+        self.note(&progress);
+        self.write_snapshot_if_due(&progress);
+        if progress.should_wait { POLL_INTERVAL } else { Duration::ZERO }
+    }
+
+    fn wait_after(&mut self, e: &platform::Error) -> Duration {
+        log::warn!("the log can't be read: {e}");
+        self.ask_peers();
+        self.backoff.failed()
+    }
+
+    /// Takes a newer configuration from a peer, as long as the log itself can't be read.
+    fn ask_peers(&mut self) {
+        let Some(record) = self.peers.newer_than(self.replica.fold().end()) else { return };
+        match self.replica.offer(&record) {
+            Ok(true) => self.put_in_force(),
+            Ok(false) => {}
+            Err(e) => log::warn!("a peer's snapshot can't be used: {e}"),
+        }
+    }
+
+    fn note(&mut self, progress: &replica::Progress) {
+        for it in &progress.warnings {
+            log::warn!("configuration: {it}");
+        }
+        for it in &progress.judged {
+            log_verdict(it.offset, &it.verdict);
+        }
+        let changed = |it: &replica::Judged| matches!(it.verdict, Verdict::Accepted { .. });
+        if progress.is_restarted || progress.judged.iter().any(changed) {
+            self.put_in_force();
+        }
+        self.state.note_replica(self.replica.state(), self.replica.fold().end());
+    }
+
+    fn put_in_force(&self) {
+        let fold = self.replica.fold();
+        let Some(version) = fold.version() else { return };
+        self.state.put_in_force(fold.document(), version);
+        self.state.keep_snapshot(fold.end(), || encode(fold, &self.state));
+    }
+
+    fn write_snapshot_if_due(&mut self, progress: &replica::Progress) {
+        let now = self.state.clock.now();
+        if !progress.is_current || !self.duty.is_due(self.replica.fold(), now) {
+            return;
+        }
+        self.look_at_newest_snapshot();
+        if !self.duty.is_due(self.replica.fold(), now) {
+            return;
+        }
+        let fold = self.replica.fold();
+        match self.log.append(snapshot::STREAM, &encode(fold, &self.state)) {
+            Ok(offset) => log::info!("snapshot of {} records at offset {offset}", fold.end()),
+            Err(e) => log::warn!("snapshot: {e}"),
+        }
+        // A lost answer counts as written: another host's turn comes before long.
+        self.duty.wrote(fold.end(), now);
+    }
+
+    fn look_at_newest_snapshot(&mut self) {
+        let Ok(end) = self.log.read(snapshot::STREAM, Offset::MAX, 1) else { return };
+        let Some(last) = end.next.checked_sub(1) else { return };
+        let Ok(page) = self.log.read(snapshot::STREAM, last, 1) else { return };
+        for it in &page.records {
+            self.duty.see(&it.data, self.state.clock.now(), wall_s(&self.state));
+        }
+    }
+}
+
+fn encode(fold: &Fold, state: &State) -> Bytes {
+    Bytes::from(snapshot::encode(fold, wall_s(state)))
+}
+
+fn wall_s(state: &State) -> u64 {
+    let since = state.clock.wall().duration_since(SystemTime::UNIX_EPOCH);
+    since.unwrap_or_default().as_secs()
+}
+
+fn log_verdict(offset: Offset, verdict: &Verdict) {
+    match verdict {
+        Verdict::Accepted { version } => log::info!("publication {offset}: version {version}"),
+        Verdict::Repeated { first } => {
+            log::info!("publication {offset}: repeats the one at {first}");
+        }
+        Verdict::Rejected { findings, conflicts } => {
+            for it in findings {
+                log::warn!("publication {offset} rejected: {it}");
+            }
+            for it in conflicts {
+                log::warn!("publication {offset} rejected: {it}");
+            }
+        }
+        Verdict::Skipped { warning } => log::warn!("record {offset} skipped: {warning}"),
+        Verdict::Halted { rules } => {
+            log::error!("record {offset} needs fold rules {rules}: upgrade this host");
+        }
+    }
+}
--- a/crates/daemon/src/path/plan.rs
+++ b/crates/daemon/src/path/plan.rs
@@ -26,7 +26,7 @@
     /// Who asks.
     pub caller: Caller,
     /// Version of the configuration that the plan rests on.
-    pub version: u64,
+    pub version: document::Version,
     /// Route that matched.
     pub route: Arc<Route>,
     /// Limits of the route's service.
@@ -48,13 +48,13 @@
     accepted: Instant,
 ) -> Result<Plan> {
     let table = state.table();
-    if table.version == 0 {
+    let Some(version) = table.version else {
         return Err(Refusal {
             reason: "not-ready",
             message: "this entry host has no configuration yet; use another".into(),
             ..Refusal::default()
         });
-    }
+    };
     check_path(head.uri.path())?;
     let Some(route) = table.route(head.method.as_str(), head.uri.path()) else {
         return Err(no_route(&head.method, head.uri.path(), table.knows_path(head.uri.path())));
@@ -63,7 +63,7 @@
     Ok(Plan {
         id,
         caller: caller_name(&head.headers, caller),
-        version: table.version,
+        version,
         route: Arc::clone(route),
         limits: route.service.config(),
         deadline: Deadline::new(accepted, route.config.deadline, stated),
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -12,7 +12,13 @@
 
 use tokio::{net::TcpListener, runtime::Runtime, sync::watch, task::JoinHandle};
 
-use crate::{Settings, admin, caller::listener::Listener, configuration, path::Path, state::State};
+use crate::{
+    Settings, admin,
+    caller::listener::Listener,
+    configuration::{Follower, Nobody},
+    path::Path,
+    state::State,
+};
 
 /// Name of the daemon's threads.
 pub const THREAD_NAME: &str = "fireflydrumd";
@@ -104,9 +110,9 @@
         self.admin_address
     }
 
-    /// Version of the configuration in force; 0 before the first.
+    /// Version of the configuration in force; none before the first.
     #[must_use]
-    pub fn version(&self) -> u64 {
+    pub fn version(&self) -> Option<document::Version> {
         self.state.table().version
     }
 
@@ -145,8 +151,9 @@
     let state = Arc::clone(state);
     let stop = Arc::clone(stop);
     thread::spawn(move || {
-        let log = platform::Http::new(state.settings.log_address, platform::Settings::default());
-        configuration::follow(&state, &log, &stop);
+        let settings = platform::Settings::default();
+        let log = platform::Http::new(state.settings.log_address, settings);
+        Follower::new(state, Box::new(log), Box::new(Nobody)).run(&stop);
     });
 }
 
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -2,10 +2,12 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, OnceLock, PoisonError, RwLock},
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock},
 };
 
+use bytes::Bytes;
 use clock::Clock;
+use document::{Offset, Version, replica};
 
 use crate::{
     Settings,
@@ -34,6 +36,15 @@
     /// Address that callers reach this daemon at; set once its socket is bound.
     pub caller_address: OnceLock<SocketAddr>,
     table: RwLock<Arc<Table>>,
+    replica: Mutex<Replica>,
+}
+
+/// How far this daemon has read the configuration.
+#[derive(Clone)]
+struct Replica {
+    state: replica::State,
+    end: Offset,
+    snapshot: Option<Bytes>,
 }
 
 impl State {
@@ -48,6 +59,11 @@
             answer_memory: Budget::new(settings.answer_memory_bytes),
             caller_address: OnceLock::new(),
             table: RwLock::default(),
+            replica: Mutex::new(Replica {
+                state: replica::State::Starting,
+                end: 0,
+                snapshot: None,
+            }),
             settings,
         }
     }
@@ -59,9 +75,9 @@
     }
 
     /// Puts a newer version of the configuration in force; an older one is ignored.
-    pub fn put_in_force(&self, document: document::Document, version: u64) {
+    pub fn put_in_force(&self, document: document::Document, version: Version) {
         let old = self.table();
-        if version <= old.version {
+        if Some(version) <= old.version {
             return;
         }
         let domain = self.settings.domain.as_str().into();
@@ -72,6 +88,31 @@
         log::info!("configuration version {version} is in force");
     }
 
+    /// Notes how far the configuration was read.
+    pub fn note_replica(&self, state: replica::State, end: Offset) {
+        let mut replica = self.replica();
+        replica.state = state;
+        replica.end = end;
+    }
+
+    /// Keeps a snapshot for peers that start while the log is down.
+    pub fn keep_snapshot(&self, end: Offset, encode: impl FnOnce() -> Bytes) {
+        let snapshot = encode();
+        let mut replica = self.replica();
+        replica.end = end;
+        replica.snapshot = Some(snapshot);
+    }
+
+    /// The newest snapshot that this daemon can give to a peer.
+    #[must_use]
+    pub fn snapshot(&self) -> Option<Bytes> {
+        self.replica().snapshot.clone()
+    }
+
+    fn replica(&self) -> MutexGuard<'_, Replica> {
+        self.replica.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Entry hosts that callers should use, best first.
     #[must_use]
     pub fn entry_hosts(&self) -> Vec<SocketAddr> {
@@ -88,6 +129,8 @@
         Status {
             incarnation: format!("{:016x}", self.ids.incarnation()),
             version: table.version,
+            configuration: self.replica().state,
+            read_to: self.replica().end,
             decisions_dropped: self.recorder.dropped(),
             services,
         }
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -1,14 +1,19 @@
 //! What a daemon tells operators about itself.
 
+use document::{Offset, Version, replica};
 use serde::{Deserialize, Serialize};
 
 /// What a daemon tells operators about itself.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Serialize)]
 pub struct Status {
     /// Random id of this start of the daemon.
     pub incarnation: String,
-    /// Version of the configuration in force; 0 before the first.
-    pub version: u64,
+    /// Version of the configuration in force; none before the first.
+    pub version: Option<Version>,
+    /// How the daemon follows the configuration in the log.
+    pub configuration: replica::State,
+    /// First offset of the configuration's stream that was not read yet.
+    pub read_to: Offset,
     /// Decisions whose log lines were dropped because the log was slow.
     pub decisions_dropped: u64,
     /// Services with their load.
--- a/crates/daemon/src/table.rs
+++ b/crates/daemon/src/table.rs
@@ -10,7 +10,7 @@
 };
 
 use clock::Clock;
-use document::{Document, ServiceId};
+use document::{Document, ServiceId, Version};
 
 use crate::{
     decision::micros,
@@ -25,8 +25,8 @@
 /// One accepted version of the configuration.
 #[derive(Default)]
 pub struct Table {
-    /// Version: the offset of the accepted publication; 0 before the first.
-    pub version: u64,
+    /// Version: the offset of the accepted publication; none before the first.
+    pub version: Option<Version>,
     /// The document itself.
     pub document: Arc<Document>,
     /// Services by name.
@@ -64,7 +64,7 @@
     #[must_use]
     pub fn build(
         document: &Arc<Document>,
-        version: u64,
+        version: Version,
         old: &Self,
         domain: &balance::Domain,
         clock: &Arc<dyn Clock>,
@@ -75,7 +75,8 @@
         for it in &document.upstreams {
             upstreams.entry(Arc::clone(&it.service)).or_default().push(it.clone());
         }
-        let mut res = Self { version, document: Arc::clone(document), ..Self::default() };
+        let mut res =
+            Self { version: Some(version), document: Arc::clone(document), ..Self::default() };
         for it in &document.services {
             let parts = Parts {
                 service: Arc::new(it.clone()),
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -8,8 +8,11 @@
     time::{Duration, Instant},
 };
 
-use bytes::Bytes;
 use daemon::Process;
+use document::{
+    Finding, Publication, Section, Version,
+    publication::{self, Change},
+};
 use standin::{backend::Backend, hosts::Hosts, log::Log};
 
 use crate::Service;
@@ -25,6 +28,9 @@
     /// A stand-in could not start.
     #[error("stand-in: {0}")]
     Standin(#[from] io::Error),
+    /// The document can't be published.
+    #[error("document: {0:?}")]
+    Document(Vec<Finding>),
     /// A daemon could not start.
     #[error("daemon: {0}")]
     Daemon(#[from] daemon::process::Error),
@@ -69,6 +75,8 @@
     /// The platform's host list.
     pub hosts: Hosts,
     settings: Settings,
+    published: Vec<Section>,
+    base: Version,
 }
 
 impl Fleet {
@@ -86,8 +94,16 @@
         }
         let log = Log::start(standin::log::Settings::default())?;
         let hosts = Hosts::start()?;
-        let mut res = Self { daemons: Vec::new(), backends, log, hosts, settings };
-        let version = res.publish(&res.document());
+        let mut res = Self {
+            daemons: Vec::new(),
+            backends,
+            log,
+            hosts,
+            settings,
+            published: Vec::new(),
+            base: 0,
+        };
+        let version = res.publish(&res.document())?;
         for number in 0..res.settings.daemons {
             let daemon = res.start_daemon(number)?;
             res.daemons.push(daemon);
@@ -128,12 +144,31 @@
         res
     }
 
-    /// Publishes a document and returns the version that it will have.
-    #[must_use]
-    pub fn publish(&self, document: &str) -> u64 {
-        let offset =
-            self.log.inject(daemon::configuration::STREAM, Bytes::from(document.to_owned()));
-        offset + 1
+    /// Publishes what a document changes and returns the version that it will have.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the document can't be divided into sections.
+    pub fn publish(&mut self, document: &str) -> Result<Version> {
+        let sections = document::split(document).map_err(Error::Document)?;
+        let is_known = |it: &&Section| self.published.iter().any(|known| known.text == it.text);
+        let set = sections.iter().filter(|it| !is_known(it));
+        let set = set.map(|it| Change::Set { text: it.text.to_string() });
+        let is_gone = |it: &&Section| sections.iter().all(|kept| kept.id != it.id);
+        let removed = self.published.iter().filter(is_gone);
+        let removed = removed.map(|it| Change::Remove { section: it.id.clone() });
+        let publication = Publication {
+            id: format!("fleet-{}", self.base).into(),
+            author: "operations".into(),
+            base: self.base,
+            made_at_s: 0,
+            note: String::new(),
+            changes: set.chain(removed).collect(),
+        };
+        let version = self.log.inject(publication::STREAM, publication.encode().into());
+        self.base = version + 1;
+        self.published = sections;
+        Ok(version)
     }
 
     /// Waits until every daemon has `version` in force.
@@ -141,9 +176,9 @@
     /// # Errors
     ///
     /// Fails after 10 s.
-    pub fn await_version(&self, version: u64) -> Result<()> {
+    pub fn await_version(&self, version: Version) -> Result<()> {
         await_that(Duration::from_secs(10), &format!("version {version} in force"), || {
-            self.daemons.iter().all(|it| it.version() >= version)
+            self.daemons.iter().all(|it| it.version() >= Some(version))
         })
     }
 
--- a/xtask/src/tour.rs
+++ b/xtask/src/tour.rs
@@ -44,13 +44,13 @@
 fn show() -> fleet::Result<Steps> {
     let mut steps = Steps::default();
     println!("Starting three daemons, nine backend servers, a log and a host list on loopback.");
-    let fleet = Fleet::start(settings())?;
+    let mut fleet = Fleet::start(settings())?;
     steps.note("the published document is in force on every daemon", true);
     let caller = Caller::default();
     show_directions(&fleet, &caller, &mut steps);
     show_traffic(&fleet, &caller, &mut steps);
     show_order(&fleet, &caller, &mut steps);
-    show_change(&fleet, &caller, &mut steps)?;
+    show_change(&mut fleet, &caller, &mut steps)?;
     Ok(steps)
 }
 
@@ -101,10 +101,11 @@
     );
 }
 
-fn show_change(fleet: &Fleet, caller: &Caller, steps: &mut Steps) -> fleet::Result<()> {
+fn show_change(fleet: &mut Fleet, caller: &Caller, steps: &mut Steps) -> fleet::Result<()> {
     let changed = fleet.document().replace("path = /documents", "path = /certificates");
     let started = Instant::now();
-    fleet.await_version(fleet.publish(&changed))?;
+    let version = fleet.publish(&changed)?;
+    fleet.await_version(version)?;
     let seconds = started.elapsed().as_secs_f64();
     let answer = caller.get(fleet.address(2), "/certificates/1");
     let text = format!("a changed route is in force everywhere after {seconds:.2} s");
