--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,8 @@
 //! Chores and measurements for developers: `cargo xtask COMMAND`.
 
 mod load;
+mod orders;
+mod policy;
 mod tour;
 
 use std::process::ExitCode;
@@ -9,6 +11,8 @@
 usage: cargo xtask COMMAND [OPTIONS]
 
   load      measures what the daemon adds to a call, on loopback
+  orders    explores the order protocol's core under faults
+  policy    compares the choice of upstreams with baselines and an oracle
   tour      shows the whole path on loopback, in one process
   help      prints this page
 
@@ -16,10 +20,12 @@
 ";
 
 fn main() -> ExitCode {
-    let mut arguments = std::env::args().skip(1);
-    let command = arguments.next().unwrap_or_default();
-    match command.as_str() {
+    let mut args = std::env::args_os().skip(1);
+    let command = args.next().unwrap_or_default();
+    match command.to_str().unwrap_or_default() {
         "load" => load::run(),
+        "orders" => orders::run(args),
+        "policy" => policy::run(&mut lexopt::Parser::from_args(args)),
         "tour" => tour::run(),
         "help" | "--help" | "-h" => {
             print!("{HELP}");
