--- a/crates/daemon/src/caller/header.rs
+++ b/crates/daemon/src/caller/header.rs
@@ -12,6 +12,8 @@
 pub const DEADLINE_MS: HeaderName = HeaderName::from_static("fireflydrum-deadline-ms");
 /// Load of a backend server, carried on its answers.
 pub const LOAD: HeaderName = HeaderName::from_static("fireflydrum-load");
+/// Key by which repeats of an order are recognised.
+pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 /// Why a backend server did not run a request; its presence makes the attempt safe to repeat.
 pub const SHED: HeaderName = HeaderName::from_static("fireflydrum-shed");
 /// Name of the caller, for fairness between callers; its IP address stands in when absent.
--- a/crates/daemon/src/path/plan.rs
+++ b/crates/daemon/src/path/plan.rs
@@ -59,6 +59,7 @@
     let Some(route) = table.route(head.method.as_str(), head.uri.path()) else {
         return Err(no_route(&head.method, head.uri.path(), table.knows_path(head.uri.path())));
     };
+    check_key(&route.config, &head.headers)?;
     let stated = stated_deadline(&head.headers)?;
     Ok(Plan {
         id,
@@ -109,6 +110,22 @@
     Refusal { status, reason, message, ..Refusal::default() }
 }
 
+/// Refuses an order without a key, unless its route allows it.
+fn check_key(route: &document::Route, headers: &HeaderMap) -> Result<()> {
+    if route.idempotent || route.allow_unkeyed || headers.contains_key(header::KEY) {
+        return Ok(());
+    }
+    Err(Refusal {
+        status: StatusCode::BAD_REQUEST,
+        reason: "key-required",
+        message:
+            "this route places orders: send Idempotency-Key: SESSION.NUMBER, with the session \
+                  from /fireflydrum/entry"
+                .into(),
+        ..Refusal::default()
+    })
+}
+
 fn stated_deadline(headers: &HeaderMap) -> Result<Option<std::time::Duration>> {
     let Some(value) = headers.get(header::DEADLINE_MS) else { return Ok(None) };
     let stated = value.to_str().ok().and_then(Deadline::parse);
--- /dev/null
+++ b/crates/daemon/tests/order_attempts.rs
@@ -0,0 +1,81 @@
+//! A request that isn't idempotent is dispatched at most once, whatever becomes of its answer.
+
+use bytes::Bytes;
+use fleet::{Caller, Fleet, Service, Settings};
+use standin::backend::{Backend, Delivery, Faults, Intake};
+
+/// Orders sent for each fault.
+const ORDERS: u64 = 12;
+
+/// What the callers were told, and how often orders were started.
+#[derive(Debug, Default, Eq, PartialEq)]
+struct Tally {
+    done: u64,
+    not_run: u64,
+    unknown: u64,
+    started: u64,
+}
+
+/// Sends orders without keys while the first of three backend servers has a fault.
+fn check(fault: impl Fn(&mut Faults)) -> Tally {
+    let service = Service { allow_unkeyed: true, deadline_ms: 1_000, ..Service::default() };
+    let settings = Settings { services: vec![service], ..Settings::default() };
+    let fleet = Fleet::start(settings).expect("fleet starts");
+    fleet.backends[0][0].update(&fault);
+    let caller = Caller::default();
+    let mut res = Tally::default();
+    for number in 0..ORDERS {
+        let before = started(&fleet.backends[0]);
+        let body = Bytes::from(format!("order {number}"));
+        let answer = caller.post(fleet.address(0), "/stock/orders", "", body);
+        let begun = started(&fleet.backends[0]) - before;
+        assert!(begun <= 1, "an order was started {begun} times");
+        match answer.outcome.as_str() {
+            "done" => res.done += 1,
+            "not-run" => {
+                assert_eq!(begun, 0, "an order told as not run was started");
+                res.not_run += 1;
+            }
+            "unknown" => res.unknown += 1,
+            other => panic!("outcome {other:?} in {answer:?}"),
+        }
+        res.started += begun;
+    }
+    res
+}
+
+fn started(backends: &[Backend]) -> u64 {
+    backends.iter().map(|it| it.total().started).sum()
+}
+
+#[test]
+fn cut_answer() {
+    let res = check(|it| it.delivery = Delivery::Cut);
+    assert_eq!(res.started, ORDERS);
+    assert!(res.unknown > 0, "{res:?}");
+}
+
+#[test]
+fn reset_answer() {
+    let res = check(|it| it.delivery = Delivery::Reset);
+    assert_eq!(res.started, ORDERS);
+    assert!(res.unknown > 0, "{res:?}");
+}
+
+#[test]
+fn refused_connection() {
+    let res = check(|it| it.refuse = true);
+    assert_eq!(res, Tally { done: ORDERS, started: ORDERS, ..Tally::default() });
+}
+
+#[test]
+fn shedding_server() {
+    let res = check(|it| it.intake = Intake::Drain);
+    assert_eq!(res.done, ORDERS, "{res:?}");
+}
+
+#[test]
+fn healthy_server() {
+    let res = check(|_none| {});
+    assert_eq!(res, Tally { done: ORDERS, started: ORDERS, ..Tally::default() });
+}
