--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -59,6 +59,10 @@
 
 fn respond(state: &State, req: Request) {
     let answer = match (req.method(), path(req.url())) {
+        (Method::Get, "/metrics") => {
+            let text = state.metrics.encode(&state.status());
+            typed(Response::from_data(text), "application/openmetrics-text; version=1.0.0")
+        }
         (Method::Get, "/status") => json(&state.status()),
         (Method::Get, "/explain") => json(&state.recorder.last(LAST_DECISIONS)),
         (Method::Get, it) if it.starts_with("/explain/") => explain(state, it),
--- a/crates/daemon/src/path/draft.rs
+++ b/crates/daemon/src/path/draft.rs
@@ -5,12 +5,11 @@
     time::{Duration, Instant},
 };
 
-use clock::Clock;
 use hyper::StatusCode;
 
 use crate::{
     caller::reply::Outcome,
-    decision::{Attempt, Decision, Recorder, micros},
+    decision::{Attempt, Decision, micros},
     id,
     path::Plan,
     state::State,
@@ -22,23 +21,17 @@
 /// A decision in the making; recorded when dropped.
 pub struct Draft {
     decision: Option<Decision>,
-    recorder: Arc<Recorder>,
-    clock: Arc<dyn Clock>,
+    state: Arc<State>,
     accepted: Instant,
 }
 
 impl Draft {
     /// A draft for the request `id`, accepted now.
     #[must_use]
-    pub fn new(state: &State, id: id::Request) -> Self {
+    pub fn new(state: &Arc<State>, id: id::Request) -> Self {
         let mut decision = Decision::new(id);
         decision.reason = CALLER_GONE;
-        Self {
-            decision: Some(decision),
-            recorder: Arc::clone(&state.recorder),
-            clock: Arc::clone(&state.clock),
-            accepted: state.clock.now(),
-        }
+        Self { decision: Some(decision), state: Arc::clone(state), accepted: state.clock.now() }
     }
 
     /// Notes the plan.
@@ -73,7 +66,7 @@
 
     /// Moves the decision to a task that outlives the caller's connection.
     #[must_use]
-    pub fn detach(&mut self, state: &State, id: id::Request) -> Self {
+    pub fn detach(&mut self, state: &Arc<State>, id: id::Request) -> Self {
         let mut res = Self::new(state, id);
         res.accepted = self.accepted;
         if let Some(it) = self.decision.take() {
@@ -91,7 +84,8 @@
 impl Drop for Draft {
     fn drop(&mut self) {
         let Some(mut it) = self.decision.take() else { return };
-        it.took_us = micros(self.clock.now().saturating_duration_since(self.accepted));
-        self.recorder.record(it);
+        it.took_us = micros(self.state.clock.now().saturating_duration_since(self.accepted));
+        self.state.metrics.count(&it);
+        self.state.recorder.record(it);
     }
 }
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -17,6 +17,7 @@
     caller::listener::Listener,
     configuration::{Follower, Nobody},
     path::Path,
+    probe,
     state::State,
 };
 
@@ -85,6 +86,7 @@
         let path = Arc::new(Path::new(Arc::clone(&state)));
         let listener = runtime.spawn(listener.run(path, stopping));
         runtime.spawn(tick(Arc::clone(&state)));
+        runtime.spawn(probe::run(Arc::clone(&state)));
         follow(&state, &stop_threads);
         log::info!("serving callers on {caller_address}, operators on {admin_address}");
         Ok(Self {
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -206,6 +206,9 @@
     /// Moves time on for requests that wait.
     pub fn tick(&self) {
         let mut admission = lock(&self.admission);
+        if admission.waiting.is_empty() {
+            return;
+        }
         let events = admission.gate.tick(self.clock.now());
         admission.deliver(events);
     }
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -14,6 +14,7 @@
     caller::body::Budget,
     decision::Recorder,
     id,
+    metrics::Metrics,
     service::Service,
     status::{self, Status},
     table::Table,
@@ -29,6 +30,8 @@
     pub ids: id::Source,
     /// Takes routing decisions.
     pub recorder: Arc<Recorder>,
+    /// Counters and gauges.
+    pub metrics: Metrics,
     /// Memory for request bodies.
     pub request_memory: Budget,
     /// Memory for answers.
@@ -55,6 +58,7 @@
             clock,
             ids: id::Source::new(incarnation),
             recorder: Recorder::start(settings.log_decisions),
+            metrics: Metrics::default(),
             request_memory: Budget::new(settings.request_memory_bytes),
             answer_memory: Budget::new(settings.answer_memory_bytes),
             caller_address: OnceLock::new(),
@@ -125,12 +129,13 @@
         let table = self.table();
         let mut services: Vec<_> =
             table.services.iter().map(|(id, it)| self.service_status(id, it)).collect();
+        let replica = self.replica().clone();
         services.sort_by(|a, b| a.id.cmp(&b.id));
         Status {
             incarnation: format!("{:016x}", self.ids.incarnation()),
             version: table.version,
-            configuration: self.replica().state,
-            read_to: self.replica().end,
+            configuration: replica.state,
+            read_to: replica.end,
             decisions_dropped: self.recorder.dropped(),
             services,
         }
@@ -148,10 +153,12 @@
                 + it.counts.displaced
                 + it.counts.expired,
         };
+        let balancer = service.balancer();
         status::Service {
             id: id.to_owned(),
             capacity: snapshot.capacity,
-            ejected: service.balancer().ejected(self.clock.now()),
+            ejected: balancer.ejected(self.clock.now()),
+            probes: balancer.probes(),
             ranks: snapshot.lanes.iter().map(rank).collect(),
         }
     }
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -29,6 +29,8 @@
     pub capacity: u32,
     /// Upstreams that are ejected.
     pub ejected: usize,
+    /// Load probes sent since the start.
+    pub probes: u64,
     /// Ranks, first served first.
     pub ranks: Vec<Rank>,
 }
--- /dev/null
+++ b/crates/daemon/tests/probe_budget.rs
@@ -0,0 +1,35 @@
+//! Load probes stay within the operators' budget.
+
+use std::time::{Duration, Instant};
+
+use fleet::{Fleet, Service, Settings, await_that};
+use standin::backend::Backend;
+
+/// Time that the probes are counted for.
+const WATCH: Duration = Duration::from_millis(600);
+
+/// Counts the probes of a service with a budget and returns them with the most that are allowed.
+fn check(budget_per_s: f64, wanted: u64) -> (u64, f64) {
+    let extra = format!("probe_budget_per_s = {budget_per_s}");
+    let service = Service { extra, ..Service::default() };
+    let started = Instant::now();
+    let settings = Settings { services: vec![service], ..Settings::default() };
+    let fleet = Fleet::start(settings).expect("fleet starts");
+    let probes = || fleet.backends[0].iter().map(Backend::probes).sum::<u64>();
+    await_that(Duration::from_secs(10), "probes", || probes() >= wanted).expect("probes are sent");
+    std::thread::sleep(WATCH);
+    let sent = probes();
+    // One probe may have been saved up.
+    (sent, 1.0 + budget_per_s * started.elapsed().as_secs_f64())
+}
+
+#[test]
+fn small_budget() {
+    let (sent, allowed) = check(10.0, 3);
+    assert!(sent as f64 <= allowed, "{sent} probes, {allowed} allowed");
+}
+
+#[test]
+fn no_budget() {
+    assert_eq!(check(0.0, 0).0, 0);
+}
