--- /dev/null
+++ b/crates/member/src/phase.rs
@@ -0,0 +1,26 @@
+//! What a daemon says of itself.
+
+/// What a daemon says of itself; the order is the order of its life.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    serde::Deserialize,
+    serde::Serialize,
+)]
+#[serde(rename_all = "lowercase")]
+pub enum Phase {
+    /// It has no configuration yet.
+    #[default]
+    Starting,
+    /// It serves.
+    Ready,
+    /// It finishes its work and takes nothing new.
+    Leaving,
+}
