--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,2 +1,39 @@
-//! placeholder
-fn main() {}
+//! Chores and measurements for developers: `cargo xtask COMMAND`.
+
+mod load;
+mod orders;
+mod policy;
+mod tour;
+
+use std::process::ExitCode;
+
+const HELP: &str = "\
+usage: cargo xtask COMMAND [OPTIONS]
+
+  load      measures what the daemon adds to a call, on loopback
+  orders    explores the order protocol's core under faults
+  policy    compares the choice of upstreams with baselines and an oracle
+  tour      shows the whole path on loopback, in one process
+  help      prints this page
+
+Each command prints what it does and ends with a line `RESULT key=value ...`.
+";
+
+fn main() -> ExitCode {
+    let mut args = std::env::args_os().skip(1);
+    let command = args.next().unwrap_or_default();
+    match command.to_str().unwrap_or_default() {
+        "load" => load::run(),
+        "orders" => orders::run(args),
+        "policy" => policy::run(&mut lexopt::Parser::from_args(args)),
+        "tour" => tour::run(),
+        "help" | "--help" | "-h" => {
+            print!("{HELP}");
+            ExitCode::SUCCESS
+        }
+        other => {
+            eprintln!("unknown command `{other}`\n{HELP}");
+            ExitCode::from(2)
+        }
+    }
+}
