--- a/xtask/src/orders.rs
+++ b/xtask/src/orders.rs
@@ -10,6 +10,7 @@
 mod rules;
 mod scenario;
 mod search;
+mod shared;
 mod step;
 mod verdict;
 mod walk;
@@ -23,7 +24,7 @@
 use verdict::Verdict;
 
 /// Explorations at once.
-const THREADS: usize = 4;
+const THREADS: usize = 3;
 /// Steps of a violating run that are printed, the last ones.
 const TRACE_LIMIT: usize = 60;
 
@@ -54,7 +55,8 @@
 
 /// Searches each scenario exhaustively.
 fn explore(options: &Options) -> Vec<Row> {
-    let scenarios = scenario::exhaustive(options);
+    let wanted = |it: &Rules| options.scenario.as_deref().is_none_or(|name| name == it.name);
+    let scenarios: Vec<Rules> = scenario::exhaustive(options).into_iter().filter(wanted).collect();
     let mut rows = Vec::new();
     for chunk in scenarios.chunks(THREADS) {
         let done: Vec<Row> = thread::scope(|scope| {
--- a/xtask/src/orders/apply.rs
+++ b/xtask/src/orders/apply.rs
@@ -85,7 +85,6 @@
             Step::Recovery => self.log.up = true,
             Step::Notice { host } => self.notice_log(rules, host),
             Step::Trim { stream } => {
-                self.faults -= 1;
                 let len = self.log.streams.get(&stream).map_or(0, Vec::len);
                 self.log.first.insert(stream, len as u64);
             }
@@ -179,10 +178,7 @@
             return;
         }
         let place = Stage::Delivered { host, ticket };
-        let mut calls = self.hosts.iter_mut().flat_map(|it| &mut it.calls);
-        if let Some(call) = calls.find(|it| it.stage == place) {
-            call.stage = Stage::Answered(outcome);
-        }
+        self.change_calls(|it| *it == place, &Stage::Answered(outcome));
     }
 
     fn start(&mut self, host: usize, ticket: Ticket, key: Key) {
@@ -320,20 +316,31 @@
     fn crash(&mut self, host: usize) {
         self.faults -= 1;
         let dead = std::mem::take(&mut self.hosts[host]);
-        let Host { appends, runners, .. } = dead;
-        self.log.limbo.extend(appends);
+        let Host { appends, runners, .. } = &*dead;
+        self.log.limbo.extend(appends.iter().cloned());
         for it in runners.iter().filter(|it| it.dispatch == Dispatch::Sent) {
             let content = self.request(it.ticket).content;
             self.stray_dispatches.push(Execution { key: it.key, content });
         }
-        for it in &mut self.requests {
+        for it in self.requests.iter_mut() {
             if it.fate == (Fate::Waiting { host }) {
                 it.fate = Fate::Cut;
             }
         }
-        for call in self.hosts.iter_mut().flat_map(|it| &mut it.calls) {
-            if matches!(call.stage, Stage::Delivered { host: at, .. } if at == host) {
-                call.stage = Stage::Broken;
+        self.change_calls(
+            |it| matches!(it, Stage::Delivered { host: at, .. } if *at == host),
+            &Stage::Broken,
+        );
+    }
+
+    /// Moves the calls at a stage to another; hosts without such calls stay shared.
+    fn change_calls(&mut self, is_meant: impl Fn(&Stage) -> bool, to: &Stage) {
+        for host in &mut self.hosts {
+            if !host.calls.iter().any(|it| is_meant(&it.stage)) {
+                continue;
+            }
+            for call in host.calls.iter_mut().filter(|it| is_meant(&it.stage)) {
+                call.stage = to.clone();
             }
         }
     }
--- a/xtask/src/orders/enabled.rs
+++ b/xtask/src/orders/enabled.rs
@@ -20,7 +20,7 @@
                 None => res.extend((self.faults > 0).then_some(Step::Restart { host })),
             }
         }
-        self.add_log(&mut res);
+        self.add_log(rules, &mut res);
         res.extend((0..self.stray_calls.len()).map(|call| Step::DeliverLate { call }));
         res.extend((0..self.stray_dispatches.len()).map(|dispatch| Step::ExecuteLate { dispatch }));
         if self.step < rules.last_step() {
@@ -95,21 +95,16 @@
         }
     }
 
-    fn add_log(&self, res: &mut Vec<Step>) {
+    fn add_log(&self, rules: &Rules, res: &mut Vec<Step>) {
         if !self.log.up {
             res.push(Step::Recovery);
             return;
         }
         res.extend((0..self.log.limbo.len()).map(|append| Step::LandLate { append }));
-        if self.faults == 0 {
-            return;
-        }
-        res.push(Step::Outage);
-        for (stream, records) in &self.log.streams {
-            let first = self.log.first.get(stream).copied().unwrap_or(0);
-            let is_trimmable = matches!(stream, Stream::Orders(_)) && first < records.len() as u64;
-            res.extend(is_trimmable.then_some(Step::Trim { stream: *stream }));
-        }
+        res.extend((self.faults > 0).then_some(Step::Outage));
+        let orders = self.log.streams.keys().filter(|it| matches!(it, Stream::Orders(_)));
+        let untrimmed = orders.filter(|it| rules.trims && !self.log.first.contains_key(it));
+        res.extend(untrimmed.map(|stream| Step::Trim { stream: *stream }));
     }
 }
 
--- a/xtask/src/orders/options.rs
+++ b/xtask/src/orders/options.rs
@@ -10,6 +10,7 @@
 pub(crate) const HELP: &str = "\
 usage: cargo xtask orders [OPTIONS]
   --small         the small part that tests run
+  --scenario NAME only the exhaustive scenarios of this name
   --faults N      faults in each exhaustive scenario (default 2, small 1)
   --limit N       states after which a scenario is cut short
   --walks N       random runs of each random scenario
@@ -20,6 +21,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Options {
     pub(crate) small: bool,
+    pub(crate) scenario: Option<String>,
     pub(crate) faults: u8,
     pub(crate) limit: u64,
     pub(crate) walks: u64,
@@ -29,7 +31,15 @@
 
 impl Default for Options {
     fn default() -> Self {
-        Self { small: false, faults: 2, limit: 20_000_000, walks: 20_000, seed: 1, guard: None }
+        Self {
+            small: false,
+            scenario: None,
+            faults: 2,
+            limit: 5_000_000,
+            walks: 20_000,
+            seed: 1,
+            guard: None,
+        }
     }
 }
 
@@ -45,6 +55,7 @@
                 Arg::Long("small") => {
                     res = Self { small: true, faults: 1, walks: 300, ..res };
                 }
+                Arg::Long("scenario") => res.scenario = Some(parser.value()?.string()?),
                 Arg::Long("faults") => res.faults = parser.value()?.parse()?,
                 Arg::Long("limit") => res.limit = parser.value()?.parse()?,
                 Arg::Long("walks") => res.walks = parser.value()?.parse()?,
--- a/xtask/src/orders/rules.rs
+++ b/xtask/src/orders/rules.rs
@@ -35,6 +35,8 @@
     pub(crate) copies: usize,
     /// Whether the last copy of each order carries another request under the same key.
     pub(crate) misuse: bool,
+    /// Whether the log may drop the records of each stream of orders, once.
+    pub(crate) trims: bool,
     /// Faults of any kind.
     pub(crate) faults: u8,
     /// Last step of the clock at which requests are sent.
@@ -67,7 +69,7 @@
             append_grace: STEP,
             finish_interval: Duration::ZERO,
             forward_interval: STEP,
-            suspect_after: STEP,
+            suspect_after: Duration::ZERO,
             ..Settings::default()
         };
         Self {
@@ -79,6 +81,7 @@
             orders: 1,
             copies: 3,
             misuse: false,
+            trims: false,
             faults: 2,
             last_send: 1,
             patience: 2,
--- a/xtask/src/orders/scenario.rs
+++ b/xtask/src/orders/scenario.rs
@@ -1,28 +1,33 @@
 //! The instances that are explored.
 
+use order::Settings;
+
 use super::{
     options::Options,
-    rules::{Keying, Rules},
+    rules::{Keying, Rules, STEP},
 };
 
 /// Instances small enough to visit every state.
 pub(crate) fn exhaustive(options: &Options) -> Vec<Rules> {
     let base = Rules { guard: options.guard, faults: options.faults, ..Rules::default() };
-    let copies = if options.small { 2 } else { 3 };
-    let repeats = Rules { copies, ..base.clone() };
-    let misuse = Rules { copies: 2, misuse: true, ..base };
+    let base =
+        if options.small { Rules { copies: 2, last_send: 0, patience: 1, ..base } } else { base };
+    let misuse = Rules { copies: 2, misuse: true, ..base.clone() };
+    let trimmed = Rules { copies: base.copies - 1, trims: true, ..base.clone() };
     vec![
-        Rules { name: "journaled", ..repeats.clone() },
-        Rules { name: "unjournaled", keying: Keying::Unjournaled, ..repeats.clone() },
-        Rules { name: "own-key", keying: Keying::Own, ..repeats },
+        Rules { name: "journaled", ..base.clone() },
+        Rules { name: "own-key", keying: Keying::Own, ..base.clone() },
+        Rules { name: "journaled-trimmed", ..trimmed },
         Rules { name: "journaled-misuse", ..misuse.clone() },
-        Rules { name: "unjournaled-misuse", keying: Keying::Unjournaled, ..misuse.clone() },
-        Rules { name: "own-key-misuse", keying: Keying::Own, ..misuse },
+        Rules { name: "own-key-misuse", keying: Keying::Own, ..misuse.clone() },
+        Rules { name: "unjournaled", keying: Keying::Unjournaled, ..base },
+        Rules { name: "unjournaled-misuse", keying: Keying::Unjournaled, ..misuse },
     ]
 }
 
 /// Larger instances for random steps.
 pub(crate) fn random(options: &Options) -> Vec<Rules> {
+    let defaults = Rules::default();
     let base = Rules {
         guard: options.guard,
         hosts: 3,
@@ -32,7 +37,9 @@
         faults: 8,
         last_send: 6,
         patience: 4,
-        ..Rules::default()
+        trims: true,
+        settings: Settings { suspect_after: STEP, ..defaults.settings.clone() },
+        ..defaults
     };
     vec![
         Rules { name: "journaled", ..base.clone() },
--- a/xtask/src/orders/search.rs
+++ b/xtask/src/orders/search.rs
@@ -1,11 +1,8 @@
 //! Visits every state that can be reached, each once.
 
-use std::{
-    collections::HashSet,
-    hash::{DefaultHasher, Hash, Hasher},
-};
+use std::collections::HashSet;
 
-use super::{rules::Rules, step::Step, verdict::Verdict, world::World};
+use super::{rules::Rules, shared::digest, step::Step, verdict::Verdict, world::World};
 
 /// What an exploration found.
 #[derive(Clone, Debug, Default)]
@@ -20,10 +17,12 @@
     pub(crate) is_partial: bool,
 }
 
-/// A state to visit, and the way to it.
-struct Visit {
+/// A state on the way to the one being visited, and the steps from it that are left to try.
+struct Frame {
     world: World,
-    way: usize,
+    /// The step that led here; none to the first state.
+    step: Option<Step>,
+    left: Vec<Step>,
 }
 
 /// Visits every state that can be reached, up to `limit`, and stops at the first violation.
@@ -31,49 +30,40 @@
 /// States are told apart by a 64-bit hash of all that they hold.
 pub(crate) fn search(rules: &Rules, limit: u64) -> Report {
     let mut report = Report::default();
-    let mut ways: Vec<(usize, Option<Step>)> = vec![(0, None)];
-    let mut seen = HashSet::new();
     let start = World::new(rules);
-    seen.insert(digest(&start));
-    let mut open = vec![Visit { world: start, way: 0 }];
-    while let Some(Visit { world, way }) = open.pop() {
-        let steps = world.enabled(rules);
-        report.states += 1;
-        report.ends += u64::from(steps.is_empty());
-        let verdict = Verdict::of(&world, steps.is_empty());
-        if !verdict.is_clean() {
-            report.verdict.add(verdict);
-            report.trace = trace(&ways, way);
-            return report;
+    let mut seen = HashSet::from([digest(&start)]);
+    let mut path = Vec::new();
+    path.extend(visit(rules, start, None, &mut report));
+    while let Some(frame) = path.last_mut() {
+        let Some(step) = frame.left.pop() else {
+            path.pop();
+            continue;
+        };
+        let mut next = frame.world.clone();
+        next.apply(rules, step);
+        if !seen.insert(digest(&next)) {
+            continue;
         }
         if report.states >= limit {
             report.is_partial = true;
             return report;
         }
-        for step in steps {
-            let mut next = world.clone();
-            next.apply(rules, step);
-            if seen.insert(digest(&next)) {
-                ways.push((way, Some(step)));
-                open.push(Visit { world: next, way: ways.len() - 1 });
-            }
+        if let Some(frame) = visit(rules, next, Some(step), &mut report) {
+            path.push(frame);
+        } else {
+            report.trace = path.iter().filter_map(|it| it.step).chain([step]).collect();
+            return report;
         }
     }
     report
 }
 
-fn digest(world: &World) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    world.hash(&mut hasher);
-    hasher.finish()
-}
-
-fn trace(ways: &[(usize, Option<Step>)], mut way: usize) -> Vec<Step> {
-    let mut res = Vec::new();
-    while let (from, Some(step)) = ways[way] {
-        res.push(step);
-        way = from;
-    }
-    res.reverse();
-    res
+/// Checks a state; nothing if a promise is violated in it.
+fn visit(rules: &Rules, world: World, step: Option<Step>, report: &mut Report) -> Option<Frame> {
+    let left = world.enabled(rules);
+    report.states += 1;
+    report.ends += u64::from(left.is_empty());
+    let verdict = Verdict::of(&world, left.is_empty());
+    report.verdict.add(verdict);
+    verdict.is_clean().then_some(Frame { world, step, left })
 }
--- a/xtask/src/orders/world.rs
+++ b/xtask/src/orders/world.rs
@@ -5,7 +5,10 @@
 use bytes::Bytes;
 use order::{Batch, Engine, Event, Fingerprint, Incarnation, Key, Offset, Outcome, Stream, Ticket};
 
-use super::rules::{Keying, Rules};
+use super::{
+    rules::{Keying, Rules},
+    shared::Shared,
+};
 
 /// Distance between the tickets of one request at different hosts and attempts.
 pub(crate) const ATTEMPT: Ticket = 1_000;
@@ -104,15 +107,15 @@
 }
 
 /// One state of everything.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Debug, Hash)]
 pub(crate) struct World {
     pub(crate) step: u32,
     pub(crate) faults: u8,
     pub(crate) next_incarnation: Incarnation,
     pub(crate) next_attempt: Ticket,
-    pub(crate) hosts: Vec<Host>,
-    pub(crate) log: Log,
-    pub(crate) requests: Vec<Request>,
+    pub(crate) hosts: Vec<Shared<Host>>,
+    pub(crate) log: Shared<Log>,
+    pub(crate) requests: Shared<Vec<Request>>,
     /// Calls whose sender gave up on them, and that may still arrive: request and addressee.
     pub(crate) stray_calls: Vec<(usize, Incarnation)>,
     /// Dispatches of dead daemons that may still reach the backend server.
@@ -131,9 +134,9 @@
             faults: rules.faults,
             next_incarnation: 1,
             next_attempt: 1,
-            hosts: vec![Host::default(); rules.hosts],
-            log,
-            requests: Vec::new(),
+            hosts: vec![Shared::default(); rules.hosts],
+            log: log.into(),
+            requests: Shared::default(),
             stray_calls: Vec::new(),
             stray_dispatches: Vec::new(),
             executions: Vec::new(),
@@ -142,7 +145,7 @@
         for host in 0..rules.hosts {
             res.boot(rules, host);
         }
-        res.requests = res.plan(rules);
+        res.requests = res.plan(rules).into();
         res
     }
 
@@ -150,7 +153,7 @@
     pub(crate) fn boot(&mut self, rules: &Rules, host: usize) {
         let incarnation = self.draw_incarnation();
         let (engine, actions) = Engine::new(rules.settings.clone(), incarnation);
-        self.hosts[host] = Host { engine: Some(engine), ..Host::default() };
+        self.hosts[host] = Host { engine: Some(engine), ..Host::default() }.into();
         for action in actions {
             self.perform(rules, host, action);
         }
