--- a/crates/document/src/fold.rs
+++ b/crates/document/src/fold.rs
@@ -28,7 +28,7 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Fold {
     pub(crate) end: Offset,
-    pub(crate) version: Version,
+    pub(crate) version: Option<Version>,
     pub(crate) sections: BTreeMap<Id, Entry>,
     /// Sections removed so recently that a publication from before can still arrive.
     pub(crate) removed: BTreeMap<Id, Stamp>,
@@ -43,9 +43,9 @@
         self.end
     }
 
-    /// Version of the document; 0 before the first.
+    /// Offset of the last accepted publication; none before the first.
     #[must_use]
-    pub fn version(&self) -> Version {
+    pub fn version(&self) -> Option<Version> {
         self.version
     }
 
@@ -150,8 +150,8 @@
                 self.removed.insert(id, stamp.clone());
             }
         }
-        self.version = self.end;
-        Verdict::Accepted { version: self.end }
+        self.version = Some(offset);
+        Verdict::Accepted { version: offset }
     }
 
     /// Whether `team` may change every section.
--- a/crates/document/src/lib.rs
+++ b/crates/document/src/lib.rs
@@ -53,8 +53,7 @@
 pub type TeamId = std::sync::Arc<str>;
 /// Position of a record in the log.
 pub type Offset = u64;
-/// Version of the document: the offset after the publication that made it, 0 before the first; it
-/// only grows.
+/// Version of the document: the offset of the publication that made it; it only grows.
 pub type Version = Offset;
 /// A document, or every finding that speaks against it.
 pub type Result<T, E = Vec<Finding>> = std::result::Result<T, E>;
--- a/crates/document/src/publication.rs
+++ b/crates/document/src/publication.rs
@@ -15,15 +15,14 @@
 /// A change of the document, as an author appends it to the log.
 ///
 /// One `base` stands for the base of each section: a change is up to date if its section last
-/// changed before `base`, and every reader of the log knows when that was.
+/// changed before `base`, and the log says when that was.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Publication {
     /// Name by which the publication counts once.
     pub id: PublicationId,
     /// Team for which the change is made.
     pub author: TeamId,
-    /// Version of the document that the change was made for, or any offset up to which the author
-    /// had read since.
+    /// First offset that the author had not yet read when the change was made.
     pub base: Offset,
     /// Time at which the change was made, in seconds since 1970; for people, decides nothing.
     #[serde(default)]
--- a/crates/document/src/snapshot.rs
+++ b/crates/document/src/snapshot.rs
@@ -54,7 +54,7 @@
 #[derive(serde::Deserialize, serde::Serialize)]
 struct Body {
     end: Offset,
-    version: Version,
+    version: Option<Version>,
     sections: Vec<Kept>,
     removed: Vec<Removed>,
     ids: Vec<(Offset, PublicationId)>,
@@ -175,7 +175,7 @@
                 return Err(Error::False("a section stands twice".to_owned()));
             }
         }
-        if self.version > 0 {
+        if self.version.is_some() {
             let mut report = Report::default();
             check::check(|| sections.values().map(|it| (&it.section, Some(&it.item))), &mut report);
             report.finish().map_err(|it| unsound(&it))?;
@@ -194,8 +194,9 @@
         let stamps = self.sections.iter().map(|it| &it.stamp);
         let stamps = stamps.chain(self.removed.iter().map(|it| &it.stamp));
         let last = stamps.map(|it| it.offset).max();
-        let is_later = last >= Some(self.version) || self.version > self.end;
-        if is_later || self.sections.is_empty() != (self.version == 0) {
+        let is_covered = self.version.is_none_or(|it| it < self.end);
+        if !is_covered || last > self.version || self.sections.is_empty() != self.version.is_none()
+        {
             return Err(Error::False("its version contradicts its sections".to_owned()));
         }
         let is_ascending = self.ids.is_sorted_by(|(a, _), (b, _)| a < b);
--- a/crates/document/src/snapshot/duty.rs
+++ b/crates/document/src/snapshot/duty.rs
@@ -81,7 +81,7 @@
     }
 
     fn is_needed(&self, fold: &Fold, now: Instant) -> bool {
-        if fold.version() == 0 {
+        if fold.version().is_none() {
             return false;
         }
         let Some(written_at) = self.newest.written_at else { return true };
