Add the operators' command line

check, show, diff, edit, publish, history, status, hosts, explain and drain, each a module with a help page, JSON output and documented exit codes. A publication whose answer is lost is looked for by its id and sent again under it, so it counts once; a file names the version that it was taken from, so that publishing it can't undo what others changed since.

--- /dev/null
+++ b/crates/cli/src/arguments.rs
@@ -0,0 +1,157 @@
+//! The arguments of one call.
+
+use lexopt::{Arg, Parser, ValueExt};
+
+use crate::{Error, Result, Settings, settings};
+
+/// What a verb takes.
+#[derive(Clone, Copy, Debug)]
+pub struct Spec {
+    /// Fewest arguments without a name.
+    pub min_values: usize,
+    /// Most arguments without a name.
+    pub max_values: usize,
+    /// Options that take a value.
+    pub options: &'static [&'static str],
+    /// Options that take none.
+    pub flags: &'static [&'static str],
+}
+
+/// Options that each verb understands.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Common {
+    /// Settings file.
+    pub settings_file: Option<String>,
+    /// Settings given as options; they go before those of the file.
+    pub settings: Settings,
+    /// Whether the outcome is printed as JSON.
+    pub json: bool,
+    /// Whether help is wanted instead of work.
+    pub help: bool,
+}
+
+/// The arguments of one verb.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Arguments {
+    /// Arguments without a name.
+    pub values: Vec<String>,
+    /// Options with their values, in the order given.
+    pub options: Vec<(&'static str, String)>,
+    /// Options without a value.
+    pub flags: Vec<&'static str>,
+}
+
+impl Common {
+    /// Takes an option that each verb understands; tells whether it was one.
+    fn take(&mut self, name: &str, parser: &mut Parser) -> Result<bool> {
+        match name {
+            "json" => self.json = true,
+            "help" => self.help = true,
+            "settings" => self.settings_file = Some(parser.value()?.string()?),
+            "team" => self.settings.team = parser.value()?.string()?,
+            "log" => {
+                let text = parser.value()?.string()?;
+                self.settings.log_address = addresses(&text)?.first().copied();
+            }
+            "admin" => self.settings.admin_addresses = addresses(&parser.value()?.string()?)?,
+            _ => return Ok(false),
+        }
+        Ok(true)
+    }
+
+    /// Reads the options before the verb, and its name.
+    ///
+    /// # Errors
+    ///
+    /// Fails at the first argument that isn't understood.
+    pub fn read_verb(&mut self, parser: &mut Parser) -> Result<Option<String>> {
+        while let Some(arg) = parser.next()? {
+            let name = match arg {
+                Arg::Value(it) => return Ok(Some(it.string()?)),
+                Arg::Long(it) => it.to_owned(),
+                Arg::Short('h') => "help".to_owned(),
+                Arg::Short(it) => it.to_string(),
+            };
+            if !self.take(&name, parser)? {
+                return Err(unknown(&name));
+            }
+        }
+        Ok(None)
+    }
+}
+
+impl Arguments {
+    /// Reads what follows the verb.
+    ///
+    /// # Errors
+    ///
+    /// Fails at the first argument that isn't understood, and if one is missing.
+    pub fn read(spec: &Spec, parser: &mut Parser, common: &mut Common) -> Result<Self> {
+        let mut arguments = Self::default();
+        while let Some(arg) = parser.next()? {
+            let name = match arg {
+                Arg::Value(it) => {
+                    arguments.values.push(it.string()?);
+                    continue;
+                }
+                Arg::Long(it) => it.to_owned(),
+                Arg::Short('h') => "help".to_owned(),
+                Arg::Short(it) => it.to_string(),
+            };
+            if common.take(&name, parser)? {
+                continue;
+            }
+            if let Some(known) = spec.flags.iter().find(|it| **it == name) {
+                arguments.flags.push(known);
+            } else if let Some(known) = spec.options.iter().find(|it| **it == name) {
+                arguments.options.push((known, parser.value()?.string()?));
+            } else {
+                return Err(unknown(&name));
+            }
+        }
+        let count = arguments.values.len();
+        if !common.help && !(spec.min_values..=spec.max_values).contains(&count) {
+            let (min, max) = (spec.min_values, spec.max_values);
+            let expected = if min == max { min.to_string() } else { format!("{min} to {max}") };
+            return Err(Error::Usage(format!("expected {expected} arguments, found {count}")));
+        }
+        Ok(arguments)
+    }
+
+    /// The value of an option.
+    #[must_use]
+    pub fn option(&self, name: &str) -> Option<&str> {
+        self.options.iter().rev().find(|(it, _)| *it == name).map(|(_, value)| value.as_str())
+    }
+
+    /// All values of an option, in the order given.
+    pub fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+        self.options.iter().filter(move |(it, _)| *it == name).map(|(_, value)| value.as_str())
+    }
+
+    /// The value of an option that is a number.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it is none.
+    pub fn number(&self, name: &str) -> Result<Option<u64>> {
+        let parse = |it: &str| {
+            it.parse().map_err(|_| Error::Usage(format!("--{name}: `{it}` is no whole number")))
+        };
+        self.option(name).map(parse).transpose()
+    }
+
+    /// Whether an option without a value was given.
+    #[must_use]
+    pub fn flag(&self, name: &str) -> bool {
+        self.flags.contains(&name)
+    }
+}
+
+fn addresses(text: &str) -> Result<Vec<std::net::SocketAddr>> {
+    settings::addresses(text).map_err(Error::Usage)
+}
+
+fn unknown(name: &str) -> Error {
+    Error::Usage(format!("unknown option `{name}`; see --help"))
+}
--- /dev/null
+++ b/crates/cli/src/force.rs
@@ -0,0 +1,86 @@
+//! Waits until a version is in force on every live host.
+
+use std::{fmt, net::SocketAddr, time::Duration};
+
+use document::Version;
+use serde::Serialize;
+
+use crate::{
+    Context, Result,
+    admin::{self, Status},
+};
+
+/// Time between two looks at the hosts.
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+
+/// How far a version has come.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Force {
+    /// Version that was waited for.
+    pub version: Version,
+    /// Live hosts on which it isn't in force.
+    pub lagging: Vec<Lag>,
+    /// Number of live hosts on which it is.
+    pub in_force: usize,
+}
+
+/// A live host on which a version isn't in force.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Lag {
+    /// The host's admin address.
+    pub host: SocketAddr,
+    /// What the host says instead.
+    pub reason: String,
+}
+
+impl fmt::Display for Force {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let total = self.in_force + self.lagging.len();
+        writeln!(f, "in force on {} of {total} live hosts", self.in_force)?;
+        for Lag { host, reason } in &self.lagging {
+            writeln!(f, "  {host} lags: {reason}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Waits until `version` is in force on every live host, for `limit` at most.
+///
+/// # Errors
+///
+/// Fails if no host is known.
+pub fn wait(cx: &Context<'_>, version: Version, limit: Duration) -> Result<Force> {
+    let started = cx.clock.now();
+    loop {
+        let force = look(cx, version)?;
+        let is_over = cx.clock.now().saturating_duration_since(started) >= limit;
+        if force.lagging.is_empty() || is_over {
+            return Ok(force);
+        }
+        (cx.sleep)(POLL_INTERVAL);
+    }
+}
+
+fn look(cx: &Context<'_>, version: Version) -> Result<Force> {
+    let hosts = admin::live_hosts(cx.admin, cx.seeds()?);
+    let mut force = Force { version, lagging: Vec::new(), in_force: 0 };
+    for host in hosts.iter().filter(|it| !it.leaving).map(|it| it.admin_address) {
+        match lag(cx, host, version) {
+            None => force.in_force += 1,
+            Some(reason) => force.lagging.push(Lag { host, reason }),
+        }
+    }
+    Ok(force)
+}
+
+/// Why a version isn't in force on a host, if it isn't.
+fn lag(cx: &Context<'_>, host: SocketAddr, version: Version) -> Option<String> {
+    match admin::ask::<Status>(cx.admin, host, "/status") {
+        Ok(it) if it.version >= Some(version) => None,
+        Ok(it) => {
+            let found = it.version.map_or("no version".to_owned(), |it| format!("version {it}"));
+            Some(format!("{found}, configuration {}", it.configuration))
+        }
+        Err(err) => Some(err.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/publish.rs
@@ -0,0 +1,196 @@
+//! Publishes changes, at most once, and waits until they are in force.
+
+use std::{
+    fmt,
+    time::{Duration, Instant},
+};
+
+use document::{
+    Fold, Offset, Publication, PublicationId, Replica, Verdict, Version, publication::Change,
+    section::Id,
+};
+use platform::Backoff;
+use serde::Serialize;
+
+use crate::{
+    Arguments, Attempt, Code, Context, Error, Outcome, Result,
+    force::{self, Force},
+    reader,
+};
+
+/// Longest time for the log to take a publication.
+const SUBMIT_LIMIT: Duration = Duration::from_secs(10);
+/// Shortest and longest pause after the log gave no answer.
+const PAUSE_BASE: Duration = Duration::from_millis(50);
+const PAUSE_LIMIT: Duration = Duration::from_secs(1);
+/// Time that `--wait` stands for when it isn't given, in seconds.
+const DEFAULT_WAIT_S: u64 = 17;
+
+/// Options that say how changes are published.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Options {
+    /// Why the change is made.
+    pub note: String,
+    /// Longest time to wait until the change is in force on every live host.
+    pub wait: Duration,
+    /// Whether the change is only judged, and not published.
+    pub dry_run: bool,
+}
+
+impl Options {
+    /// Names of the options that take a value.
+    pub const NAMES: [&'static str; 2] = ["note", "wait"];
+
+    /// Reads the options.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a value isn't understood.
+    pub fn read(arguments: &Arguments) -> Result<Self> {
+        Ok(Self {
+            note: arguments.option("note").unwrap_or_default().to_owned(),
+            wait: Duration::from_secs(arguments.number("wait")?.unwrap_or(DEFAULT_WAIT_S)),
+            dry_run: arguments.flag("dry-run"),
+        })
+    }
+}
+
+/// A change and what became of it.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Report {
+    /// Id of the publication; none if nothing had to be published.
+    pub id: Option<PublicationId>,
+    /// Version that the change made.
+    pub version: Option<Version>,
+    /// Sections that it changed.
+    pub sections: Vec<Id>,
+    /// How far the version has come; none if nobody waited.
+    pub force: Option<Force>,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.sections.is_empty() {
+            return writeln!(f, "nothing changes");
+        }
+        for it in &self.sections {
+            writeln!(f, "[{it}]")?;
+        }
+        match (&self.version, &self.id) {
+            (Some(version), Some(id)) => writeln!(f, "published as version {version}, id {id}")?,
+            _ => writeln!(f, "would be accepted; nothing was published")?,
+        }
+        self.force.as_ref().map_or(Ok(()), |it| it.fmt(f))
+    }
+}
+
+/// Publishes changes that were made for the document at `base`.
+///
+/// # Errors
+///
+/// Fails if the changes are rejected, and if the log doesn't take them or may have taken them.
+pub fn publish(
+    cx: &Context<'_>,
+    replica: Replica,
+    base: Offset,
+    changes: Vec<Change>,
+    options: &Options,
+) -> Result<Outcome> {
+    let sections = changes.iter().filter_map(Change::section).collect();
+    let mut report = Report { id: None, version: None, sections, force: None };
+    if changes.is_empty() {
+        return Ok(Outcome::new(&report, Code::Done));
+    }
+    let publication = Publication {
+        id: new_id(cx.seed),
+        author: cx.team()?.into(),
+        base,
+        made_at_s: cx.wall_s(),
+        note: options.note.clone(),
+        changes,
+    };
+    try_out(replica.fold(), &publication)?;
+    if options.dry_run {
+        return Ok(Outcome::new(&report, Code::Done));
+    }
+    report.id = Some(publication.id.clone());
+    let version = submit(cx, replica, publication)?;
+    report.version = Some(version);
+    if options.wait.is_zero() {
+        return Ok(Outcome::new(&report, Code::Done));
+    }
+    let force = force::wait(cx, version, options.wait)?;
+    let code = if force.lagging.is_empty() { Code::Done } else { Code::Lagging };
+    report.force = Some(force);
+    Ok(Outcome::new(&report, code))
+}
+
+/// Judges a publication as the log's readers will, unless another comes first.
+fn try_out(fold: &Fold, publication: &Publication) -> Result<Version> {
+    let mut fold = fold.clone();
+    version(fold.apply(fold.end(), &publication.encode()))
+}
+
+/// Appends a publication until it is certain what became of it.
+fn submit(cx: &Context<'_>, mut replica: Replica, publication: Publication) -> Result<Version> {
+    let mut attempt = Attempt::new(publication);
+    let mut backoff = Backoff::new(PAUSE_BASE, PAUSE_LIMIT, fastrand::Rng::with_seed(cx.seed));
+    let deadline = cx.clock.now() + SUBMIT_LIMIT;
+    loop {
+        let answer = cx.log.append(document::publication::STREAM, attempt.record());
+        attempt.note_append(&answer);
+        let read = find(cx, &mut replica, &mut attempt);
+        if let Some(it) = attempt.settled() {
+            return version(it.verdict.clone());
+        }
+        let reason = answer.err().or(read.err()).map(|it| it.to_string());
+        let reason = reason.unwrap_or_else(|| "the log doesn't show the record".to_owned());
+        if is_over(cx, deadline) {
+            return Err(give_up(&attempt, reason));
+        }
+        (cx.sleep)(backoff.failed());
+    }
+}
+
+/// Reads the log to its end, or until it shows what became of the attempt.
+fn find(cx: &Context<'_>, replica: &mut Replica, attempt: &mut Attempt) -> platform::Result<()> {
+    while attempt.settled().is_none() {
+        let progress = reader::step(replica, cx.log)?;
+        attempt.note_read(replica.fold(), &progress);
+        if progress.should_wait {
+            break;
+        }
+    }
+    Ok(())
+}
+
+fn is_over(cx: &Context<'_>, deadline: Instant) -> bool {
+    cx.clock.now() >= deadline
+}
+
+fn give_up(attempt: &Attempt, reason: String) -> Error {
+    if !attempt.may_be_kept() {
+        return Error::Unpublished(reason);
+    }
+    Error::Unknown { id: attempt.publication().id.clone(), reason }
+}
+
+fn version(verdict: Verdict) -> Result<Version> {
+    match verdict {
+        Verdict::Accepted { version } => Ok(version),
+        Verdict::Rejected { conflicts, .. } if !conflicts.is_empty() => {
+            Err(Error::Conflicts(conflicts))
+        }
+        Verdict::Rejected { findings, .. } => Err(Error::Findings(findings)),
+        Verdict::Repeated { first } => {
+            Err(Error::Log(format!("the id was used before, at offset {first}")))
+        }
+        Verdict::Skipped { warning } => Err(Error::Log(warning)),
+        Verdict::Halted { rules } => Err(Error::Log(format!("it needs fold rules {rules}"))),
+    }
+}
+
+fn new_id(seed: u64) -> PublicationId {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    format!("{:032x}", rng.u128(..)).into()
+}
--- /dev/null
+++ b/crates/cli/src/reader.rs
@@ -0,0 +1,108 @@
+//! Reads the log into a replica of the document.
+
+use document::{
+    Fold, Offset, Replica, Verdict, publication,
+    replica::{Progress, State},
+    snapshot,
+};
+use platform::{Log, Record};
+
+use crate::{Error, Result};
+
+/// Records read at once.
+const PAGE_RECORDS: u64 = 256;
+/// Snapshots looked at for an older version.
+const MAX_SNAPSHOTS: u64 = 256;
+
+/// Lets the replica take one answer of the log.
+///
+/// # Errors
+///
+/// Fails if the log has no answer.
+pub fn step(replica: &mut Replica, log: &dyn Log) -> platform::Result<Progress> {
+    let Some(request) = replica.request() else {
+        return Ok(Progress { should_wait: true, ..Progress::default() });
+    };
+    match log.read(request.stream, request.from, request.limit) {
+        Ok(page) => {
+            let records: Vec<_> = page.records.into_iter().map(|it| (it.offset, it.data)).collect();
+            Ok(replica.take(page.first, page.next, &records))
+        }
+        Err(platform::Error::Gone { .. }) => Ok(replica.gone()),
+        Err(err) => Err(err),
+    }
+}
+
+/// The document as of now.
+///
+/// # Errors
+///
+/// Fails if the log can't be read to its end.
+pub fn current(log: &dyn Log) -> Result<Replica> {
+    let mut replica = Replica::default();
+    while !step(&mut replica, log)?.should_wait {}
+    match replica.state() {
+        State::Following => Ok(replica),
+        State::Halted { rules } => Err(Error::Log(format!(
+            "it holds records for fold rules {rules}; use a newer fireflydrum"
+        ))),
+        State::Starting | State::Gap | State::Ahead => {
+            Err(Error::Log("it holds neither its beginning nor a usable snapshot".to_owned()))
+        }
+    }
+}
+
+/// The fold as it was when the log ended at `end`.
+///
+/// # Errors
+///
+/// Fails if the log can't be read, or no longer holds what that needs.
+pub fn at(log: &dyn Log, end: Offset) -> Result<Fold> {
+    let mut fold = snapshot_before(log, end)?;
+    replay(log, &mut fold, end, |_, _| {})?;
+    if fold.end() == end { Ok(fold) } else { Err(Error::Version(end.saturating_sub(1))) }
+}
+
+/// Folds the records up to `end`, and shows each with its verdict to `each`.
+///
+/// # Errors
+///
+/// Fails if the log can't be read, or no longer holds the records after the fold.
+pub fn replay(
+    log: &dyn Log,
+    fold: &mut Fold,
+    end: Offset,
+    mut each: impl FnMut(&Record, Verdict),
+) -> Result<()> {
+    while fold.end() < end && fold.halted().is_none() {
+        let limit = usize::try_from(PAGE_RECORDS.min(end - fold.end())).unwrap_or(1);
+        let page = log.read(publication::STREAM, fold.end(), limit)?;
+        if page.records.is_empty() {
+            break;
+        }
+        for record in page.records.iter().filter(|it| it.offset < end) {
+            each(record, fold.apply(record.offset, &record.data));
+        }
+    }
+    Ok(())
+}
+
+/// The fold of the newest snapshot that doesn't go past `end`, or the empty one.
+///
+/// # Errors
+///
+/// Fails if the log can't be read.
+pub fn snapshot_before(log: &dyn Log, end: Offset) -> Result<Fold> {
+    let bounds = log.read(snapshot::STREAM, Offset::MAX, 1)?;
+    let oldest = bounds.first.max(bounds.next.saturating_sub(MAX_SNAPSHOTS));
+    for offset in (oldest..bounds.next).rev() {
+        let page = log.read(snapshot::STREAM, offset, 1)?;
+        let record = page.records.first().filter(|it| it.offset == offset);
+        if let Some(Ok(fold)) = record.map(|it| snapshot::decode(&it.data))
+            && fold.end() <= end
+        {
+            return Ok(fold);
+        }
+    }
+    Ok(Fold::default())
+}
--- /dev/null
+++ b/crates/cli/src/verb/history.rs
@@ -0,0 +1,119 @@
+//! `history`: what was published, and what became of it.
+
+use std::fmt;
+
+use document::{
+    Offset, Publication, Verdict, WINDOW, publication::Change, replica::Judged, section::Id,
+};
+use platform::Record;
+use serde::Serialize;
+
+use crate::{Arguments, Code, Context, Outcome, Result, arguments::Spec, reader, verb::Verb};
+
+/// Publications that are listed unless told otherwise.
+const DEFAULT_LIMIT: u64 = 20;
+
+/// The verb.
+pub const VERB: Verb = Verb {
+    name: "history",
+    summary: "list what was published, by whom, and what became of it",
+    help: "\
+usage: fireflydrum history [--limit N] [--id ID]
+
+Lists the last records of the log, 20 unless --limit says otherwise, with what became of each: an
+accepted one made the version of its offset; a rejected one changed nothing and says why; a repeated
+one was counted before; a skipped one is no publication. --id shows only the publication of an id, as
+when an answer was lost; it exits with 5 as long as the log doesn't hold it.
+
+  fireflydrum history --limit 5
+  fireflydrum history --id 5b0cd2a1e86f4b7f9c1f5d3f1d2c8a77
+",
+    spec: Spec { min_values: 0, max_values: 0, options: &["limit", "id"], flags: &[] },
+    run,
+};
+
+#[derive(Serialize)]
+struct Report {
+    records: Vec<Line>,
+}
+
+#[derive(Serialize)]
+struct Line {
+    #[serde(flatten)]
+    judged: Judged,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    publication: Option<Publication>,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.records.is_empty() {
+            return writeln!(f, "the log holds no such record");
+        }
+        self.records.iter().try_for_each(|it| it.fmt(f))
+    }
+}
+
+impl fmt::Display for Line {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Judged { offset, verdict } = &self.judged;
+        write!(f, "{offset}")?;
+        if let Some(Publication { id, author, note, changes, .. }) = &self.publication {
+            let sections: Vec<Id> = changes.iter().filter_map(Change::section).collect();
+            let sections = sections.iter().map(ToString::to_string).collect::<Vec<_>>();
+            write!(f, "  {author}  {}  id {id}", sections.join(", "))?;
+            if !note.is_empty() {
+                write!(f, "  ({})", ini::excerpt(note))?;
+            }
+        }
+        write_verdict(f, verdict)
+    }
+}
+
+fn write_verdict(f: &mut fmt::Formatter<'_>, verdict: &Verdict) -> fmt::Result {
+    match verdict {
+        Verdict::Accepted { version } => writeln!(f, "  accepted as version {version}"),
+        Verdict::Rejected { findings, conflicts } => {
+            writeln!(f, "  rejected")?;
+            findings.iter().try_for_each(|it| writeln!(f, "    {it}"))?;
+            conflicts.iter().try_for_each(|it| writeln!(f, "    {it}"))
+        }
+        Verdict::Repeated { first } => writeln!(f, "  repeats {first}, not counted"),
+        Verdict::Skipped { warning } => writeln!(f, "  skipped: {warning}"),
+        Verdict::Halted { rules } => writeln!(f, "  needs fold rules {rules}, not read further"),
+    }
+}
+
+fn run(cx: &Context<'_>, arguments: &Arguments) -> Result<Outcome> {
+    let id = arguments.option("id");
+    let default = if id.is_some() { WINDOW } else { DEFAULT_LIMIT };
+    let limit = arguments.number("limit")?.unwrap_or(default);
+    let end = reader::current(cx.log)?.fold().end();
+    let mut records = read(cx, end, limit)?;
+    if let Some(id) = id {
+        records.retain(|it| it.publication.as_ref().is_some_and(|it| &*it.id == id));
+    }
+    let code = if id.is_some() && records.is_empty() { Code::Unknown } else { Code::Done };
+    Ok(Outcome::new(&Report { records }, code))
+}
+
+/// The last `limit` records before `end`, or as many as the log can still judge.
+fn read(cx: &Context<'_>, end: Offset, limit: u64) -> Result<Vec<Line>> {
+    let from = end.saturating_sub(limit);
+    let mut records = Vec::new();
+    let mut note = |record: &Record, verdict| {
+        if record.offset >= from {
+            let judged = Judged { offset: record.offset, verdict };
+            let publication = Publication::decode(&record.data).ok();
+            records.push(Line { judged, publication });
+        }
+    };
+    let mut fold = reader::snapshot_before(cx.log, from)?;
+    if reader::replay(cx.log, &mut fold, end, &mut note).is_err() {
+        // The log no longer goes back that far; the newest snapshot leaves the most to judge that
+        // is sure to be kept.
+        let mut fold = reader::snapshot_before(cx.log, end)?;
+        reader::replay(cx.log, &mut fold, end, &mut note)?;
+    }
+    Ok(records)
+}
--- /dev/null
+++ b/crates/cli/tests/read_verbs.rs
@@ -0,0 +1,169 @@
+//! The verbs that only read.
+
+mod util;
+
+use cli::{Arguments, Code, Error, Settings, arguments::Common, verb};
+use document::{Fold, publication, snapshot};
+use util::{DOCUMENT, World, address, file, publish_apart};
+
+const RANK: &str = "[rank urgent]\norder = 0\nfloor_percent = 50";
+
+/// A log of three versions, and one publication that was rejected.
+fn world() -> World {
+    let world = World::published();
+    publish_apart(&world, "a", "ops", 1, RANK);
+    publish_apart(&world, "b", "stock", 1, RANK);
+    publish_apart(&world, "c", "ops", 3, &RANK.replace("50", "60"));
+    world
+}
+
+fn text(world: &World, arguments: &[&str]) -> String {
+    world.run(arguments).expect("an outcome").text
+}
+
+#[test]
+fn show_versions() {
+    let world = world();
+    let shown = text(&world, &["show"]);
+    assert!(shown.starts_with("; fireflydrum version 3\n[team ops]\n"), "{shown}");
+    assert!(shown.contains("floor_percent = 60"));
+    assert!(text(&world, &["show", "--version", "1"]).contains("floor_percent = 50"));
+    let section = text(&world, &["show", "rank", "urgent", "--version", "0"]);
+    assert_eq!(section, "; fireflydrum version 0\n[rank urgent]\norder = 0\nfloor_percent = 40\n");
+    for arguments in [&["show", "--version", "2"][..], &["show", "--version", "9"]] {
+        let err = world.run(arguments).expect_err("no such version");
+        assert!(matches!(err, Error::Version(_)), "{err}");
+    }
+    assert_eq!(world.run(&["show", "rank", "x"]).expect_err("no section").code(), Code::Usage);
+}
+
+/// Old versions are found from a snapshot before them once the log's beginning is gone.
+#[test]
+fn show_after_retention() {
+    let world = world();
+    let mut fold = Fold::default();
+    for (offset, record) in world.log.records(publication::STREAM).iter().enumerate().take(2) {
+        fold.apply(offset as u64, record);
+    }
+    let _ = world.log.inject(snapshot::STREAM, snapshot::encode(&fold, 0).into());
+    world.log.truncate(publication::STREAM, 2);
+    assert!(text(&world, &["show", "--version", "1"]).contains("floor_percent = 50"));
+    assert!(text(&world, &["show"]).contains("floor_percent = 60"));
+    assert_eq!(text(&world, &["history"]).lines().count(), 3);
+    let err = world.run(&["show", "--version", "0"]).expect_err("no longer kept");
+    assert_eq!(err.code(), Code::Failed, "{err}");
+}
+
+#[test]
+fn diff_sides() {
+    let world = world();
+    let expected = "[rank urgent]\n- floor_percent = 40\n+ floor_percent = 60\n";
+    assert_eq!(text(&world, &["diff", "--from", "0"]), expected);
+    assert_eq!(text(&world, &["diff", "--from", "1", "--to", "1"]), "no difference\n");
+    let marked = format!("; fireflydrum version 1\n{DOCUMENT}\n[team new]\n");
+    let file = file("diff", &marked);
+    let expected =
+        "[team new]\n+ [team new]\n[rank urgent]\n- floor_percent = 50\n+ floor_percent = 40\n";
+    assert_eq!(text(&world, &["diff", &file]), expected);
+    assert_eq!(world.run(&["diff"]).expect_err("nothing to compare").code(), Code::Usage);
+}
+
+#[test]
+fn history_verdicts() {
+    let world = world();
+    let history = text(&world, &["history"]);
+    let lines: Vec<_> = history.lines().collect();
+    assert!(lines[0].starts_with("0  ops  team ops, team stock, rank urgent"), "{history}");
+    assert!(lines[1].starts_with("1  ops  rank urgent  id a  accepted as version 1"), "{history}");
+    assert!(lines[2].starts_with("2  stock  rank urgent  id b  rejected"), "{history}");
+    assert!(lines[3].contains("was changed by ops at offset 1, after the base"), "{history}");
+    assert!(lines[4].starts_with("3  ops  rank urgent  id c  accepted as version 3"), "{history}");
+    assert_eq!(text(&world, &["history", "--limit", "1"]).lines().count(), 1);
+    let json = world.run(&["history", "--id", "b"]).expect("an outcome").json;
+    assert!(
+        json.contains("\"verdict\":\"rejected\"") && json.contains("\"author\":\"ops\""),
+        "{json}"
+    );
+}
+
+#[test]
+fn check_file() {
+    let world = World::new();
+    let sound = file("sound", DOCUMENT);
+    let outcome = world.run(&["check", &sound]).expect("an outcome");
+    assert_eq!(outcome.text, format!("{sound}: sound, 1 services with 1 upstreams\n"));
+    let unsound = file("bad", &format!("{DOCUMENT}slots = 6\n[rank x]\n"));
+    let outcome = world.run(&["check", &unsound]).expect("an outcome");
+    assert_eq!((outcome.code, outcome.text.lines().count()), (Code::Findings, 2));
+    let err = world.run(&["check", "/nowhere.ini"]).expect_err("no file");
+    assert_eq!(err.code(), Code::Failed);
+}
+
+#[test]
+fn host_verbs() {
+    let world = World::published();
+    let (one, two) = (address(0), address(1));
+    world.hosts.borrow_mut()[0].version = Some(0);
+    let expected = format!(
+        "{one}  version 0  configuration following\n{two}  no version  configuration following\n"
+    );
+    assert_eq!(text(&world, &["status"]), expected);
+    assert_eq!(text(&world, &["hosts"]), format!("{one}  live\n{two}  live\n"));
+    let expected = format!("decided on {two}\n{{\n  \"chosen\": \"one\"\n}}\n");
+    assert_eq!(text(&world, &["explain", "known"]), expected);
+    assert_eq!(world.run(&["explain", "other"]).expect("an outcome").code, Code::Failed);
+    assert_eq!(world.run(&["explain", "../status"]).expect_err("no id").code(), Code::Usage);
+    world.hosts.borrow_mut()[1].answers = false;
+    let outcome = world.run(&["status"]).expect("an outcome");
+    assert_eq!(outcome.code, Code::Failed);
+    assert!(outcome.text.contains(&format!("{two}  no answer")), "{}", outcome.text);
+}
+
+#[test]
+fn log_missing() {
+    let world = World::published();
+    world.log.update(|it| it.down = true);
+    for arguments in [&["show"][..], &["history"], &["diff", "--from", "0"]] {
+        assert_eq!(world.run(arguments).expect_err("no log").code(), Code::Unavailable);
+    }
+}
+
+#[test]
+fn help_teaches() {
+    for it in verb::ALL {
+        assert!(it.help.starts_with(&format!("usage: fireflydrum {}", it.name)), "{}", it.name);
+        assert!(it.help.contains(&format!("\n  fireflydrum {}", it.name)), "{}", it.name);
+        for option in it.spec.options.iter().chain(it.spec.flags) {
+            assert!(it.help.contains(&format!("--{option}")), "{} --{option}", it.name);
+        }
+    }
+}
+
+#[test]
+fn bad_arguments() {
+    let cases = [
+        (&["check"][..], "expected 1 arguments, found 0"),
+        (&["check", "a", "--what"], "unknown option `what`; see --help"),
+        (&["history", "--limit", "x"], "--limit: `x` is no whole number"),
+        (&["show", "--admin", "localhost:1"], "`localhost:1` is no address as in 10.0.0.1:9100"),
+    ];
+    for (arguments, expected) in cases {
+        let err = World::new().run(arguments).expect_err("a wrong use");
+        assert_eq!((err.code(), err.to_string().as_str()), (Code::Usage, expected));
+    }
+    let mut common = Common::default();
+    let mut parser = lexopt::Parser::from_args(["--json", "a", "--team", "x", "--help"]);
+    let spec = verb::find("check").expect("a verb").spec;
+    Arguments::read(&spec, &mut parser, &mut common).expect("options anywhere");
+    assert!(common.json && common.help && common.settings.team == "x");
+}
+
+#[test]
+fn settings_file() {
+    let text = "[fireflydrum]\nlog_address = 10.0.0.9:7000\nadmin_addresses = 10.0.0.1:9100, 10.0.0.2:9100\nteam = ops\n";
+    let settings = Settings::parse(text).expect("sound settings");
+    assert_eq!((settings.admin_addresses.len(), settings.team.as_str()), (2, "ops"));
+    let err =
+        Settings::parse("[x]\n[fireflydrum]\nlog_address = here\nteem = ops\n").expect_err("three");
+    assert_eq!(err.to_string().lines().count(), 3, "{err}");
+}
--- a/crates/document/src/fold.rs
+++ b/crates/document/src/fold.rs
@@ -11,8 +11,8 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use crate::{
-    Document, Item, Offset, Publication, Section, TeamId, Verdict, Version, publication,
-    section::Id,
+    Document, Item, Offset, Publication, PublicationId, Section, TeamId, Verdict, Version,
+    publication, section::Id,
 };
 
 pub(crate) use entry::{Entry, Stamp};
@@ -72,6 +72,12 @@
         self.sections.get(id).map(|it| it.stamp.offset)
     }
 
+    /// Offset at which a publication was judged; none if it never was, or too long ago.
+    #[must_use]
+    pub fn judged_at(&self, id: &PublicationId) -> Option<Offset> {
+        self.window.first(id)
+    }
+
     /// The document, built anew.
     #[must_use]
     pub fn document(&self) -> Document {
--- a/crates/document/src/publication.rs
+++ b/crates/document/src/publication.rs
@@ -1,8 +1,8 @@
 //! A change of the document, as an author appends it to the log.
 
-use std::sync::Arc;
+use std::{collections::HashSet, sync::Arc};
 
-use crate::{Offset, TeamId, fold::RULES, name, section::Id};
+use crate::{Offset, Section, TeamId, fold::RULES, name, section::Id};
 
 /// Stream of the log to which publications are appended.
 pub const STREAM: &str = "fireflydrum-document";
@@ -50,6 +50,32 @@
     },
 }
 
+impl Change {
+    /// The changes that make the sections `after` out of the sections `before`.
+    pub fn between<'a>(
+        before: impl IntoIterator<Item = &'a Section>,
+        after: impl IntoIterator<Item = &'a Section>,
+    ) -> Vec<Self> {
+        let before: Vec<_> = before.into_iter().collect();
+        let after: Vec<_> = after.into_iter().collect();
+        let texts: HashSet<_> = before.iter().map(|it| &it.text).collect();
+        let kept: HashSet<_> = after.iter().map(|it| &it.id).collect();
+        let set = after.iter().filter(|it| !texts.contains(&it.text));
+        let set = set.map(|it| Self::Set { text: it.text.to_string() });
+        let removed = before.iter().filter(|it| !kept.contains(&it.id));
+        set.chain(removed.map(|it| Self::Remove { section: it.id.clone() })).collect()
+    }
+
+    /// The section that changes; none if the text isn't one section.
+    #[must_use]
+    pub fn section(&self) -> Option<Id> {
+        match self {
+            Self::Remove { section } => Some(section.clone()),
+            Self::Set { text } => Section::parse(text).ok().map(|it| it.id),
+        }
+    }
+}
+
 /// Why a record holds no publication that can be judged.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Error {
--- a/crates/document/src/replica.rs
+++ b/crates/document/src/replica.rs
@@ -4,6 +4,8 @@
 //! usable snapshot, or from the beginning if the log still keeps it, and never goes back to an older
 //! version than it had.
 
+use std::fmt;
+
 use crate::{Fold, Offset, Verdict, publication, snapshot};
 
 /// Snapshots that a replica tries before it gives up.
@@ -23,7 +25,7 @@
 }
 
 /// How far a replica has come.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "lowercase", tag = "state")]
 pub enum State {
     /// It looks for a place to start, or for one to go on after it fell behind.
@@ -250,3 +252,15 @@
         Progress { warnings: vec![warning], ..Progress::default() }
     }
 }
+
+impl fmt::Display for State {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Starting => f.write_str("starting"),
+            Self::Following => f.write_str("following"),
+            Self::Gap => f.write_str("behind a gap in the log"),
+            Self::Ahead => f.write_str("ahead of a log that lost records"),
+            Self::Halted { rules } => write!(f, "halted before fold rules {rules}"),
+        }
+    }
+}
