balance: loosen the limits, fade reports slower, drop peers' service times

Own limits that shrank on any reported queue left requests waiting on the entry hosts (mean 2 to 4 ms, 82 ms and more in the tail) beside free slots. A queue of half the slots is now usual, and an upstream may be given up to three times its slots, which only counts while no long queue is reported.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -21,8 +21,6 @@
 const WINDOWS: usize = 4;
 /// Share of the mean service time after which a refused request may try again.
 const RETRY_SHARE: f64 = 0.25;
-/// Multiple of the service's mean from which peers are told of a service time.
-const UNUSUAL: f64 = 1.5;
 
 /// Chooses among the upstreams of one service and learns from the answers.
 #[derive(Debug)]
@@ -55,11 +53,12 @@
         seed: u64,
         now: Instant,
     ) -> Self {
+        let hosts = settings.hosts.max(1);
         let bucket = Bucket::new(settings.probe_burst);
         let mut res = Self {
             settings,
             home,
-            hosts: 1,
+            hosts,
             origin: now,
             rng: fastrand::Rng::with_seed(seed),
             states: Vec::new(),
@@ -73,6 +72,7 @@
         };
         res.update(now, upstreams);
         res.states.iter_mut().for_each(|it| it.ramp_from = None);
+        res.set_hosts(now, hosts);
         res
     }
 
@@ -103,7 +103,7 @@
     /// Sets the number of entry hosts that may be at work, among which the probe budget is shared
     /// evenly.
     ///
-    /// No probe is sent before the first call. A host that may only have been cut off counts, or
+    /// A host that may only have been cut off counts, or
     /// the hosts on the two sides of a cut would together spend more than the budget.
     pub fn set_hosts(&mut self, now: Instant, hosts: u32) {
         let at = self.moment(now);
@@ -209,19 +209,10 @@
 
     /// Own requests in flight, for the peers.
     #[must_use]
-    pub fn digest(&self, now: Instant) -> Digest {
-        let at = self.moment(now);
-        let means = self.service.means(at, &self.settings);
-        let entries = self.states.iter().filter_map(|it| {
-            let service_time = it.service_time(at, &self.settings, means);
-            let told = it.own() > 0 || service_time > UNUSUAL * means.service_time;
-            told.then(|| Entry {
-                upstream: it.upstream.id.clone(),
-                in_flight: it.own(),
-                service_time: duration(service_time),
-            })
-        });
-        Digest { entries: entries.collect() }
+    pub fn digest(&self) -> Digest {
+        let busy = self.states.iter().filter(|it| it.own() > 0);
+        let entry = |it: &State| Entry { upstream: it.upstream.id.clone(), in_flight: it.own() };
+        Digest { entries: busy.map(entry).collect() }
     }
 
     /// Takes in what a peer said of its own requests in flight.
@@ -344,7 +335,7 @@
         let state = &mut self.states[place];
         let own = state.own_in_report(at, &self.settings);
         state.load.reported(at, report.total(), own);
-        state.limit.reported(report);
+        state.limit.reported(report, self.settings.queue_percent);
         let per_slot = state.load.others() / state.slots();
         self.service.reported(at, per_slot);
     }
--- a/crates/balance/src/limit.rs
+++ b/crates/balance/src/limit.rs
@@ -2,7 +2,7 @@
 
 use crate::Report;
 
-/// Share of the limit that remains after an upstream reported a queue.
+/// Share of the limit that remains after an upstream reported a long queue.
 const QUEUE_BACKOFF: f64 = 0.8;
 /// Share of the limit that remains after an upstream shed a request.
 const OVERLOAD_BACKOFF: f64 = 0.5;
@@ -13,8 +13,8 @@
 
 /// Limit of own requests in flight, which grows additively and shrinks multiplicatively.
 ///
-/// Each entry host probes for room by itself: where upstreams report a queue, all hosts shrink
-/// towards an even share; a lone host grows to all the slots.
+/// Each entry host probes for room by itself: where upstreams report long queues, all hosts
+/// shrink towards an even share; a lone host grows to all the slots.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Limit {
     value: f64,
@@ -39,11 +39,12 @@
         self.value
     }
 
-    /// Takes in a report that came with an answer.
-    pub(crate) fn reported(&mut self, report: Report) {
-        if report.queued > 0 {
+    /// Takes in a report; a queue of up to `queue_percent` of the slots is usual.
+    pub(crate) fn reported(&mut self, report: Report, queue_percent: u32) {
+        let usual = self.slots * f64::from(queue_percent) / 100.0;
+        if f64::from(report.queued) > usual {
             self.scale(QUEUE_BACKOFF);
-        } else if f64::from(report.occupied) < self.slots {
+        } else {
             self.grow();
         }
     }
--- a/crates/balance/src/peers.rs
+++ b/crates/balance/src/peers.rs
@@ -9,8 +9,6 @@
 pub(crate) struct Told {
     /// Their requests in flight.
     pub(crate) in_flight: f64,
-    /// Mean of their service times in seconds, if any peer told one.
-    pub(crate) service_time: Option<f64>,
     /// Time of the oldest digest that counts.
     pub(crate) at: Option<Moment>,
 }
@@ -39,14 +37,9 @@
         ids: impl Iterator<Item = &'a UpstreamId>,
     ) -> HashMap<&'a UpstreamId, Told> {
         let at = self.digests.values().map(|(at, _)| *at).reduce(f64::min);
-        let mut res: HashMap<_, _> = ids.map(|it| (it, Told { at, ..Told::default() })).collect();
-        let mut tellers: HashMap<&UpstreamId, f64> = HashMap::new();
+        let mut res: HashMap<_, _> = ids.map(|it| (it, Told { in_flight: 0.0, at })).collect();
         for entry in self.digests.values().flat_map(|(_, it)| &it.entries) {
             let Some(told) = res.get_mut(&entry.upstream) else { continue };
-            let count = tellers.entry(&entry.upstream).or_default();
-            *count += 1.0;
-            let mean = told.service_time.unwrap_or(0.0);
-            told.service_time = Some(mean + (entry.service_time.as_secs_f64() - mean) / *count);
             told.in_flight += f64::from(entry.in_flight);
         }
         res
--- a/crates/balance/src/settings.rs
+++ b/crates/balance/src/settings.rs
@@ -5,6 +5,9 @@
 /// Settings of a balancer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
+    /// Entry hosts that may be at work, until [`set_hosts`](crate::Balancer::set_hosts) says
+    /// otherwise; they share the probe budget evenly.
+    pub hosts: u32,
     /// Upstreams weighed for one choice; all are weighed if the service has no more.
     pub sample: usize,
     /// Service time assumed before any answer.
@@ -13,7 +16,8 @@
     pub speed_memory: Duration,
     /// Answers' worth of weight that the service's mean has in an upstream's service time.
     pub speed_prior: f64,
-    /// Time constant, in service times, with which a report fades into the service's mean.
+    /// Time constant, in service times, with which a report or a peer's digest fades into the
+    /// service's mean.
     pub report_memory: f64,
     /// Time from dispatch to arrival of the answer's first byte that is spent on the network.
     pub round_trip: Duration,
@@ -37,7 +41,10 @@
     pub ramp: Duration,
     /// Requests beyond its slots that an upstream is given, in percent of the slots.
     pub headroom_percent: u32,
-    /// Time after which a peer's digest no longer counts.
+    /// Queue that an upstream may report before own requests to it are reduced, in percent of the
+    /// slots.
+    pub queue_percent: u32,
+    /// Time after which a peer's digest is dropped.
     pub digest_life: Duration,
     /// Probes a second that all entry hosts together may send; 0 sends none.
     pub probe_budget_per_s: f64,
@@ -50,11 +57,12 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
+            hosts: 1,
             sample: 32,
             initial_service_time: Duration::from_millis(10),
-            speed_memory: Duration::from_millis(100),
-            speed_prior: 1.0,
-            report_memory: 1.0,
+            speed_memory: Duration::from_millis(200),
+            speed_prior: 2.0,
+            report_memory: 2.0,
             round_trip: Duration::from_millis(1),
             remote_cost: Duration::from_micros(500),
             failure_cost: 10.0,
@@ -65,7 +73,8 @@
             ejected_percent: 30,
             distrust_percent: 50,
             ramp: Duration::from_secs(2),
-            headroom_percent: 25,
+            headroom_percent: 200,
+            queue_percent: 50,
             digest_life: Duration::from_millis(500),
             probe_budget_per_s: 0.0,
             probe_burst: 1,
--- a/crates/balance/src/state.rs
+++ b/crates/balance/src/state.rs
@@ -14,7 +14,7 @@
 /// Least share of its limit that an upstream has while it is brought up.
 const LEAST_RAMP: f64 = 0.2;
 /// Requests by which a report without age may be wrong.
-const REPORT_ERROR: f64 = 0.5;
+const REPORT_ERROR: f64 = 2.0;
 
 /// An attempt in flight.
 #[derive(Clone, Copy, Debug)]
@@ -91,11 +91,11 @@
         self.flights.iter().filter(|it| it.at <= latest).count()
     }
 
-    /// Service time in seconds, from answers, own requests still in flight, and peers.
+    /// Service time in seconds, from answers and own requests still in flight.
     pub(crate) fn service_time(&self, now: Moment, settings: &Settings, means: Means) -> f64 {
         let memory = settings.speed_memory.as_secs_f64();
         let pending: f64 = self.flights.iter().map(|it| (now - it.at) / it.stretch).sum();
-        let mean = self.peers_service_time(now, settings, means);
+        let mean = means.service_time;
         self.speed.estimate(now, memory, settings.speed_prior, mean, pending.max(0.0))
     }
 
@@ -150,28 +150,17 @@
     fn others(&self, now: Moment, settings: &Settings, means: Means) -> (f64, f64) {
         let memory = settings.report_memory * means.service_time;
         let weight = self.load.freshness(now, memory);
-        let usual = self.peers_in_flight(now, settings, means);
+        let usual = self.peers_in_flight(now, memory, means);
         let others = (self.load.others() - usual).mul_add(weight, usual);
         let error = (usual * (1.0 - weight)).sqrt() + REPORT_ERROR;
         (others, error)
     }
 
-    fn peers_in_flight(&self, now: Moment, settings: &Settings, means: Means) -> f64 {
+    fn peers_in_flight(&self, now: Moment, memory: f64, means: Means) -> f64 {
         let mean = means.others_per_slot * self.slots();
-        let weight = self.peers_weight(now, settings);
+        let weight = self.told.at.map_or(0.0, |at| fade(now - at, memory));
         (self.told.in_flight - mean).mul_add(weight, mean)
     }
-
-    fn peers_service_time(&self, now: Moment, settings: &Settings, means: Means) -> f64 {
-        let mean = means.service_time;
-        let Some(told) = self.told.service_time else { return mean };
-        (told - mean).mul_add(self.peers_weight(now, settings), mean)
-    }
-
-    fn peers_weight(&self, now: Moment, settings: &Settings) -> f64 {
-        let memory = settings.digest_life.as_secs_f64();
-        self.told.at.map_or(0.0, |at| fade(now - at, memory))
-    }
 }
 
 /// The part of `excess` above 0, smoothed over `error`, so that a doubtful slot is worth less than
--- a/xtask/src/policy/entry.rs
+++ b/xtask/src/policy/entry.rs
@@ -138,8 +138,8 @@
         self.balancer.set_leaving(&self.names[upstream], leaving);
     }
 
-    pub(crate) fn digest(&self, now: Instant) -> Digest {
-        self.balancer.digest(now)
+    pub(crate) fn digest(&self) -> Digest {
+        self.balancer.digest()
     }
 
     pub(crate) fn peer_digest(&mut self, now: Instant, host: HostId, digest: Digest) {
--- a/xtask/src/policy/world.rs
+++ b/xtask/src/policy/world.rs
@@ -391,11 +391,10 @@
     }
 
     fn tell(&mut self, from: usize) {
-        let now = self.now();
         let period_s = self.scenario.digest_period_ms / 1e3;
         self.agenda.push(self.now_s + period_s, Event::Tell { host: from });
         let Hosts::Product(hosts) = &self.hosts else { return };
-        let digest = hosts[from].digest(now);
+        let digest = hosts[from].digest();
         for host in (0..self.scenario.hosts).filter(|it| *it != from) {
             let delay_s =
                 self.scenario.delay_s(from % self.scenario.domains, host % self.scenario.domains);
