--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -117,7 +117,10 @@
 
         let (stop_listener, stopping) = watch::channel(false);
         let listener = listen(&callers, &state, caller_socket, stopping)?;
-        log::info!("serving callers on {caller_address}, operators on {admin_address}");
+        log::info!(
+            "serving callers on {caller_address}, operators on {admin_address}, peers on {}",
+            peers.address()
+        );
         Ok(Self {
             state,
             membership,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -127,14 +127,19 @@
     }
 
     fn read_addresses(&mut self, keys: &mut Keys<'_>) {
-        let addresses = [
+        let own = [
             ("caller_address", &mut self.caller_address),
             ("peer_address", &mut self.peer_address),
             ("admin_address", &mut self.admin_address),
-            ("log_address", &mut self.log_address),
-            ("hosts_address", &mut self.hosts_address),
         ];
-        for (key, field) in addresses {
+        for (key, field) in own {
+            if let Some(it) = keys.read(key, parse_address) {
+                *field = it;
+            }
+        }
+        let others =
+            [("log_address", &mut self.log_address), ("hosts_address", &mut self.hosts_address)];
+        for (key, field) in others {
             if let Some(it) = keys.address(key) {
                 *field = it;
             }
@@ -168,10 +173,11 @@
 }
 
 fn parse_addresses(text: &str) -> Result<Vec<SocketAddr>, String> {
-    let parse = |it: &str| {
-        it.trim().parse().map_err(|_e| format!("`{}` is no `IP:port`", ini::excerpt(it)))
-    };
-    text.split(',').filter(|it| !it.trim().is_empty()).map(parse).collect()
+    text.split(',').filter(|it| !it.trim().is_empty()).map(parse_address).collect()
+}
+
+fn parse_address(text: &str) -> Result<SocketAddr, String> {
+    text.trim().parse().map_err(|_e| format!("`{}` is no `IP:port`", ini::excerpt(text)))
 }
 
 fn check_token(text: &str) -> Result<String, String> {
