--- a/crates/cli/src/reader.rs
+++ b/crates/cli/src/reader.rs
@@ -29,7 +29,10 @@
             Ok(replica.take(page.first, page.next, &records))
         }
         Err(platform::Error::Gone { .. }) => Ok(replica.gone()),
-        Err(err) => Err(err),
+        Err(err) => {
+            replica.failed();
+            Err(err)
+        }
     }
 }
 
--- a/crates/document/src/fold/judge.rs
+++ b/crates/document/src/fold/judge.rs
@@ -16,6 +16,9 @@
     verdict::Conflict,
 };
 
+/// Most removed sections that the fold remembers.
+const MAX_REMOVED: usize = 2_000;
+
 /// Sections as a publication leaves them; removed ones are none.
 pub(crate) type Changes = BTreeMap<Id, Option<(Section, Item)>>;
 
@@ -27,11 +30,16 @@
 ) -> Result<Changes, Verdict> {
     let mut judge = Judge { fold, publication, changes: Changes::new(), report: Report::default() };
     judge.check_base(offset);
-    judge.read_changes();
-    let conflicts = judge.conflicts();
-    if conflicts.is_empty() {
+    judge.check_author();
+    // What follows costs as much as the document is large, and strangers don't get that far.
+    let mut conflicts = Vec::new();
+    if judge.report.is_empty() {
+        judge.read_changes();
+        conflicts = judge.conflicts();
+    }
+    if judge.report.is_empty() && conflicts.is_empty() {
         judge.check_sections_exist();
-        judge.check_author();
+        judge.check_rights();
         judge.check_document();
     }
     let res = judge.report.finish();
@@ -61,9 +69,6 @@
     }
 
     fn read_changes(&mut self) {
-        if self.publication.changes.is_empty() {
-            self.report.push_whole("the publication changes nothing".to_owned());
-        }
         for change in &self.publication.changes {
             match read_change(change) {
                 Ok((id, after)) => self.push(id, after),
@@ -100,6 +105,16 @@
     }
 
     fn check_author(&mut self) {
+        if self.publication.changes.is_empty() {
+            self.report.push_whole("the publication changes nothing".to_owned());
+        }
+        let team = Id::new(Kind::Team, &self.publication.author);
+        if self.fold.version.is_some() && !self.fold.sections.contains_key(&team) {
+            self.report.push_whole(format!("the author [{team}] is no team"));
+        }
+    }
+
+    fn check_rights(&mut self) {
         let author = &self.publication.author;
         let team = Id::new(Kind::Team, author);
         if self.fold.version.is_none() {
@@ -111,12 +126,7 @@
                 let message = format!("the first publication must make [{team}] with admin = yes");
                 self.report.push_whole(message);
             }
-            return;
-        }
-        if !self.fold.sections.contains_key(&team) {
-            return self.report.push_whole(format!("the author [{team}] is no team"));
-        }
-        if !self.fold.is_admin(author) {
+        } else if !self.fold.is_admin(author) {
             self.check_owners();
         }
     }
@@ -174,6 +184,13 @@
             kept.chain(set.map(|(section, item)| -> Part<'_> { (section, Some(item)) }))
         };
         check::check(parts, &mut self.report);
+        let removed = changes.values().filter(|it| it.is_none()).count();
+        if fold.removed.len() + removed > MAX_REMOVED {
+            let message = format!(
+                "more than {MAX_REMOVED} sections removed within {WINDOW} records; wait a while"
+            );
+            self.report.push_whole(message);
+        }
         let sections = parts().count();
         if sections > MAX_SECTIONS {
             self.report.push_whole(format!("{sections} sections; at most {MAX_SECTIONS}"));
--- a/crates/document/src/replica.rs
+++ b/crates/document/src/replica.rs
@@ -10,7 +10,7 @@
 
 /// Snapshots that a replica tries before it gives up.
 const MAX_TRIES: u32 = 16;
-/// Records asked for at once.
+/// Most records asked for at once.
 const PAGE_LIMIT: usize = 256;
 
 /// What to read next.
@@ -74,6 +74,8 @@
     fold: Fold,
     phase: Phase,
     state: State,
+    /// Records to ask for; fewer after a read that failed, since its answer may have been too large.
+    limit: usize,
 }
 
 #[derive(Clone, Debug)]
@@ -102,7 +104,12 @@
 
 impl Default for Replica {
     fn default() -> Self {
-        Self { fold: Fold::default(), phase: Phase::Locate, state: State::Starting }
+        Self {
+            fold: Fold::default(),
+            phase: Phase::Locate,
+            state: State::Starting,
+            limit: PAGE_LIMIT,
+        }
     }
 }
 
@@ -126,7 +133,7 @@
             return None;
         }
         let snapshot = |from| Request { stream: snapshot::STREAM, from, limit: 1 };
-        let records = |from| Request { stream: publication::STREAM, from, limit: PAGE_LIMIT };
+        let records = |from| Request { stream: publication::STREAM, from, limit: self.limit };
         Some(match &self.phase {
             Phase::Locate => snapshot(Offset::MAX),
             Phase::Load(cursor) => snapshot(cursor.at),
@@ -189,6 +196,11 @@
         Progress::default()
     }
 
+    /// Takes note that [`Replica::request`] got no answer; the next one asks for less.
+    pub fn failed(&mut self) {
+        self.limit = (self.limit / 4).max(1);
+    }
+
     /// Takes a snapshot from a peer, if it is ahead of what was folded here; tells whether it was.
     ///
     /// # Errors
@@ -221,6 +233,7 @@
             }
         }
         self.fold.skip_to(next);
+        self.limit = (self.limit * 2).min(PAGE_LIMIT);
         progress.is_current = next == end;
         progress.should_wait = progress.is_current;
         progress
--- a/crates/document/src/split.rs
+++ b/crates/document/src/split.rs
@@ -14,10 +14,11 @@
     section::{Id, Section, numbered},
 };
 
-/// Largest document, in bytes.
-pub const MAX_DOCUMENT_BYTES: usize = 4 << 20;
+/// Largest document, in bytes; a snapshot of it fits into one record of 4 MiB even if JSON doubles
+/// every byte.
+pub const MAX_DOCUMENT_BYTES: usize = 1 << 20;
 /// Most sections of a document.
-pub const MAX_SECTIONS: usize = 20_000;
+pub const MAX_SECTIONS: usize = 8_000;
 
 /// The sections of `text` in its order; keys and references stay unread.
 ///
@@ -69,6 +70,8 @@
 impl<'a> Splitter<'a> {
     fn push(&mut self, line: u32, item: Item<'a>) {
         match item {
+            Item::Property(it, _) | Item::Comment(it) if has_control(it) => self.refuse(line),
+            Item::Property(_, Some(it)) if has_control(it) => self.refuse(line),
             Item::Section(header) => self.open(line, header, header.parse()),
             Item::Error(header) => {
                 let message = format!("`{}` lacks its closing `]`", excerpt(header));
@@ -147,6 +150,12 @@
         self.sections.push(Section { id, line: open.line + blank, text });
     }
 
+    /// Refuses a line that an editor wouldn't show as it is.
+    fn refuse(&mut self, line: u32) {
+        self.find(line, "the line holds control characters".to_owned());
+        self.body("");
+    }
+
     fn find(&mut self, line: u32, message: String) {
         let section = excerpt(self.open.header.unwrap_or_default());
         self.report.push(Finding { line, section, message });
@@ -159,6 +168,10 @@
     }
 }
 
+fn has_control(text: &str) -> bool {
+    text.chars().any(|it| it.is_control() && it != '\t')
+}
+
 fn push_comment(text: &mut String, comment: &str) {
     text.push_str("; ");
     text.push_str(comment);
--- a/crates/document/tests/parse_findings.rs
+++ b/crates/document/tests/parse_findings.rs
@@ -27,7 +27,7 @@
 #[test]
 fn bad_shape() {
     check(
-        "key = 1\n[team a\nadmin = yes\n[planet mars]\n[team ops]\nadmin = yes\n# note\nword\n[team ops]\n[team x y]\n[team]\n [team b]\n ;a=b\n",
+        "key = 1\n[team a\nadmin = yes\n[planet mars]\n[team ops]\nadmin = yes\n# note\nword\n[team ops]\n[team x y]\n[team]\n [team b]\n ;a=b\n;x\u{1}\na = \u{7f}\n",
         &[
             "line 1: [] key `key` stands before the first section",
             "line 2: [[team a] `[team a` lacks its closing `]`",
@@ -39,6 +39,8 @@
             "line 11: [team] `` is no name",
             "line 12: [team] `[team b]`: headers and comments start at the line's start",
             "line 13: [team] `;a`: headers and comments start at the line's start",
+            "line 14: [team] the line holds control characters",
+            "line 15: [team] the line holds control characters",
         ],
     );
 }
--- a/crates/document/tests/replica_start.rs
+++ b/crates/document/tests/replica_start.rs
@@ -203,3 +203,50 @@
     assert_eq!(snapshot::digest(&fold), snapshot::digest(&fold.clone()));
     assert_ne!(snapshot::digest(&fold), snapshot::digest(&first()));
 }
+
+/// Reads that fail because their answer is too large are asked for in smaller parts.
+#[test]
+fn failed_reads() {
+    let mut replica = Replica::default();
+    let (log, fold) = Log::new(10);
+    log.answer(&mut replica);
+    for _ in 0..5 {
+        replica.failed();
+    }
+    assert_eq!(replica.request().map(|it| it.limit), Some(1));
+    log.follow(&mut replica);
+    assert_eq!(replica.fold(), &fold);
+    assert!(replica.request().is_some_and(|it| it.limit > 1));
+}
+
+/// The largest document and history that the fold admits fit into one record of 4 MiB.
+#[test]
+fn largest_snapshot() {
+    let name = |it: usize| format!("{it:0>64}");
+    let mut fold = Fold::default();
+    let mut publish = |author: &str, changes| {
+        let end = fold.end();
+        let record = make(&name(usize::try_from(end).expect("few")), author, end, changes).encode();
+        fold.apply(end, &record)
+    };
+    let admin = format!("[team {}]\nadmin = yes", name(0));
+    let team = |it: usize| set(&format!("[team {}]", name(it)));
+    let mut verdicts = vec![publish(&name(0), vec![set(&admin)])];
+    let gone = 2_001..4_000;
+    verdicts.push(publish(&name(0), gone.clone().map(team).collect()));
+    let remove = |it| util::remove(&format!("team {}", name(it)));
+    verdicts.push(publish(&name(0), gone.map(remove).collect()));
+    verdicts.push(publish(&name(0), (1..7_999).map(|it| team(it + 10_000)).collect()));
+    let rest = document::MAX_DOCUMENT_BYTES - 8_000 * (64 + 9);
+    let filled = format!("{admin}\ncontact = {}", "\"".repeat(rest - 100));
+    verdicts.push(publish(&name(0), vec![set(&filled)]));
+    let accepted = |it: &document::Verdict| matches!(it, document::Verdict::Accepted { .. });
+    assert!(verdicts.iter().all(accepted));
+    let mut fold = fold.clone();
+    for _ in 0..document::WINDOW {
+        let end = fold.end();
+        let id = name(usize::try_from(end).expect("few"));
+        fold.apply(end, &make(&id, &name(0), 0, vec![]).encode());
+    }
+    assert!(snapshot::encode(&fold, 0).len() < 4 << 20);
+}
