Add calls between entry hosts over JSON-RPC

Heartbeats, fetching a configuration and forwarding an order, with a shared token checked before the body is read. A forwarded order runs in a task of its own, so that it outlives its connection.

--- /dev/null
+++ b/crates/peer/src/server.rs
@@ -0,0 +1,126 @@
+//! The side that answers peers.
+
+use std::{io, net::SocketAddr, sync::Arc};
+
+use jsonrpsee::{
+    RpcModule,
+    core::RegisterMethodError,
+    server::{BatchRequestConfig, ServerConfig, ServerHandle},
+    types::{ErrorObjectOwned, Params, error::INTERNAL_ERROR_CODE, error::INVALID_PARAMS_CODE},
+};
+use serde::de::DeserializeOwned;
+
+use crate::{Blob, CONFIGURATION, FORWARD, HEARTBEAT, Handler, Settings, Token, guard::Gate};
+
+/// JSON-RPC error code of a heartbeat that is refused.
+const HEARTBEAT_REFUSED: i32 = -32_001;
+
+/// Why a server could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum StartError {
+    /// The address can't be used.
+    #[error("peer listener on {address}: {source}")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What the operating system said.
+        source: io::Error,
+    },
+    /// A method stands twice.
+    #[error("peer methods: {0}")]
+    Method(#[from] RegisterMethodError),
+    /// The token can't be empty.
+    #[error("the peers' token is empty")]
+    EmptyToken,
+}
+
+/// A running server; it stops when it is dropped.
+pub struct Server {
+    address: SocketAddr,
+    handle: ServerHandle,
+}
+
+impl Server {
+    /// Starts a server on the runtime that this is called on.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it could not start.
+    pub async fn start<H: Handler>(
+        address: SocketAddr,
+        token: Token,
+        settings: Settings,
+        handler: Arc<H>,
+    ) -> Result<Self, StartError> {
+        if token.is_empty() {
+            return Err(StartError::EmptyToken);
+        }
+        let bind = |source| StartError::Bind { address, source };
+        let server = jsonrpsee::server::Server::builder()
+            .set_config(config(settings))
+            .set_http_middleware(tower::ServiceBuilder::new().layer(Gate::new(token)))
+            .build(address)
+            .await
+            .map_err(bind)?;
+        let address = server.local_addr().map_err(bind)?;
+        let handle = server.start(methods(handler)?);
+        Ok(Self { address, handle })
+    }
+
+    /// Address that the server listens on.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Takes no new calls, finishes those in progress, and ends.
+    pub async fn stop(self) {
+        // An error means that it has stopped already.
+        let _ = self.handle.stop();
+        self.handle.stopped().await;
+    }
+}
+
+fn config(settings: Settings) -> ServerConfig {
+    ServerConfig::builder()
+        .max_request_body_size(settings.request_limit_bytes)
+        .max_response_body_size(settings.answer_limit_bytes)
+        .max_connections(settings.connections)
+        .set_batch_request_config(BatchRequestConfig::Disabled)
+        .set_first_request_timeout(Some(settings.idle_timeout))
+        .set_keep_alive_timeout(settings.idle_timeout)
+        .set_tcp_no_delay(true)
+        .http_only()
+        .build()
+}
+
+fn methods<H: Handler>(handler: Arc<H>) -> Result<RpcModule<Arc<H>>, RegisterMethodError> {
+    let mut module = RpcModule::from_arc(Arc::new(handler));
+    module.register_method(HEARTBEAT, |params, handler, _| {
+        let exchange: member::Exchange = argument(&params)?;
+        handler.heartbeat(&exchange).map_err(|err| refusal(HEARTBEAT_REFUSED, &err.to_string()))
+    })?;
+    module.register_method(CONFIGURATION, |params, handler, _| {
+        let newer_than: u64 = argument(&params)?;
+        Ok::<_, ErrorObjectOwned>(handler.configuration(newer_than).map(Blob))
+    })?;
+    module.register_async_method(FORWARD, |params, handler, _| async move {
+        let order: H::Order = argument(&params)?;
+        let handler = Arc::clone(&*handler);
+        // In a task of its own the order outlives the connection that brought it.
+        let task = tokio::spawn(async move { handler.forward(order).await });
+        task.await.map_err(|err| refusal(INTERNAL_ERROR_CODE, &err.to_string()))
+    })?;
+    Ok(module)
+}
+
+fn argument<T: DeserializeOwned>(params: &Params<'_>) -> Result<T, ErrorObjectOwned> {
+    params.one().map_err(|err| {
+        let detail = err.data().and_then(|it| serde_json::from_str(it.get()).ok());
+        refusal(INVALID_PARAMS_CODE, &detail.unwrap_or_else(|| err.message().to_owned()))
+    })
+}
+
+fn refusal(code: i32, message: &str) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(code, message, None::<()>)
+}
