--- a/crates/peer/src/guard.rs
+++ b/crates/peer/src/guard.rs
@@ -12,10 +12,7 @@
 };
 use tower::{Layer, Service};
 
-use crate::{TOKEN_HEADER, Token};
-
-/// HTTP status of a request without the right token.
-const UNAUTHORIZED: u16 = 401;
+use crate::{TOKEN_HEADER, Token, error::UNAUTHORIZED};
 
 /// Puts a [`Guard`] before a service.
 #[derive(Clone)]
