--- a/crates/order/src/engine/journal.rs
+++ b/crates/order/src/engine/journal.rs
@@ -131,7 +131,7 @@
         }
         let ended: Vec<Key> = self
             .store
-            .active()
+            .waiting()
             .filter(|(key, entry)| key.is_journaled() && entry.is_waiting_for_log())
             .filter(|(key, _)| key.issuer() == Some(incarnation))
             .map(|(key, _)| *key)
--- a/crates/order/src/engine/sessions.rs
+++ b/crates/order/src/engine/sessions.rs
@@ -1,12 +1,10 @@
 //! Issue, renewal and end of sessions.
 
-use std::{collections::btree_map::Entry, time::Instant};
+use std::time::Instant;
 
 use super::Engine;
 use crate::{
-    Incarnation, Key, Lease, Number, Session, Stream,
-    action::Action,
-    issuer::{Issuer, Tenure},
+    Incarnation, Key, Lease, Number, Session, Stream, action::Action, issuer::Issuer,
     session::Journal,
 };
 
@@ -24,10 +22,8 @@
         let journal =
             if journaled && self.log_up { Journal::From(issuer.next) } else { Journal::Off };
         let session = Session { incarnation: self.current, nonce, journal };
-        let expires = now + self.settings.session_life;
-        let Entry::Vacant(slot) = issuer.tenures.entry(nonce) else { return None };
-        slot.insert(Tenure { session, expires, floor: 0, closed: false });
-        Some(Lease { session, life: self.settings.session_life })
+        let life = self.settings.session_life;
+        issuer.insert(session, now + life).then_some(Lease { session, life })
     }
 
     /// Extends the life of a session that was issued here.
@@ -43,7 +39,7 @@
         if tenure.closed || tenure.expires <= now || !is_usable {
             return None;
         }
-        tenure.expires = now + life;
+        issuer.extend(session, now + life);
         Some(Lease { session: *session, life })
     }
 
--- a/crates/order/src/engine/submission.rs
+++ b/crates/order/src/engine/submission.rs
@@ -132,15 +132,13 @@
 
     /// Lets the request that brought an order run it.
     pub(super) fn make_ready(&mut self, key: &Key, acts: &mut Vec<Action>) {
-        let Some(entry) = self.store.get_mut(key) else { return };
-        entry.phase = Phase::Ready;
-        acts.push(Action::Start(entry.runner.ticket, *key));
+        acts.extend(self.store.make_ready(key).map(|it| Action::Start(it, *key)));
     }
 
     /// Answers a request whose key is held here, or lets it wait.
     fn repeat(&mut self, it: &Submission, acts: &mut Vec<Action>) {
         let limit = self.settings.waiter_limit;
-        let Some(entry) = self.store.get_mut(&it.key) else { return };
+        let Some(entry) = self.store.get(&it.key) else { return };
         let outcome = if entry.fingerprint != it.fingerprint {
             mismatch(&it.key, entry)
         } else if let Phase::Finished(outcome) = &entry.phase {
@@ -148,7 +146,7 @@
         } else if entry.waiters.len() >= limit {
             Outcome::Unknown(Reason::Pending)
         } else {
-            entry.waiters.push(Waiter { ticket: it.ticket, deadline: it.deadline });
+            self.store.wait(&it.key, Waiter { ticket: it.ticket, deadline: it.deadline });
             return;
         };
         acts.push(Action::Reply(it.ticket, outcome));
--- a/crates/order/src/engine/timers.rs
+++ b/crates/order/src/engine/timers.rs
@@ -14,7 +14,7 @@
     /// When the engine next wants an event, [`Event::Tick`](crate::Event::Tick) if no other comes.
     #[must_use]
     pub fn next_wakeup(&self, now: Instant) -> Option<Instant> {
-        let orders = self.store.active().flat_map(|(_, entry)| {
+        let orders = self.store.waiting().flat_map(|(_, entry)| {
             let runner = entry.is_waiting_for_log().then_some(entry.runner.deadline);
             entry.waiters.iter().map(|it| it.deadline).chain(runner)
         });
@@ -40,7 +40,7 @@
     fn expire_orders(&mut self, now: Instant, acts: &mut Vec<Action>) {
         let late: Vec<Key> = self
             .store
-            .active()
+            .waiting()
             .filter(|(_, it)| it.is_waiting_for_log() && it.runner.deadline <= now)
             .map(|(key, _)| *key)
             .collect();
--- a/crates/order/src/issuer.rs
+++ b/crates/order/src/issuer.rs
@@ -1,7 +1,7 @@
 //! One incarnation of this daemon, and the sessions that it issued.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet, btree_map::Entry},
     time::{Duration, Instant},
 };
 
@@ -28,6 +28,8 @@
     pub(crate) next: Offset,
     /// Sessions by their random part.
     pub(crate) tenures: BTreeMap<u64, Tenure>,
+    /// When each session ends, by its random part.
+    ends: BTreeSet<(Instant, u64)>,
 }
 
 impl Issuer {
@@ -36,11 +38,32 @@
         self.tenures.get_mut(&session.nonce).filter(|it| it.session == *session)
     }
 
+    /// Adds a session; returns whether its random part was free.
+    pub(crate) fn insert(&mut self, session: Session, expires: Instant) -> bool {
+        let Entry::Vacant(slot) = self.tenures.entry(session.nonce) else { return false };
+        slot.insert(Tenure { session, expires, floor: 0, closed: false });
+        self.ends.insert((expires, session.nonce));
+        true
+    }
+
+    /// Moves the end of a session.
+    pub(crate) fn extend(&mut self, session: &Session, expires: Instant) {
+        let Some(tenure) = self.tenures.get_mut(&session.nonce) else { return };
+        self.ends.remove(&(tenure.expires, session.nonce));
+        self.ends.insert((expires, session.nonce));
+        tenure.expires = expires;
+    }
+
     /// Removes and returns the sessions whose end lies further back than `grace`.
     pub(crate) fn expire(&mut self, grace: Duration, now: Instant) -> Vec<Session> {
-        let is_over = |it: &Tenure| it.expires + grace <= now;
-        let res = self.tenures.values().filter(|it| is_over(it)).map(|it| it.session).collect();
-        self.tenures.retain(|_, it| !is_over(it));
+        let mut res = Vec::new();
+        while let Some(&(expires, nonce)) = self.ends.first() {
+            if expires + grace > now {
+                break;
+            }
+            self.ends.pop_first();
+            res.extend(self.tenures.remove(&nonce).map(|it| it.session));
+        }
         res
     }
 }
--- a/crates/order/src/store.rs
+++ b/crates/order/src/store.rs
@@ -14,8 +14,8 @@
 #[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 pub(crate) struct Store {
     entries: BTreeMap<Key, Entry>,
-    /// Orders that haven't come to an outcome.
-    active: BTreeSet<Key>,
+    /// Orders that wait for the log, and orders that a repeat waits for.
+    waiting: BTreeSet<Key>,
     /// Orders whose answers are held, oldest first.
     answered: VecDeque<Key>,
     answer_bytes: usize,
@@ -26,13 +26,13 @@
         self.entries.get(key)
     }
 
-    /// For changes other than finishing.
+    /// For changes other than those that other methods make.
     pub(crate) fn get_mut(&mut self, key: &Key) -> Option<&mut Entry> {
         self.entries.get_mut(key)
     }
 
     pub(crate) fn insert(&mut self, key: Key, entry: Entry) {
-        self.active.insert(key);
+        self.waiting.insert(key);
         self.entries.insert(key, entry);
     }
 
@@ -46,13 +46,13 @@
             self.answered.push_back(*key);
         }
         entry.phase = Phase::Finished(outcome);
-        self.active.remove(key);
+        self.waiting.remove(key);
         self.drop_answers(limit);
         res
     }
 
     pub(crate) fn remove(&mut self, key: &Key) -> Option<Entry> {
-        self.active.remove(key);
+        self.waiting.remove(key);
         let entry = self.entries.remove(key)?;
         if let Phase::Finished(Outcome::Done(answer)) = &entry.phase {
             self.answer_bytes -= answer.size();
@@ -61,9 +61,9 @@
         Some(entry)
     }
 
-    /// Keys of the orders that haven't come to an outcome.
-    pub(crate) fn active(&self) -> impl Iterator<Item = (&Key, &Entry)> {
-        self.active.iter().filter_map(|key| Some((key, self.entries.get(key)?)))
+    /// Orders that wait for the log, and orders that a repeat waits for.
+    pub(crate) fn waiting(&self) -> impl Iterator<Item = (&Key, &Entry)> {
+        self.waiting.iter().filter_map(|key| Some((key, self.entries.get(key)?)))
     }
 
     /// Keys between two, both included.
@@ -84,7 +84,7 @@
     /// Stops a repeat from waiting; returns the keys of orders that the request was to run.
     pub(crate) fn abandon(&mut self, ticket: Ticket) -> Vec<Key> {
         let mut res = Vec::new();
-        for key in &self.active {
+        for key in &self.waiting {
             let Some(entry) = self.entries.get_mut(key) else { continue };
             entry.waiters.retain(|it| it.ticket != ticket);
             if entry.runner.ticket == ticket && entry.is_waiting_for_log() {
@@ -94,10 +94,27 @@
         res
     }
 
+    /// Marks an order as ready; returns the request that runs it.
+    pub(crate) fn make_ready(&mut self, key: &Key) -> Option<Ticket> {
+        let entry = self.entries.get_mut(key)?;
+        entry.phase = Phase::Ready;
+        if entry.waiters.is_empty() {
+            self.waiting.remove(key);
+        }
+        Some(entry.runner.ticket)
+    }
+
+    /// Lets a repeat wait for an order.
+    pub(crate) fn wait(&mut self, key: &Key, waiter: Waiter) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        entry.waiters.push(waiter);
+        self.waiting.insert(*key);
+    }
+
     /// Removes and returns the repeats whose deadline has passed.
     pub(crate) fn expire_waiters(&mut self, now: Instant) -> Vec<Ticket> {
         let mut res = Vec::new();
-        for key in &self.active {
+        for key in &self.waiting {
             let Some(entry) = self.entries.get_mut(key) else { continue };
             let (late, kept) = entry.waiters.iter().partition(|it| it.deadline <= now);
             entry.waiters = kept;
