--- a/crates/document/src/finding.rs
+++ b/crates/ini/src/finding.rs
@@ -1,11 +1,11 @@
-//! One thing wrong with a document, with its place.
+//! One thing wrong with a text, with its place.
 
 use std::fmt;
 
-/// One thing wrong with a document.
+/// One thing wrong with a text.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Finding {
-    /// Line in the document, counted from 1; 0 if the finding concerns the whole document.
+    /// Line in the text, counted from 1; 0 if the finding concerns the whole text.
     pub line: u32,
     /// Section in which the finding stands; empty before the first section.
     pub section: String,
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,22 +1,38 @@
-//! Chores and measurements for developers: `cargo xtask VERB`.
+//! Chores and measurements for developers: `cargo xtask COMMAND`.
+
+mod load;
+mod orders;
+mod policy;
+mod tour;
 
 use std::process::ExitCode;
 
-mod orders;
+const HELP: &str = "\
+usage: cargo xtask COMMAND [OPTIONS]
 
-/// What the program prints without a verb.
-const USAGE: &str = "usage: cargo xtask orders [--help]";
+  load      measures what the daemon adds to a call, on loopback
+  orders    explores the order protocol's core under faults
+  policy    compares the choice of upstreams with baselines and an oracle
+  tour      shows the whole path on loopback, in one process
+  help      prints this page
+
+Each command prints what it does and ends with a line `RESULT key=value ...`.
+";
 
 fn main() -> ExitCode {
     let mut args = std::env::args_os().skip(1);
-    match args.next().as_ref().and_then(|it| it.to_str()) {
-        Some("orders") => orders::run(args),
-        Some(other) => {
-            eprintln!("no verb {other:?}\n{USAGE}");
-            ExitCode::from(2)
+    let command = args.next().unwrap_or_default();
+    match command.to_str().unwrap_or_default() {
+        "load" => load::run(),
+        "orders" => orders::run(args),
+        "policy" => policy::run(&mut lexopt::Parser::from_args(args)),
+        "tour" => tour::run(),
+        "help" | "--help" | "-h" => {
+            print!("{HELP}");
+            ExitCode::SUCCESS
         }
-        None => {
-            eprintln!("{USAGE}");
+        other => {
+            eprintln!("unknown command `{other}`\n{HELP}");
             ExitCode::from(2)
         }
     }
