Give leaving backend servers nothing new, even if the host list lags for one reader

Hosts tell each other which servers they have read to be leaving; only what was read is told on, so a mark ends everywhere.

--- a/crates/daemon/src/caller/header.rs
+++ b/crates/daemon/src/caller/header.rs
@@ -16,6 +16,8 @@
 pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
 /// Why a backend server did not run a request; its presence makes the attempt safe to repeat.
 pub const SHED: HeaderName = HeaderName::from_static("fireflydrum-shed");
+/// Value of [`SHED`] from a backend server that is leaving.
+pub const SHED_DRAIN: &str = "drain";
 /// Name of the caller, for fairness between callers; its IP address stands in when absent.
 pub const CALLER: HeaderName = HeaderName::from_static("fireflydrum-caller");
 /// Entry hosts to use instead, from a host that is leaving.
--- a/crates/daemon/src/membership/heartbeats.rs
+++ b/crates/daemon/src/membership/heartbeats.rs
@@ -41,6 +41,8 @@
             let due = self.membership.table().tick(self.state.clock.now());
             self.send(due);
             self.state.set_hosts(self.membership.hosts());
+            let leaving = self.membership.table().leaving_servers(self.state.clock.now());
+            self.state.mark_upstreams(leaving);
         }
     }
 
--- a/crates/daemon/src/membership/host_list.rs
+++ b/crates/daemon/src/membership/host_list.rs
@@ -67,7 +67,7 @@
             list.iter().partition(|it| upstreams.contains(&it.address));
         let leaving = |it: &&Entry| it.state == Mark::Leaving;
         let marked = servers.iter().filter(leaving).map(|it| it.address).collect();
-        self.state.mark_upstreams(marked);
+        self.state.take_listed_servers(marked);
         let listed: Vec<_> = hosts
             .iter()
             .map(|it| Listed { address: it.address, leaving: it.state == Mark::Leaving })
--- a/crates/daemon/src/path/attempts.rs
+++ b/crates/daemon/src/path/attempts.rs
@@ -108,6 +108,9 @@
     let started = state.clock.now();
     let res = attempt.run(message).await;
     let latency = state.clock.now().saturating_duration_since(started);
+    if matches!(res, Err(attempt::Error::Draining)) {
+        plan.route.service.said_leaving(flight.upstream());
+    }
     flight.land(balance::Answer { outcome: verdict(&res), latency, report: report(&res) });
     res
 }
@@ -119,6 +122,7 @@
         Ok(_) => balance::Outcome::Success,
         Err(attempt::Error::Shed) => balance::Outcome::Overload,
         Err(attempt::Error::NotSent(_)) => balance::Outcome::NotSent,
+        Err(attempt::Error::Draining) => balance::Outcome::Cancelled,
         Err(_) => balance::Outcome::Failure,
     }
 }
@@ -148,13 +152,14 @@
     plan.route.config.idempotent && tried.len() < ATTEMPT_LIMIT && spend_retry(state, plan)
 }
 
-/// Whether a failed attempt may be followed by another. An upstream that can't be reached was given
-/// no work, so trying another costs nothing of the budget.
+/// Whether a failed attempt may be followed by another. An upstream that can't be reached or is leaving
+/// was given no work, so trying another costs nothing of the budget.
 fn may_repeat(state: &State, plan: &Plan, failure: &attempt::Error, tried: &[UpstreamId]) -> bool {
     if tried.len() >= ATTEMPT_LIMIT {
         return false;
     }
-    matches!(failure, attempt::Error::NotSent(_)) || spend_retry(state, plan)
+    matches!(failure, attempt::Error::NotSent(_) | attempt::Error::Draining)
+        || spend_retry(state, plan)
 }
 
 fn spend_retry(state: &State, plan: &Plan) -> bool {
@@ -196,6 +201,7 @@
     let (status, reason) = match failure {
         attempt::Error::Late => (StatusCode::GATEWAY_TIMEOUT, "upstream-late"),
         attempt::Error::NotSent(_) => (StatusCode::SERVICE_UNAVAILABLE, "upstream-unreachable"),
+        attempt::Error::Draining => (StatusCode::SERVICE_UNAVAILABLE, "upstream-leaving"),
         attempt::Error::Shed => (StatusCode::SERVICE_UNAVAILABLE, "upstream-shed"),
         attempt::Error::TooLarge(_) => (StatusCode::BAD_GATEWAY, "answer-too-large"),
         attempt::Error::Broken(_) => (StatusCode::BAD_GATEWAY, "answer-broken"),
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -1,5 +1,7 @@
 //! What a daemon holds for one service: admission, choice of upstreams, connections.
 
+pub mod leaving;
+
 use std::{
     collections::{HashMap, HashSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
@@ -12,6 +14,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::upstream::pool::Pool;
+use leaving::Leaving;
 
 type Pools = HashMap<UpstreamId, Arc<Pool>>;
 
@@ -23,6 +26,7 @@
     balancer: Mutex<Balancer>,
     retries: Mutex<admission::Budget>,
     pools: RwLock<Pools>,
+    leaving: Mutex<Leaving>,
     finished: Notify,
 }
 
@@ -88,6 +92,7 @@
             balancer: Mutex::new(balancer),
             retries: Mutex::new(retries),
             pools: RwLock::default(),
+            leaving: Mutex::default(),
             finished: Notify::new(),
         };
         res.update_pools(parts);
@@ -119,9 +124,21 @@
         self.refresh();
     }
 
-    /// Marks upstreams by their names as leaving, and all others as staying.
-    pub fn mark_leaving(&self, leaving: &HashSet<UpstreamId>) {
+    /// Takes in which upstreams the host list marks as leaving.
+    pub fn set_listed_leaving(&self, listed: HashSet<UpstreamId>) {
+        lock(&self.leaving).set_listed(listed);
+        self.apply_leaving();
+    }
+
+    /// Takes in that an upstream turned a request away because it is leaving.
+    pub fn said_leaving(&self, upstream: &UpstreamId) {
+        lock(&self.leaving).said(Arc::clone(upstream), self.clock.now());
+        self.apply_leaving();
+    }
+
+    fn apply_leaving(&self) {
         let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
+        let leaving = lock(&self.leaving);
         let mut balancer = self.balancer();
         for it in pools.keys() {
             balancer.set_leaving(it, leaving.contains(it));
@@ -233,6 +250,10 @@
 
     /// Moves time on for requests that wait.
     pub fn tick(&self) {
+        let has_expired = lock(&self.leaving).expire(self.clock.now());
+        if has_expired {
+            self.apply_leaving();
+        }
         let admission = lock(&self.admission);
         if admission.waiting.is_empty() {
             return;
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -171,6 +171,13 @@
         self.apply_marks();
     }
 
+    /// Takes in which backend servers the platform's list marks as leaving.
+    pub fn take_listed_servers(&self, marked: BTreeSet<SocketAddr>) {
+        if let Some(it) = self.membership() {
+            it.table().listed_servers(marked);
+        }
+    }
+
     /// Takes in the platform's list of entry hosts, and leaves if it says so.
     pub fn take_listed(&self, listed: &[Listed]) {
         let Some(membership) = self.membership() else { return };
@@ -276,7 +283,7 @@
         let leaving = table.document.upstreams.iter().filter(|it| marked.contains(&it.address));
         let leaving: HashSet<_> = leaving.map(|it| Arc::clone(&it.id)).collect();
         for it in table.services.values() {
-            it.mark_leaving(&leaving);
+            it.set_listed_leaving(leaving.clone());
         }
     }
 }
--- a/crates/daemon/src/upstream/attempt.rs
+++ b/crates/daemon/src/upstream/attempt.rs
@@ -24,6 +24,9 @@
     /// No byte of the request was written.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// The backend server declared that it did not run the request because it is leaving.
+    #[error("the backend server is leaving")]
+    Draining,
     /// The backend server declared that it did not run the request.
     #[error("the backend server shed the request")]
     Shed,
@@ -45,7 +48,7 @@
     /// Whether the request provably never reached the backend server's handler.
     #[must_use]
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::NotSent(_) | Self::Shed)
+        matches!(self, Self::NotSent(_) | Self::Draining | Self::Shed)
     }
 }
 
@@ -156,8 +159,8 @@
                     body::Error::Late => Error::Late,
                 },
             )?;
-        if head.headers.contains_key(header::SHED) {
-            return Err(Error::Shed);
+        if let Some(reason) = head.headers.get(header::SHED) {
+            return Err(if reason == header::SHED_DRAIN { Error::Draining } else { Error::Shed });
         }
         header::strip_hop_by_hop(&mut head.headers);
         head.headers.remove(header::ATTEMPT);
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -118,13 +118,27 @@
     ///
     /// Fails if the daemon can't start.
     pub fn start_daemon(&self, number: usize) -> Result<Process> {
-        let settings = daemon::Settings {
+        self.start_daemon_with(number, |_as_they_are| {})
+    }
+
+    /// Starts one more daemon with changed settings; the caller keeps it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon can't start.
+    pub fn start_daemon_with(
+        &self,
+        number: usize,
+        change: impl FnOnce(&mut daemon::Settings),
+    ) -> Result<Process> {
+        let mut settings = daemon::Settings {
             log_address: self.log.address(),
             hosts_address: self.hosts.address(),
             domain: ["a", "b", "c"][number % 3].into(),
             peers: self.daemons.first().map(Process::peer_address).into_iter().collect(),
             ..self.settings.daemon.clone()
         };
+        change(&mut settings);
         Ok(Process::start(settings)?)
     }
 
--- a/crates/member/src/exchange.rs
+++ b/crates/member/src/exchange.rs
@@ -1,5 +1,7 @@
 //! What two daemons tell each other in one heartbeat.
 
+use std::net::SocketAddr;
+
 use crate::{Digest, Error, Load, Result, Rumor};
 
 /// Longest accepted name of a failure domain, in bytes.
@@ -8,6 +10,8 @@
 const RUMOR_LIMIT: usize = 256;
 /// Most loads accepted in one message.
 const LOAD_LIMIT: usize = 1_024;
+/// Most leaving backend servers told in one message.
+pub(crate) const MARK_LIMIT: usize = 256;
 
 /// One direction of a heartbeat: the sender's digest, some of its loads and some rumors.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
@@ -18,6 +22,9 @@
     pub loads: Vec<Load>,
     /// Other daemons.
     pub rumors: Vec<Rumor>,
+    /// Backend servers that the sender has read to be leaving.
+    #[serde(default)]
+    pub marks: Vec<SocketAddr>,
 }
 
 impl Exchange {
@@ -29,7 +36,8 @@
     pub fn check(&self) -> Result<()> {
         bounded("failure domain", self.digest.identity.domain.len(), DOMAIN_LIMIT_BYTES)?;
         bounded("rumors", self.rumors.len(), RUMOR_LIMIT)?;
-        bounded("loads", self.loads.len(), LOAD_LIMIT)
+        bounded("loads", self.loads.len(), LOAD_LIMIT)?;
+        bounded("marks", self.marks.len(), MARK_LIMIT)
     }
 }
 
--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -2,11 +2,13 @@
 
 mod candidates;
 mod former;
+mod marks;
 mod outgoing;
 mod own;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     time::Instant,
 };
 
@@ -16,6 +18,7 @@
 };
 use candidates::Candidates;
 use former::Former;
+use marks::Marks;
 use outgoing::Outgoing;
 use own::Own;
 
@@ -28,6 +31,7 @@
     candidates: Candidates,
     former: Former,
     marked: BTreeSet<Address>,
+    servers: Marks,
     outgoing: Outgoing,
     last_tick: Instant,
 }
@@ -69,6 +73,7 @@
             candidates: Candidates::new(own_address, seeds),
             former: Former::default(),
             marked: BTreeSet::new(),
+            servers: Marks::default(),
             outgoing: Outgoing::new(rng, now),
             last_tick: now,
         }
@@ -132,6 +137,7 @@
             _ => self.candidates.add(from),
         }
         self.take_rumors(&exchange.rumors, now);
+        self.servers.hear(&exchange.marks, now);
         Ok(self.message(from, &exchange.rumors, now))
     }
 
@@ -153,6 +159,7 @@
         let version = exchange.digest.version;
         self.admit(exchange.digest, now).take_loads(version, &exchange.loads, now);
         self.take_rumors(&exchange.rumors, now);
+        self.servers.hear(&exchange.marks, now);
         Ok(())
     }
 
@@ -180,6 +187,16 @@
         self.candidates.set_listed(list.iter().map(|it| it.address));
     }
 
+    /// Takes over which backend servers the platform's list marks as leaving.
+    pub fn listed_servers(&mut self, marked: BTreeSet<SocketAddr>) {
+        self.servers.set_read(marked);
+    }
+
+    /// Backend servers that this host or a peer has read to be leaving.
+    pub fn leaving_servers(&mut self, now: Instant) -> BTreeSet<SocketAddr> {
+        self.servers.all(now)
+    }
+
     /// Whether the host list marks this daemon's own host as leaving.
     #[must_use]
     pub fn is_marked(&self) -> bool {
@@ -330,6 +347,7 @@
             digest: self.own.next_digest(),
             loads: self.own.next_loads(self.settings.loads),
             rumors: self.outgoing.rumors(&self.members, to, asked, &self.settings, now),
+            marks: self.servers.told(),
         }
     }
 }
--- a/crates/member/tests/bad_input.rs
+++ b/crates/member/tests/bad_input.rs
@@ -16,7 +16,7 @@
 fn exchange(host: u16) -> Exchange {
     let digest =
         Digest { identity: identity(host, 2), phase: Phase::Ready, sequence: 1, version: 1 };
-    Exchange { digest, loads: Vec::new(), rumors: Vec::new() }
+    Exchange { digest, loads: Vec::new(), rumors: Vec::new(), marks: Vec::new() }
 }
 
 fn rumor(host: u16) -> Rumor {
--- a/crates/member/tests/incarnation.rs
+++ b/crates/member/tests/incarnation.rs
@@ -51,7 +51,8 @@
             sequence: 100_000 + it,
             version: 1,
         };
-        let exchange = Exchange { digest, loads: Vec::new(), rumors: Vec::new() };
+        let exchange =
+            Exchange { digest, loads: Vec::new(), rumors: Vec::new(), marks: Vec::new() };
         fleet.table(0).receive(&exchange, now).unwrap();
     }
     fleet.run(Duration::from_secs(5));
--- a/crates/peer/tests/daemon/mod.rs
+++ b/crates/peer/tests/daemon/mod.rs
@@ -63,7 +63,7 @@
         incarnation,
     };
     let digest = Digest { identity, phase: Phase::Ready, sequence: 3, version: 9 };
-    Exchange { digest, loads: Vec::new(), rumors: Vec::new() }
+    Exchange { digest, loads: Vec::new(), rumors: Vec::new(), marks: Vec::new() }
 }
 
 pub(crate) async fn start(daemon: Daemon, settings: Settings) -> (Server, Arc<Daemon>) {
