--- a/crates/document/src/snapshot/duty.rs
+++ b/crates/document/src/snapshot/duty.rs
@@ -40,6 +40,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Newest {
     end: Offset,
+    /// Time of writing as the snapshot itself says; it tells snapshots of the same end apart.
+    written_s: u64,
     written_at: Option<Instant>,
 }
 
@@ -47,7 +49,7 @@
     /// The duty of `host`, which knows of no snapshot yet.
     #[must_use]
     pub fn new(host: &str, settings: Settings) -> Self {
-        let newest = Newest { end: 0, written_at: None };
+        let newest = Newest { end: 0, written_s: 0, written_at: None };
         Self { settings, host: host.to_owned(), newest, due_at: None }
     }
 
@@ -56,13 +58,20 @@
     /// `wall_s` is the wall-clock time in seconds since 1970, for the snapshot's age.
     pub fn see(&mut self, record: &[u8], now: Instant, wall_s: u64) {
         let Ok(fold) = snapshot::decode(record) else { return };
-        let age = Duration::from_secs(wall_s.saturating_sub(snapshot::written_s(record)));
-        self.note(fold.end(), now.checked_sub(age).unwrap_or(now));
+        let written_s = snapshot::written_s(record);
+        let is_known = (self.newest.end, self.newest.written_s) == (fold.end(), written_s);
+        if is_known && self.newest.written_at.is_some() {
+            // The wait for the next one goes on.
+            return;
+        }
+        let age = Duration::from_secs(wall_s.saturating_sub(written_s));
+        let written_at = Some(now.checked_sub(age).unwrap_or(now));
+        self.note(Newest { end: fold.end(), written_s, written_at });
     }
 
     /// Takes note that this host appended a snapshot of everything before `end`.
     pub fn wrote(&mut self, end: Offset, now: Instant) {
-        self.note(end, now);
+        self.note(Newest { end, written_s: 0, written_at: Some(now) });
     }
 
     /// Whether this host should append a snapshot of `fold` now.
@@ -75,8 +84,8 @@
         now >= *self.due_at.get_or_insert_with(|| now + wait)
     }
 
-    fn note(&mut self, end: Offset, written_at: Instant) {
-        self.newest = Newest { end, written_at: Some(written_at) };
+    fn note(&mut self, newest: Newest) {
+        self.newest = newest;
         self.due_at = None;
     }
 
--- a/crates/document/tests/snapshot_duty.rs
+++ b/crates/document/tests/snapshot_duty.rs
@@ -81,6 +81,21 @@
     assert_eq!(written(&mut fresh, &fold, start, Duration::from_mins(1)), 1);
 }
 
+/// A host looks at the newest snapshot before it writes; an old one that it knew doesn't start the
+/// wait anew.
+#[test]
+fn old_one_seen() {
+    let (fold, start) = (first(), Instant::now() + Duration::from_hours(2));
+    let record = snapshot::encode(&fold, 0);
+    let mut duty = Duty::new("a", SETTINGS);
+    let is_due = |second: u64| {
+        let (now, wall_s) = (start + Duration::from_secs(second), 3_600 + second);
+        duty.see(&record, now, wall_s);
+        duty.is_due(&fold, now)
+    };
+    assert!((0..60).any(is_due));
+}
+
 #[test]
 fn damaged_ignored() {
     let (fold, now) = (first(), Instant::now());
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,6 @@
 //! Chores and measurements for developers: `cargo xtask COMMAND`.
 
+mod config;
 mod load;
 mod orders;
 mod policy;
@@ -10,6 +11,7 @@
 const HELP: &str = "\
 usage: cargo xtask COMMAND [OPTIONS]
 
+  config    runs editors and daemons on a virtual clock under faults of the log
   load      measures what the daemon adds to a call, on loopback
   orders    explores the order protocol's core under faults
   policy    compares the choice of upstreams with baselines and an oracle
@@ -23,6 +25,7 @@
     let mut args = std::env::args_os().skip(1);
     let command = args.next().unwrap_or_default();
     match command.to_str().unwrap_or_default() {
+        "config" => config::run(args),
         "load" => load::run(),
         "orders" => orders::run(args),
         "policy" => policy::run(&mut lexopt::Parser::from_args(args)),
