--- a/crates/daemon/src/admin.rs
+++ b/crates/daemon/src/admin.rs
@@ -59,10 +59,22 @@
 
 fn respond(state: &State, req: Request) {
     let answer = match (req.method(), path(req.url())) {
+        (Method::Get, "/metrics") => {
+            let text = state.metrics.encode(&state.status());
+            typed(Response::from_data(text), "application/openmetrics-text; version=1.0.0")
+        }
         (Method::Get, "/status") => json(&state.status()),
+        (Method::Get, "/hosts") => json(&state.hosts()),
         (Method::Get, "/explain") => json(&state.recorder.last(LAST_DECISIONS)),
+        (Method::Post, "/drain") => {
+            state.leave.send_replace(true);
+            json(&state.status())
+        }
         (Method::Get, it) if it.starts_with("/explain/") => explain(state, it),
-        _ => error(404, "known paths: /metrics, /status, /explain, /explain/REQUEST"),
+        _ => error(
+            404,
+            "known paths: /metrics, /status, /hosts, /explain, /explain/REQUEST, POST /drain",
+        ),
     };
     if let Err(e) = req.respond(answer) {
         log::debug!("admin listener: {e}");
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -1,6 +1,10 @@
 //! The side that answers peers.
 
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+};
 
 use jsonrpsee::{
     RpcModule,
@@ -9,6 +13,7 @@
     types::{ErrorObjectOwned, Params, error::INTERNAL_ERROR_CODE, error::INVALID_PARAMS_CODE},
 };
 use serde::de::DeserializeOwned;
+use tokio::runtime::Handle;
 
 use crate::{Blob, CONFIGURATION, FORWARD, HEARTBEAT, Handler, Settings, Token, guard::Gate};
 
@@ -18,14 +23,9 @@
 /// Why a server could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum StartError {
-    /// The address can't be used.
-    #[error("peer listener on {address}: {source}")]
-    Bind {
-        /// The address.
-        address: SocketAddr,
-        /// What the operating system said.
-        source: io::Error,
-    },
+    /// The socket can't be used.
+    #[error("peer listener: {0}")]
+    Socket(#[from] io::Error),
     /// A method stands twice.
     #[error("peer methods: {0}")]
     Method(#[from] RegisterMethodError),
@@ -41,13 +41,14 @@
 }
 
 impl Server {
-    /// Starts a server on the runtime that this is called on.
+    /// Starts a server on `runtime`; `socket` must be non-blocking.
     ///
     /// # Errors
     ///
     /// Returns why it could not start.
-    pub async fn start<H: Handler>(
-        address: SocketAddr,
+    pub fn start<H: Handler>(
+        runtime: &Handle,
+        socket: TcpListener,
         token: Token,
         settings: Settings,
         handler: Arc<H>,
@@ -55,14 +56,12 @@
         if token.is_empty() {
             return Err(StartError::EmptyToken);
         }
-        let bind = |source| StartError::Bind { address, source };
+        let _context = runtime.enter();
         let server = jsonrpsee::server::Server::builder()
             .set_config(config(settings))
             .set_http_middleware(tower::ServiceBuilder::new().layer(Gate::new(token)))
-            .build(address)
-            .await
-            .map_err(bind)?;
-        let address = server.local_addr().map_err(bind)?;
+            .build_from_tcp(socket)?;
+        let address = server.local_addr()?;
         let handle = server.start(methods(handler)?);
         Ok(Self { address, handle })
     }
--- a/crates/peer/tests/daemon/mod.rs
+++ b/crates/peer/tests/daemon/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 use std::{
-    net::SocketAddr,
+    net::{SocketAddr, TcpListener},
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -13,7 +13,8 @@
 
 use bytes::Bytes;
 use member::{Digest, Exchange, Identity, Phase};
-use peer::{Blob, Client, Handler, Server, Settings};
+use peer::{Blob, Client, Handler, Server, Settings, StartError};
+use tokio::runtime::Handle;
 
 pub(crate) const TOKEN: &str = "a secret of the fleet";
 /// Offset up to which the peer has a configuration.
@@ -58,6 +59,7 @@
     let identity = Identity {
         address: SocketAddr::from(([10, 0, 0, 1], 7000)),
         entry: SocketAddr::from(([10, 0, 0, 1], 80)),
+        admin: SocketAddr::from(([10, 0, 0, 1], 9000)),
         domain: "domain-1".into(),
         incarnation,
     };
@@ -65,14 +67,22 @@
     Exchange { digest, loads: Vec::new(), rumors: Vec::new() }
 }
 
-pub(crate) async fn start(daemon: Daemon, settings: Settings) -> (Server, Arc<Daemon>) {
+pub(crate) fn start(daemon: Daemon, settings: Settings) -> (Server, Arc<Daemon>) {
     let daemon = Arc::new(daemon);
-    let address = SocketAddr::from(([127, 0, 0, 1], 0));
-    let server =
-        Server::start(address, TOKEN.to_owned(), settings, Arc::clone(&daemon)).await.unwrap();
+    let server = listen(TOKEN, settings, Arc::clone(&daemon)).unwrap();
     (server, daemon)
 }
 
+pub(crate) fn listen(
+    token: &str,
+    settings: Settings,
+    daemon: Arc<Daemon>,
+) -> Result<Server, StartError> {
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    socket.set_nonblocking(true).unwrap();
+    Server::start(&Handle::current(), socket, token.to_owned(), settings, daemon)
+}
+
 pub(crate) fn client() -> Client {
     Client::new(TOKEN.to_owned(), Settings::default())
 }
