--- a/crates/peer/tests/bad_peers.rs
+++ b/crates/peer/tests/bad_peers.rs
@@ -10,8 +10,8 @@
     time::Duration,
 };
 
-use daemon::{Daemon, Order, TOKEN, client, exchange, socket, start};
-use peer::{Blob, Client, Error, Server, Settings, StartError};
+use daemon::{Daemon, Order, TOKEN, client, exchange, listen, start};
+use peer::{Blob, Client, Error, Settings, StartError};
 
 /// Sends raw HTTP and returns the status and the body.
 fn raw(address: SocketAddr, headers: &str, body: &str) -> (u16, String) {
@@ -31,7 +31,7 @@
 
 #[tokio::test]
 async fn wrong_token() {
-    let (server, daemon) = start(Daemon::default(), Settings::default()).await;
+    let (server, daemon) = start(Daemon::default(), Settings::default());
     for token in ["", "a secret of the fleeT", "a secret of the flee", "a secret of the fleet!"] {
         let client = Client::new(token.to_owned(), Settings::default());
         let res = client.heartbeat(server.address(), &exchange(1)).await;
@@ -47,11 +47,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn no_token() {
     let settings = Settings::default();
-    let runtime = tokio::runtime::Handle::current();
-    let handler = Arc::new(Daemon::default());
-    let res = Server::start(&runtime, socket(), String::new(), settings, handler);
+    let res = listen("", settings, Arc::new(Daemon::default()));
     assert!(matches!(res, Err(StartError::EmptyToken)));
-    let (server, _) = start(Daemon::default(), settings).await;
+    let (server, _) = start(Daemon::default(), settings);
     let status = tokio::task::block_in_place(|| raw(server.address(), "", "{}").0);
     assert_eq!(status, 401);
 }
@@ -59,7 +57,7 @@
 /// Each unreadable message gets an error that says why, and the server goes on.
 #[tokio::test(flavor = "multi_thread")]
 async fn unreadable_messages() {
-    let (server, _) = start(Daemon::default(), Settings::default()).await;
+    let (server, _) = start(Daemon::default(), Settings::default());
     let headers = format!("fireflydrum-token: {TOKEN}\r\n");
     for (body, code, part) in [
         ("not json", -32_700, "Parse error"),
@@ -85,7 +83,7 @@
 /// What the membership refuses comes back as its own error.
 #[tokio::test]
 async fn refused_heartbeat() {
-    let (server, _) = start(Daemon::default(), Settings::default()).await;
+    let (server, _) = start(Daemon::default(), Settings::default());
     let mut bad = exchange(1);
     bad.digest.identity.domain = "d".repeat(1_000).into();
     let res = client().heartbeat(server.address(), &bad).await;
@@ -96,7 +94,7 @@
 #[tokio::test]
 async fn oversized_messages() {
     let settings = Settings { request_limit_bytes: 2_000, ..Settings::default() };
-    let (server, daemon) = start(Daemon::default(), settings).await;
+    let (server, daemon) = start(Daemon::default(), settings);
     let order = Order { key: String::new(), body: Blob(vec![0; 3_000].into()), work_ms: 0 };
     let timeout = Duration::from_secs(5);
     let res = client().forward::<_, Order>(server.address(), &order, timeout).await;
@@ -104,7 +102,7 @@
 
     let settings = Settings { answer_limit_bytes: 2_000, ..Settings::default() };
     let big = Daemon { snapshot: vec![0; 3_000].into(), ..Daemon::default() };
-    let (big, _) = start(big, Settings::default()).await;
+    let (big, _) = start(big, Settings::default());
     let client = Client::new(TOKEN.to_owned(), settings);
     assert!(matches!(client.configuration(big.address(), 0).await, Err(Error::Lost(_))));
     assert_eq!(daemon.started.load(Ordering::Acquire), 0);
