Let a caller's own key be tried again once its append was certainly refused

A refused claim left a tombstone that answered unknown for good, and a lost one was never forgotten. Found by own_keys: a repeat after the outage was not run. Refused claims are dropped at once, lost ones after the life of a claim.

--- a/crates/order/src/claims.rs
+++ b/crates/order/src/claims.rs
@@ -23,6 +23,8 @@
     owners: BTreeMap<u128, Owner>,
     by_age: VecDeque<(Instant, u128)>,
     blocked_until: Option<Instant>,
+    /// Own claims that were given up on, oldest first, and that may be read yet.
+    abandoned: VecDeque<(Instant, u128)>,
 }
 
 impl Claims {
@@ -55,6 +57,17 @@
         self.blocked_until = Some(now + life);
     }
 
+    /// Notes that an own claim was given up on before it was read.
+    pub(crate) fn abandon(&mut self, key: u128, now: Instant) {
+        self.abandoned.push_back((now, key));
+    }
+
+    /// Forgets old claims that were given up on, and returns their keys.
+    pub(crate) fn expire_abandoned(&mut self, life: Duration, now: Instant) -> Vec<u128> {
+        let count = self.abandoned.iter().take_while(|(at, _)| *at + life <= now).count();
+        self.abandoned.drain(..count).map(|(_, key)| key).collect()
+    }
+
     /// Forgets old claims and returns their keys.
     pub(crate) fn expire(&mut self, life: Duration, now: Instant) -> Vec<u128> {
         let mut res = Vec::new();
--- a/crates/order/src/engine/journal.rs
+++ b/crates/order/src/engine/journal.rs
@@ -41,7 +41,10 @@
                 continue;
             }
             match landing {
-                Landing::Refused => self.give_up(key, Reason::Journal, now, acts),
+                Landing::Refused => {
+                    entry.phase = Phase::Queued;
+                    self.give_up(key, Reason::Journal, now, acts);
+                }
                 Landing::Unknown => {
                     let grace = now + self.settings.append_grace;
                     entry.runner.deadline = entry.runner.deadline.min(grace);
--- a/crates/order/src/engine/submission.rs
+++ b/crates/order/src/engine/submission.rs
@@ -177,7 +177,8 @@
     }
 
     /// Ends an order that still waits for the log. Its number is never used again. A caller's own
-    /// key may have been claimed by another host, so nothing certain can be said about it.
+    /// key may have been claimed by another host, so nothing certain can be said about it; it is
+    /// held only if its claim may be read yet.
     pub(super) fn give_up(
         &mut self,
         key: Key,
@@ -185,13 +186,16 @@
         now: Instant,
         acts: &mut Vec<Action>,
     ) {
-        let was_queued = self.store.get(&key).is_some_and(|it| it.phase == Phase::Queued);
+        let may_be_read = self.store.get(&key).is_some_and(|it| it.phase == Phase::Appended);
         let outcome = match key {
             Key::Numbered { .. } => Outcome::NotRun(reason),
             Key::Own(_) => Outcome::Unknown(Reason::Undecided),
         };
         self.finish(&key, &outcome, now, acts);
-        if was_queued && matches!(key, Key::Own(_)) {
+        let Key::Own(digest) = key else { return };
+        if may_be_read {
+            self.claims.abandon(digest, now);
+        } else {
             self.store.remove(&key);
         }
     }
--- a/crates/order/src/engine/timers.rs
+++ b/crates/order/src/engine/timers.rs
@@ -35,6 +35,16 @@
         for digest in self.claims.expire(self.settings.claim_life, now) {
             self.store.remove(&Key::Own(digest));
         }
+        for digest in self.claims.expire_abandoned(self.settings.claim_life, now) {
+            self.forget_undecided(Key::Own(digest));
+        }
+    }
+
+    fn forget_undecided(&mut self, key: Key) {
+        let undecided = Phase::Finished(Outcome::Unknown(Reason::Undecided));
+        if self.store.get(&key).is_some_and(|it| it.phase == undecided) {
+            self.store.remove(&key);
+        }
     }
 
     fn expire_orders(&mut self, now: Instant, acts: &mut Vec<Action>) {
--- a/crates/order/tests/own_keys.rs
+++ b/crates/order/tests/own_keys.rs
@@ -93,6 +93,18 @@
     bench.expect(repeat, &NotRun(Reason::Journal));
 }
 
+#[test]
+fn lost_claims_are_forgotten_in_the_end() {
+    let settings = Settings::default();
+    let mut bench = Bench::new(settings.clone());
+    bench.submit(KEY, 1);
+    bench.fail(Landing::Unknown);
+    bench.advance(settings.append_grace);
+    assert_eq!(bench.engine.usage().0, 1);
+    bench.advance(settings.claim_life);
+    assert_eq!(bench.engine.usage().0, 0);
+}
+
 #[test]
 fn dead_owner_leaves_the_outcome_unknown() {
     let mut bench = Bench::new(Settings::default());
