--- a/crates/peer/src/error.rs
+++ b/crates/peer/src/error.rs
@@ -1,9 +1,12 @@
 //! Why a call to a peer failed.
 
 use hyper_util::client::legacy;
-use jsonrpsee::core::ClientError;
+use jsonrpsee::core::{ClientError, http_helpers::HttpError};
 use jsonrpsee_http_client::transport;
 
+/// HTTP status of a request without the right token.
+pub(crate) const UNAUTHORIZED: u16 = 401;
+
 /// The answer of a peer, or why there is none.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
@@ -35,10 +38,14 @@
             ClientError::Call(it) => {
                 Self::Refused { code: it.code(), message: it.message().to_owned() }
             }
-            ClientError::Transport(it) => match it.downcast_ref::<transport::Error>() {
-                Some(transport::Error::Rejected { status_code: 401 }) => Self::Unauthorized,
+            ClientError::Transport(it) => match it.downcast_ref() {
+                Some(transport::Error::Rejected { status_code: UNAUTHORIZED }) => {
+                    Self::Unauthorized
+                }
                 Some(transport::Error::RequestTooLarge) => Self::NotReached(it.to_string()),
-                _ if is_connect(&*it) => Self::NotReached(it.to_string()),
+                Some(transport::Error::Http(HttpError::Stream(cause))) if is_connect(&**cause) => {
+                    Self::NotReached(it.to_string())
+                }
                 _ => Self::Lost(it.to_string()),
             },
             it => Self::Lost(it.to_string()),
@@ -48,12 +55,5 @@
 
 /// Whether the error comes from setting up the connection, before anything was sent.
 fn is_connect(err: &(dyn std::error::Error + 'static)) -> bool {
-    let mut next = Some(err);
-    while let Some(it) = next {
-        if it.downcast_ref::<legacy::Error>().is_some_and(legacy::Error::is_connect) {
-            return true;
-        }
-        next = it.source();
-    }
-    false
+    err.downcast_ref::<legacy::Error>().is_some_and(legacy::Error::is_connect)
 }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -115,8 +115,8 @@
 
 fn argument<T: DeserializeOwned>(params: &Params<'_>) -> Result<T, ErrorObjectOwned> {
     params.one().map_err(|err| {
-        let message = err.data().map_or(err.message(), |it| it.get());
-        refusal(INVALID_PARAMS_CODE, message)
+        let detail = err.data().and_then(|it| serde_json::from_str(it.get()).ok());
+        refusal(INVALID_PARAMS_CODE, &detail.unwrap_or_else(|| err.message().to_owned()))
     })
 }
 
