Keep answers' headers, and add up failed calls of requests with short deadlines

Answers are kept with all headers, so that a repeat gets the same reply, and bodies travel as base64. Failures now count for the incarnation.

--- a/crates/order/src/answer.rs
+++ b/crates/order/src/answer.rs
@@ -2,21 +2,34 @@
 
 use bytes::Bytes;
 
+use crate::base64;
+
 /// A whole answer of a backend server.
 #[derive(Clone, Debug, Eq, Hash, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Answer {
     /// HTTP status.
     pub status: u16,
-    /// Media type of the body; empty if the backend server named none.
-    pub content_type: String,
+    /// End-to-end headers, in their order.
+    pub headers: Vec<Header>,
     /// Whole body.
+    #[serde(with = "base64")]
     pub body: Bytes,
 }
 
+/// A header of an answer.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Header {
+    /// Name in lower case.
+    pub name: String,
+    /// Value; headers whose value is not text are not kept.
+    pub value: String,
+}
+
 impl Answer {
     /// Memory that the answer holds, in bytes.
     #[must_use]
     pub fn size(&self) -> usize {
-        self.content_type.len() + self.body.len()
+        let headers: usize = self.headers.iter().map(|it| it.name.len() + it.value.len()).sum();
+        headers + self.body.len()
     }
 }
--- a/crates/order/src/engine.rs
+++ b/crates/order/src/engine.rs
@@ -15,6 +15,7 @@
     Answer, Denial, Event, Fingerprint, Finished, Incarnation, Key, Outcome, Reason, Session,
     Settings, Started, Stream, Ticket, action::Action, batcher::Batcher, claims::Claims,
     entry::Phase, forward::Forward, issuer::Issuer, recovery::Recovery, store::Store,
+    suspicion::Suspicion,
 };
 
 /// The order protocol of one daemon.
@@ -30,6 +31,7 @@
     recoveries: BTreeMap<Incarnation, Recovery>,
     /// Incarnations in `recoveries`, oldest first.
     recovered: VecDeque<Incarnation>,
+    suspicion: Suspicion,
     log_up: bool,
 }
 
@@ -47,6 +49,7 @@
             forwards: BTreeMap::new(),
             recoveries: BTreeMap::new(),
             recovered: VecDeque::new(),
+            suspicion: Suspicion::default(),
             log_up: false,
         };
         let actions =
--- a/crates/order/src/engine/forwarding.rs
+++ b/crates/order/src/engine/forwarding.rs
@@ -28,7 +28,6 @@
             fingerprint: it.fingerprint,
             deadline: it.deadline,
             to,
-            failing_since: None,
             stage: Stage::Calling,
         };
         self.forwards.insert(it.ticket, forward);
@@ -44,7 +43,8 @@
     ) {
         if outcome == Outcome::Unknown(Reason::IssuerGone) {
             self.fail_forward(ticket, true, now, acts);
-        } else if self.forwards.remove(&ticket).is_some() {
+        } else if let Some(forward) = self.forwards.remove(&ticket) {
+            self.suspicion.clear(forward.to);
             acts.push(Action::Reply(ticket, outcome));
         }
     }
@@ -57,10 +57,10 @@
         now: Instant,
         acts: &mut Vec<Action>,
     ) {
-        let Self { settings, forwards, .. } = self;
+        let Self { settings, forwards, suspicion, .. } = self;
         let Some(forward) = forwards.get_mut(&ticket) else { return };
-        let since = *forward.failing_since.get_or_insert(now);
-        if gone || since + settings.suspect_after <= now {
+        let is_silent = suspicion.fail(forward.to, settings.suspect_after, now);
+        if gone || is_silent {
             self.recover(ticket, acts);
         } else {
             forward.stage = Stage::Pausing { until: now + settings.forward_interval };
--- a/crates/order/src/forward.rs
+++ b/crates/order/src/forward.rs
@@ -25,7 +25,5 @@
     pub(crate) fingerprint: Fingerprint,
     pub(crate) deadline: Instant,
     pub(crate) to: Incarnation,
-    /// When the first attempt failed.
-    pub(crate) failing_since: Option<Instant>,
     pub(crate) stage: Stage,
 }
--- a/crates/order/src/lib.rs
+++ b/crates/order/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod action;
 mod answer;
+mod base64;
 mod batcher;
 mod claims;
 mod denial;
@@ -28,9 +29,10 @@
 mod settings;
 mod store;
 mod stream;
+mod suspicion;
 
 pub use action::Action;
-pub use answer::Answer;
+pub use answer::{Answer, Header};
 pub use denial::Denial;
 pub use engine::Engine;
 pub use event::{Event, Landing, Submission};
--- a/xtask/src/orders/apply.rs
+++ b/xtask/src/orders/apply.rs
@@ -353,5 +353,5 @@
 
 /// The backend server's answer names the request that it answers.
 pub(crate) fn answer_to(content: Fingerprint) -> Answer {
-    Answer { status: 201, content_type: String::new(), body: content.to_string().into() }
+    Answer { status: 201, headers: Vec::new(), body: content.to_string().into() }
 }
