--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -86,30 +86,37 @@
     ///
     /// Fails if a part can't start or the document is not in force within 10 s.
     pub fn start(settings: Settings) -> Result<Self> {
+        let mut res = Self::idle(settings)?;
+        let version = res.publish(&res.document())?;
+        for number in 0..res.settings.daemons {
+            let daemon = res.start_daemon(number)?;
+            res.daemons.push(daemon);
+        }
+        res.await_version(version)?;
+        Ok(res)
+    }
+
+    /// Starts the stand-ins alone; nothing is published.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a stand-in can't start.
+    pub fn idle(settings: Settings) -> Result<Self> {
         let mut backends = Vec::new();
         for it in &settings.services {
             let started: io::Result<Vec<_>> =
                 (0..it.upstreams).map(|_| Backend::start(it.backend)).collect();
             backends.push(started?);
         }
-        let log = Log::start(standin::log::Settings::default())?;
-        let hosts = Hosts::start()?;
-        let mut res = Self {
+        Ok(Self {
             daemons: Vec::new(),
             backends,
-            log,
-            hosts,
+            log: Log::start(standin::log::Settings::default())?,
+            hosts: Hosts::start()?,
             settings,
             published: Vec::new(),
             base: 0,
-        };
-        let version = res.publish(&res.document())?;
-        for number in 0..res.settings.daemons {
-            let daemon = res.start_daemon(number)?;
-            res.daemons.push(daemon);
-        }
-        res.await_version(version)?;
-        Ok(res)
+        })
     }
 
     /// Starts one more daemon; the caller keeps it.
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -4,6 +4,7 @@
 mod load;
 mod orders;
 mod policy;
+mod standins;
 mod tour;
 
 use std::process::ExitCode;
@@ -15,6 +16,7 @@
   load      measures what the daemon adds to a call, on loopback
   orders    explores the order protocol's core under faults
   policy    compares the choice of upstreams with baselines and an oracle
+  standins  runs the stand-ins, for daemons and command line started by hand
   tour      shows the whole path on loopback, in one process
   help      prints this page
 
@@ -29,6 +31,7 @@
         "load" => load::run(),
         "orders" => orders::run(args),
         "policy" => policy::run(&mut lexopt::Parser::from_args(args)),
+        "standins" => standins::run(args),
         "tour" => tour::run(),
         "help" | "--help" | "-h" => {
             print!("{HELP}");
