Run orders through the engine in the daemon

A refusal before the engine saw an order now says unknown, as a copy may have run by way of another host (leaving host, body cut or late, route or limit changed meanwhile); malformed requests stay not-run.

--- a/crates/daemon/src/caller/body.rs
+++ b/crates/daemon/src/caller/body.rs
@@ -92,6 +92,13 @@
     permit: Option<OwnedSemaphorePermit>,
 }
 
+impl From<Bytes> for Held {
+    /// A body outside of the budget; whoever keeps the bytes bounds them.
+    fn from(bytes: Bytes) -> Self {
+        Self { bytes, permit: None }
+    }
+}
+
 impl Held {
     /// Turns the held bytes into the body of a reply; the budget is returned when it is sent.
     #[must_use]
--- a/crates/daemon/src/caller/header.rs
+++ b/crates/daemon/src/caller/header.rs
@@ -14,6 +14,8 @@
 pub const LOAD: HeaderName = HeaderName::from_static("fireflydrum-load");
 /// Key by which repeats of an order are recognised.
 pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Number up to which a caller has received all outcomes of its session.
+pub const ACKNOWLEDGED: HeaderName = HeaderName::from_static("fireflydrum-acknowledged");
 /// Why a backend server did not run a request; its presence makes the attempt safe to repeat.
 pub const SHED: HeaderName = HeaderName::from_static("fireflydrum-shed");
 /// Name of the caller, for fairness between callers; its IP address stands in when absent.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod logs;
 pub mod membership;
 pub mod metrics;
+pub mod orders;
 pub mod path;
 pub mod probe;
 pub mod process;
--- a/crates/daemon/src/membership/answers.rs
+++ b/crates/daemon/src/membership/answers.rs
@@ -3,9 +3,14 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use peer::{Blob, Handler};
+use order::Outcome;
+use peer::Handler;
 
-use crate::{membership::Membership, state::State};
+use crate::{
+    membership::Membership,
+    orders::{self, Message},
+    state::State,
+};
 
 /// What this daemon answers its peers.
 pub struct Answers {
@@ -22,8 +27,8 @@
 }
 
 impl Handler for Answers {
-    type Order = Blob;
-    type Outcome = Blob;
+    type Order = Message;
+    type Outcome = Outcome;
 
     fn heartbeat(&self, exchange: &member::Exchange) -> member::Result<member::Exchange> {
         self.membership.table().receive(exchange, self.state.clock.now())
@@ -33,8 +38,7 @@
         self.state.snapshot_beyond(newer_than)
     }
 
-    /// An empty outcome says that nothing was started here.
-    async fn forward(&self, _order: Blob) -> Blob {
-        Blob::default()
+    async fn forward(&self, order: Message) -> Outcome {
+        orders::answer_peer(&self.state, order).await
     }
 }
--- /dev/null
+++ b/crates/daemon/src/orders.rs
@@ -0,0 +1,55 @@
+//! Orders: requests that must run at most once, recognised by their idempotency key.
+//!
+//! The `order` crate decides; this module gives it the time, reads and writes the log, passes orders
+//! on to the daemons that issued their sessions, and lets the request path run what may run.
+
+mod driver;
+mod execution;
+mod gate;
+mod journal;
+mod message;
+mod reader;
+mod reply;
+
+use std::{
+    io,
+    sync::{Arc, atomic::AtomicBool},
+    thread,
+};
+
+use tokio::runtime::Handle;
+
+use crate::{membership::Membership, process::CONTROL_THREAD, state::State};
+
+pub use driver::Driver;
+pub use execution::{acknowledged, answer_peer, key, run, soften};
+pub use gate::Gate;
+pub use message::Message;
+
+/// Starts what keeps the orders of a daemon going.
+///
+/// # Errors
+///
+/// Fails if a thread can't be started.
+pub fn start(
+    state: &Arc<State>,
+    membership: &Arc<Membership>,
+    client: &Arc<peer::Client>,
+    runtime: &Handle,
+    stop: &Arc<AtomicBool>,
+) -> io::Result<()> {
+    let address = state.settings.log_address;
+    let open = || platform::Http::new(address, platform::Settings::default());
+    let (journal, wakeups) = journal::Journal::new(Arc::new(open()), runtime.clone());
+    let streams = journal.streams();
+    let incarnation = state.ids.incarnation();
+    let peers = driver::Peers { membership: Arc::clone(membership), client: Arc::clone(client) };
+    let driver =
+        Driver::new(Arc::clone(&state.clock), incarnation, journal, peers, runtime.clone());
+    runtime.spawn(Arc::clone(&driver).run_timers());
+    let reader = reader::Reader::new(Arc::clone(&driver), Box::new(open()), streams, wakeups);
+    let stop = Arc::clone(stop);
+    thread::Builder::new().name(CONTROL_THREAD.into()).spawn(move || reader.run(&stop))?;
+    state.take_orders(driver);
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/orders/driver.rs
@@ -0,0 +1,277 @@
+//! Drives the engine: one lock round it, and everything that it wants done.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use clock::Clock;
+use member::Standing;
+use order::{
+    Action, Engine, Event, Incarnation, Key, Lease, Outcome, Session, Settings, Submission, Ticket,
+};
+use tokio::{
+    runtime::Handle,
+    sync::{Notify, oneshot},
+};
+
+use super::{Message, journal::Journal};
+use crate::{membership::Membership, state::lock};
+
+/// Bits of an incarnation that count how often a daemon's orders were revoked; the others say which
+/// daemon it is.
+const GENERATION_BITS: u32 = 16;
+/// Longest time between two looks at the engine's timers.
+const IDLE: Duration = Duration::from_secs(1);
+/// Time between two looks whether a peer that works on an order still sends heartbeats.
+const SUSPECT_INTERVAL: Duration = Duration::from_millis(200);
+
+/// What a waiting request is told.
+pub(super) enum Verdict {
+    /// Run the order.
+    Run,
+    /// Its outcome.
+    Reply(Outcome),
+}
+
+/// A request that waits for the engine.
+struct Waiting {
+    verdict: oneshot::Sender<Verdict>,
+    /// What is passed on if another daemon issued the session.
+    message: Arc<Message>,
+    deadline: Instant,
+}
+
+/// What is known of another entry host.
+struct Peer {
+    address: SocketAddr,
+    is_suspect: bool,
+}
+
+/// The other entry hosts.
+pub(super) struct Peers {
+    pub(super) membership: Arc<Membership>,
+    pub(super) client: Arc<peer::Client>,
+}
+
+/// Drives the engine of one daemon.
+pub struct Driver {
+    clock: Arc<dyn Clock>,
+    engine: Mutex<Engine>,
+    waiting: Mutex<HashMap<Ticket, Waiting>>,
+    rng: Mutex<fastrand::Rng>,
+    next_ticket: AtomicU64,
+    next_incarnation: AtomicU64,
+    journal: Journal,
+    peers: Peers,
+    runtime: Handle,
+    changed: Notify,
+}
+
+impl Driver {
+    /// A driver of a new engine; its first incarnation is the daemon's.
+    pub(super) fn new(
+        clock: Arc<dyn Clock>,
+        incarnation: Incarnation,
+        journal: Journal,
+        peers: Peers,
+        runtime: Handle,
+    ) -> Arc<Self> {
+        let first = daemon_of(incarnation);
+        let (engine, actions) = Engine::new(Settings::default(), first);
+        let res = Arc::new(Self {
+            clock,
+            engine: Mutex::new(engine),
+            waiting: Mutex::default(),
+            rng: Mutex::new(fastrand::Rng::with_seed(incarnation)),
+            next_ticket: AtomicU64::new(1),
+            next_incarnation: AtomicU64::new(first + 1),
+            journal,
+            peers,
+            runtime,
+            changed: Notify::new(),
+        });
+        for it in actions {
+            let _event = res.perform(it);
+        }
+        res
+    }
+
+    /// Looks after the engine's timers until the runtime ends.
+    pub(super) async fn run_timers(self: Arc<Self>) {
+        loop {
+            let now = self.clock.now();
+            let idle = now + IDLE;
+            let wakeup = lock(&self.engine).next_wakeup(now).map_or(idle, |it| it.min(idle));
+            tokio::select! {
+                () = tokio::time::sleep_until(wakeup.into()) => self.handle(Event::Tick),
+                () = self.changed.notified() => {}
+            }
+        }
+    }
+
+    /// Lets the engine take in an event, and does what it wants done.
+    pub fn handle(self: &Arc<Self>, event: Event) {
+        let mut events = VecDeque::from([event]);
+        // Actions are done under the lock, so that they are done in order; none of them blocks.
+        let mut engine = lock(&self.engine);
+        while let Some(event) = events.pop_front() {
+            let actions = engine.handle(event, self.clock.now());
+            events.extend(actions.into_iter().filter_map(|it| self.perform(it)));
+        }
+        drop(engine);
+        self.changed.notify_one();
+    }
+
+    /// Submits a request and waits until it may run or has an outcome. The engine answers every
+    /// request by its deadline.
+    pub(super) async fn submit(
+        self: &Arc<Self>,
+        message: Message,
+        make: impl FnOnce(Ticket) -> Submission,
+    ) -> Option<Verdict> {
+        let ticket = self.next_ticket.fetch_add(1, Ordering::Relaxed);
+        let (verdict, decided) = oneshot::channel();
+        let submission = make(ticket);
+        let message = Arc::new(message);
+        let waiting = Waiting { verdict, message, deadline: submission.deadline };
+        lock(&self.waiting).insert(ticket, waiting);
+        self.handle(Event::Submitted(submission));
+        decided.await.ok()
+    }
+
+    /// Whether an order may be sent now.
+    pub(super) fn permit(self: &Arc<Self>, key: &Key) -> bool {
+        let now = self.clock.now();
+        let denied = lock(&self.engine).permit(key, now).err();
+        let Some(denial) = denied else { return true };
+        log::info!("an order was not sent: {:?}", denial.outcome);
+        for it in denial.actions {
+            if let Some(event) = self.perform(it) {
+                self.handle(event);
+            }
+        }
+        false
+    }
+
+    /// Issues a session, or renews the given one if it is good for more orders.
+    #[must_use]
+    pub fn lease(&self, renewed: Option<Session>, journaled: bool) -> Option<Lease> {
+        let now = self.clock.now();
+        let nonce = lock(&self.rng).u64(..);
+        let mut engine = lock(&self.engine);
+        let renewed = renewed.and_then(|it| engine.renew(&it, now));
+        renewed.or_else(|| engine.issue(journaled, nonce, now))
+    }
+
+    pub(super) fn wake_reader(&self, stream: order::Stream) {
+        self.journal.wake(stream);
+    }
+
+    pub(super) fn believes_log_up(&self) -> bool {
+        lock(&self.engine).is_log_up()
+    }
+
+    pub(super) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Does what the engine wants done; returns an event that follows at once.
+    fn perform(self: &Arc<Self>, action: Action) -> Option<Event> {
+        match action {
+            Action::Reply(ticket, outcome) => self.tell(ticket, Verdict::Reply(outcome)),
+            Action::Start(ticket, key) => {
+                if !self.tell_run(ticket) {
+                    let outcome = Outcome::NotRun(order::Reason::Refused);
+                    return Some(Event::Finished(key, outcome));
+                }
+            }
+            Action::Forward(ticket, to) => self.forward(ticket, to),
+            Action::Append { batch, stream, record } => {
+                self.journal.append(Arc::clone(self), batch, stream, record);
+            }
+            Action::Follow(stream, from) => self.journal.follow(stream, from),
+            Action::Unfollow(stream) => self.journal.unfollow(stream),
+            Action::Incarnate => {
+                let next = self.next_incarnation.fetch_add(1, Ordering::Relaxed);
+                log::warn!("orders of this daemon were revoked; it goes on as {next:016x}");
+                return Some(Event::Incarnated(next));
+            }
+            Action::Skipped { stream, offset, finding } => {
+                log::warn!("stream {stream}, record {offset} skipped: {finding}");
+            }
+        }
+        None
+    }
+
+    fn tell(&self, ticket: Ticket, verdict: Verdict) {
+        let Some(it) = lock(&self.waiting).remove(&ticket) else { return };
+        // A request that is gone needs no reply.
+        let _gone = it.verdict.send(verdict);
+    }
+
+    fn tell_run(&self, ticket: Ticket) -> bool {
+        let waiting = lock(&self.waiting).remove(&ticket);
+        waiting.is_some_and(|it| it.verdict.send(Verdict::Run).is_ok())
+    }
+
+    fn forward(self: &Arc<Self>, ticket: Ticket, to: Incarnation) {
+        let Some((message, deadline)) =
+            lock(&self.waiting).get(&ticket).map(|it| (Arc::clone(&it.message), it.deadline))
+        else {
+            return;
+        };
+        let this = Arc::clone(self);
+        self.runtime.spawn(async move {
+            let timeout = deadline.saturating_duration_since(this.clock.now());
+            let event = match this.call(to, &message, timeout).await {
+                Ok(outcome) => Event::Forwarded(ticket, outcome),
+                Err(e) => {
+                    log::debug!("order for {to:016x}: {e}");
+                    Event::ForwardFailed { ticket, gone: false }
+                }
+            };
+            this.handle(event);
+        });
+    }
+
+    async fn call(
+        &self,
+        to: Incarnation,
+        message: &Message,
+        timeout: Duration,
+    ) -> peer::Result<Outcome> {
+        let peer = self.find(to).ok_or_else(|| {
+            peer::Error::NotReached("no entry host of that incarnation is known".into())
+        })?;
+        let order = message.with_remaining(timeout);
+        tokio::select! {
+            res = self.peers.client.forward(peer.address, &order, timeout) => res,
+            () = self.suspected(to) => Err(peer::Error::Lost("no heartbeats either".into())),
+        }
+    }
+
+    /// Waits until nothing is heard of a daemon. An order may take long, a heartbeat does not.
+    async fn suspected(&self, incarnation: Incarnation) {
+        while self.find(incarnation).is_some_and(|it| !it.is_suspect) {
+            tokio::time::sleep(SUSPECT_INTERVAL).await;
+        }
+    }
+
+    fn find(&self, incarnation: Incarnation) -> Option<Peer> {
+        let daemon = daemon_of(incarnation);
+        let mut known = self.peers.membership.peers().into_iter();
+        let (identity, _, standing) = known.find(|it| daemon_of(it.0.incarnation) == daemon)?;
+        Some(Peer { address: identity.address, is_suspect: standing == Standing::Suspect })
+    }
+}
+
+/// The daemon that an incarnation belongs to: its first incarnation.
+fn daemon_of(incarnation: Incarnation) -> Incarnation {
+    incarnation >> GENERATION_BITS << GENERATION_BITS
+}
--- /dev/null
+++ b/crates/daemon/src/orders/journal.rs
@@ -0,0 +1,70 @@
+//! Appends to the log, and the list of streams to read.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, mpsc},
+};
+
+use bytes::Bytes;
+use order::{Batch, Event, Landing, Offset, Stream};
+use platform::{Error, Log};
+use tokio::runtime::Handle;
+
+use crate::{orders::Driver, state::lock};
+
+/// Streams that are read, each with the offset to read on from.
+pub(super) type Streams = Arc<Mutex<BTreeMap<Stream, Offset>>>;
+
+/// Appends to the log, and keeps the list of streams to read.
+pub(super) struct Journal {
+    log: Arc<dyn Log>,
+    runtime: Handle,
+    streams: Streams,
+    wakeups: mpsc::Sender<Stream>,
+}
+
+impl Journal {
+    /// A journal, and the streams that are worth reading at once.
+    pub(super) fn new(log: Arc<dyn Log>, runtime: Handle) -> (Self, mpsc::Receiver<Stream>) {
+        let (wakeups, receiver) = mpsc::channel();
+        (Self { log, runtime, streams: Streams::default(), wakeups }, receiver)
+    }
+
+    pub(super) fn streams(&self) -> Streams {
+        Arc::clone(&self.streams)
+    }
+
+    pub(super) fn follow(&self, stream: Stream, from: Offset) {
+        lock(&self.streams).insert(stream, from);
+        self.wake(stream);
+    }
+
+    pub(super) fn unfollow(&self, stream: Stream) {
+        lock(&self.streams).remove(&stream);
+    }
+
+    /// Appends a record once, on a thread of its own, and tells the driver what came of it.
+    pub(super) fn append(&self, driver: Arc<Driver>, batch: Batch, stream: Stream, record: Bytes) {
+        let log = Arc::clone(&self.log);
+        self.runtime.spawn_blocking(move || {
+            let event = match log.append(&stream.to_string(), &record) {
+                Ok(_) => Event::Appended(batch),
+                Err(Error::Refused(e)) => {
+                    log::warn!("append to {stream} refused: {e}");
+                    Event::AppendFailed(batch, Landing::Refused)
+                }
+                Err(e) => {
+                    log::warn!("append to {stream}: {e}");
+                    Event::AppendFailed(batch, Landing::Unknown)
+                }
+            };
+            driver.handle(event);
+            driver.wake_reader(stream);
+        });
+    }
+
+    /// Has a stream read at once; a reader that has ended needs no call.
+    pub(super) fn wake(&self, stream: Stream) {
+        let _ended = self.wakeups.send(stream);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/orders/reader.rs
@@ -0,0 +1,117 @@
+//! Reads the streams that the engine follows.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+        mpsc::{Receiver, RecvTimeoutError},
+    },
+    time::Duration,
+};
+
+use order::{Event, Offset, Stream};
+use platform::{Error, Log, Page};
+
+use crate::{
+    orders::{Driver, journal::Streams},
+    state::lock,
+};
+
+/// Time between two looks at all streams; an own append is read at once.
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Records read at once.
+const PAGE_LIMIT: usize = 500;
+
+/// Reads the streams that the engine follows.
+pub(super) struct Reader {
+    driver: Arc<Driver>,
+    log: Box<dyn Log>,
+    streams: Streams,
+    wakeups: Receiver<Stream>,
+    is_up: bool,
+}
+
+impl Reader {
+    pub(super) fn new(
+        driver: Arc<Driver>,
+        log: Box<dyn Log>,
+        streams: Streams,
+        wakeups: Receiver<Stream>,
+    ) -> Self {
+        Self { driver, log, streams, wakeups, is_up: false }
+    }
+
+    /// Reads until `stop` is set.
+    pub(super) fn run(mut self, stop: &AtomicBool) {
+        while !stop.load(Ordering::Relaxed) {
+            match self.wakeups.recv_timeout(POLL_INTERVAL) {
+                Ok(stream) => self.read(stream, stop),
+                Err(RecvTimeoutError::Timeout) => self.read_all(stop),
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+        }
+    }
+
+    fn read_all(&mut self, stop: &AtomicBool) {
+        let followed: Vec<Stream> = lock(&self.streams).keys().copied().collect();
+        for it in followed {
+            self.read(it, stop);
+        }
+    }
+
+    /// Reads a stream to its end.
+    fn read(&mut self, stream: Stream, stop: &AtomicBool) {
+        while !stop.load(Ordering::Relaxed) {
+            let Some(from) = lock(&self.streams).get(&stream).copied() else { return };
+            match self.log.read(&stream.to_string(), from, PAGE_LIMIT) {
+                Ok(page) if page.records.is_empty() => return self.note(true),
+                Ok(page) => {
+                    self.note(true);
+                    self.take(stream, from, page);
+                }
+                Err(Error::Gone { first }) => {
+                    self.note(true);
+                    self.driver.handle(Event::Lost { stream, first });
+                    self.advance(stream, from, first);
+                }
+                Err(e) => {
+                    log::debug!("stream {stream}: {e}");
+                    return self.note(false);
+                }
+            }
+        }
+    }
+
+    fn take(&self, stream: Stream, mut from: Offset, page: Page) {
+        for it in page.records {
+            // The engine may have stopped following the stream, or may want it from elsewhere.
+            if !self.advance(stream, from, it.offset + 1) {
+                return;
+            }
+            from = it.offset + 1;
+            self.driver.handle(Event::Read { stream, offset: it.offset, record: it.data });
+        }
+    }
+
+    /// Moves on in a stream, if it is still to be read from where this read began.
+    fn advance(&self, stream: Stream, from: Offset, to: Offset) -> bool {
+        let mut streams = lock(&self.streams);
+        match streams.get_mut(&stream) {
+            Some(it) if *it == from => {
+                *it = to;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Tells the engine whether the log answers, when that has changed.
+    fn note(&mut self, up: bool) {
+        if self.is_up == up && up == self.driver.believes_log_up() {
+            return;
+        }
+        self.is_up = up;
+        log::info!("the log of orders answers: {up}");
+        self.driver.handle(Event::Log { up });
+    }
+}
--- a/crates/daemon/src/path.rs
+++ b/crates/daemon/src/path.rs
@@ -25,11 +25,12 @@
     },
     id,
     membership::Intake,
+    orders,
     state::State,
     upstream::attempt::{Answer, Message},
 };
 
-use draft::Draft;
+pub use draft::Draft;
 pub use plan::Plan;
 
 /// A value, or the refusal that the caller gets in its place.
@@ -56,7 +57,8 @@
             return directions::answer(&self.state, &req, caller, id);
         }
         let mut draft = Draft::new(&self.state, id);
-        if let Some(it) = turned_away(&self.state, caller) {
+        let has_key = req.headers().contains_key(header::KEY);
+        if let Some(it) = turned_away(&self.state, caller).map(|it| orders::soften(it, has_key)) {
             draft.close(it.outcome, it.status, it.reason);
             return it.reply(id);
         }
@@ -111,9 +113,12 @@
 ) -> Result<Answer> {
     let accepted = state.clock.now();
     let (head, body) = req.into_parts();
-    let plan = plan::make(state, &head, caller, id, accepted)?;
+    let has_key = head.headers.contains_key(header::KEY);
+    let planned = plan::make(state, &head, caller, id, accepted);
+    let plan = planned.map_err(|it| orders::soften(it, has_key))?;
     draft.plan(&plan);
-    let body = read(state, body, &plan).await?;
+    let body = read(state, body, &plan).await;
+    let body = body.map_err(|it| orders::soften(it, plan.order.is_some()))?;
     let message = plan::message(head, body.bytes.clone());
     if plan.route.config.idempotent {
         return attempts::run(state, &plan, &message, draft).await;
@@ -135,7 +140,7 @@
     let busy = Busy::new(&state);
     let task = tokio::spawn(async move {
         let _busy = busy;
-        let res = attempts::run(&state, &plan, &message, &mut detached).await;
+        let res = orders::run(&state, &plan, &message, &mut detached).await;
         drop(body);
         (res, detached)
     });
--- a/crates/daemon/src/path/attempts.rs
+++ b/crates/daemon/src/path/attempts.rs
@@ -11,6 +11,7 @@
         reply::{Outcome, Refusal},
     },
     decision::{Attempt as Record, micros},
+    orders::Gate,
     path::{Draft, Plan, Result},
     service::{Flight, Permit},
     state::State,
@@ -104,6 +105,7 @@
         answer_limit: plan.limits.answer_limit_bytes,
         budget: &state.answer_memory,
         deadline: plan.deadline.at(),
+        gate: gate(state, plan),
     };
     let started = state.clock.now();
     let res = attempt.run(message).await;
@@ -112,6 +114,12 @@
     res
 }
 
+/// The gate of an order with a key.
+fn gate(state: &State, plan: &Plan) -> Option<Gate> {
+    let driver = Arc::clone(state.orders()?);
+    plan.order.map(|key| Gate::new(driver, key))
+}
+
 fn verdict(res: &attempt::Result<Answer>) -> balance::Outcome {
     match res {
         Ok(it) if it.status == StatusCode::SERVICE_UNAVAILABLE => balance::Outcome::Overload,
--- a/crates/daemon/src/path/draft.rs
+++ b/crates/daemon/src/path/draft.rs
@@ -11,8 +11,9 @@
     caller::reply::Outcome,
     decision::{Attempt, Decision, micros},
     id,
-    path::Plan,
+    path::{Plan, Result},
     state::State,
+    upstream::attempt::Answer,
 };
 
 /// Reason of a decision whose caller went away before the reply.
@@ -64,6 +65,14 @@
         it.reason = reason;
     }
 
+    /// Notes what the caller is told.
+    pub fn close_with(&mut self, res: &Result<Answer>) {
+        match res {
+            Ok(it) => self.close(Outcome::Done, it.status, ""),
+            Err(it) => self.close(it.outcome, it.status, it.reason),
+        }
+    }
+
     /// Moves the decision to a task that outlives the caller's connection.
     #[must_use]
     pub fn detach(&mut self, state: &Arc<State>, id: id::Request) -> Self {
--- a/crates/daemon/src/path/plan.rs
+++ b/crates/daemon/src/path/plan.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     caller::{header, reply::Refusal},
-    id,
+    id, orders,
     path::Result,
     state::State,
     table::Route,
@@ -33,6 +33,10 @@
     pub limits: Arc<document::Service>,
     /// When the caller gives up.
     pub deadline: Deadline,
+    /// Key, if the request is an order with one.
+    pub order: Option<order::Key>,
+    /// Number up to which the caller has received all outcomes of its session.
+    pub acknowledged: order::Number,
 }
 
 /// Finds the route of a request and its deadline.
@@ -60,6 +64,9 @@
         return Err(no_route(&head.method, head.uri.path(), table.knows_path(head.uri.path())));
     };
     check_key(&route.config, &head.headers)?;
+    let is_order = !route.config.idempotent;
+    let order = if is_order { orders::key(&head.headers)? } else { None };
+    let acknowledged = orders::acknowledged(&head.headers)?;
     let stated = stated_deadline(&head.headers)?;
     Ok(Plan {
         id,
@@ -68,6 +75,8 @@
         route: Arc::clone(route),
         limits: route.service.config(),
         deadline: Deadline::new(accepted, route.config.deadline, stated),
+        order,
+        acknowledged,
     })
 }
 
--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -55,6 +55,7 @@
         answer_limit: ANSWER_LIMIT_BYTES,
         budget: &state.answer_memory,
         deadline,
+        gate: None,
     };
     let mut headers = HeaderMap::new();
     if let Ok(it) = pool.address().to_string().parse() {
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -21,6 +21,7 @@
     caller::listener::Listener,
     configuration::Follower,
     membership::{Answers, Heartbeats, HostList, Membership},
+    orders,
     path::Path,
     probe,
     state::{Addresses, State},
@@ -105,9 +106,10 @@
         let heartbeats = Heartbeats::new(
             Arc::clone(&state),
             Arc::clone(&membership),
-            client,
+            Arc::clone(&client),
             control.handle().clone(),
         );
+        orders::start(&state, &membership, &client, control.handle(), &stop_threads)?;
         control.spawn(heartbeats.clone().run());
         control.spawn(heartbeats.clone().leave_when_told());
         control.spawn(tick(Arc::clone(&state)));
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -22,6 +22,7 @@
     id,
     membership::Membership,
     metrics::Metrics,
+    orders::Driver,
     service::Service,
     status::{self, Status},
     table::{Origin, Table},
@@ -48,6 +49,7 @@
     /// Turns true when the daemon is to leave.
     pub leave: watch::Sender<bool>,
     membership: OnceLock<Arc<Membership>>,
+    orders: OnceLock<Arc<Driver>>,
     hosts: AtomicU32,
     table: RwLock<Arc<Table>>,
     replica: Mutex<Replica>,
@@ -88,6 +90,7 @@
             in_progress: AtomicUsize::new(0),
             leave: watch::Sender::new(false),
             membership: OnceLock::new(),
+            orders: OnceLock::new(),
             hosts: AtomicU32::new(1),
             table: RwLock::default(),
             replica: Mutex::new(replica),
@@ -119,6 +122,17 @@
         self.membership.get()
     }
 
+    /// Takes in what drives the daemon's orders; the first one stays.
+    pub fn take_orders(&self, driver: Arc<Driver>) {
+        let _first = self.orders.set(driver);
+    }
+
+    /// What drives the daemon's orders; none while the daemon starts.
+    #[must_use]
+    pub fn orders(&self) -> Option<&Arc<Driver>> {
+        self.orders.get()
+    }
+
     /// The version of the configuration in force.
     #[must_use]
     pub fn table(&self) -> Arc<Table> {
@@ -296,6 +310,6 @@
 
 /// Locks even if another thread panicked while it held the lock: the states that are kept here are
 /// consistent between any two calls.
-fn lock<T>(it: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(it: &Mutex<T>) -> MutexGuard<'_, T> {
     it.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/daemon/src/upstream/attempt.rs
+++ b/crates/daemon/src/upstream/attempt.rs
@@ -12,6 +12,7 @@
         body::{self, Budget, Held},
         header,
     },
+    orders::Gate,
     upstream::{
         connection,
         pool::{Pool, Reuse},
@@ -98,6 +99,8 @@
     pub budget: &'a Budget,
     /// When the attempt is given up.
     pub deadline: Instant,
+    /// Last look before an order with a key is sent.
+    pub gate: Option<Gate>,
 }
 
 impl Attempt<'_> {
@@ -107,6 +110,16 @@
     ///
     /// [`Error::is_not_run`] tells whether the request can have run.
     pub async fn run(&self, message: &Message) -> Result<Answer> {
+        let res = self.try_once(message).await;
+        if let (Some(gate), Err(e)) = (&self.gate, &res)
+            && e.is_not_run()
+        {
+            gate.unsent();
+        }
+        res
+    }
+
+    async fn try_once(&self, message: &Message) -> Result<Answer> {
         let now = self.clock.now();
         if now >= self.deadline {
             return Err(Error::NotSent("the deadline has passed".into()));
@@ -116,6 +129,13 @@
         let mut connection = connecting
             .await
             .map_err(|_elapsed| Error::NotSent("no connection before the deadline".into()))??;
+        // A pause may have lasted from before the connection was there until now.
+        if self.clock.now() >= self.deadline {
+            return Err(Error::NotSent("the deadline has passed".into()));
+        }
+        if self.gate.as_ref().is_some_and(|it| !it.opens()) {
+            return Err(Error::NotSent("the order must not be sent any more".into()));
+        }
         let req = self.request(message);
         let sending = tokio::time::timeout_at(self.deadline.into(), connection.send(req));
         let sent = sending.await.map_err(|_elapsed| Error::Late)?;
--- a/crates/order/src/engine.rs
+++ b/crates/order/src/engine.rs
@@ -124,6 +124,12 @@
         self.issuers.keys().copied().collect()
     }
 
+    /// Whether the log was last found to answer.
+    #[must_use]
+    pub fn is_log_up(&self) -> bool {
+        self.log_up
+    }
+
     /// Orders held, and the memory of their answers in bytes.
     #[must_use]
     pub fn usage(&self) -> (usize, usize) {
--- a/crates/order/src/lib.rs
+++ b/crates/order/src/lib.rs
@@ -37,7 +37,7 @@
 pub use engine::Engine;
 pub use event::{Event, Landing, Submission};
 pub use fingerprint::Fingerprint;
-pub use key::Key;
+pub use key::{Error, Key};
 pub use lease::Lease;
 pub use outcome::{Outcome, Reason};
 pub use record::{Body, Claim, Finished, Record, Started, Unreadable};
--- a/crates/order/src/outcome.rs
+++ b/crates/order/src/outcome.rs
@@ -52,6 +52,29 @@
     Window,
 }
 
+impl Reason {
+    /// A short word for programs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Acknowledged => "acknowledged",
+            Self::Capacity => "capacity",
+            Self::Deadline => "deadline",
+            Self::Interrupted => "interrupted",
+            Self::IssuerGone => "issuer-gone",
+            Self::Journal => "journal",
+            Self::Mismatch => "mismatch",
+            Self::Pending => "pending",
+            Self::Revoked => "revoked",
+            Self::Refused => "refused",
+            Self::SessionEnded => "session-ended",
+            Self::SessionUnknown => "session-unknown",
+            Self::Undecided => "undecided",
+            Self::Window => "window",
+        }
+    }
+}
+
 /// What a caller is answered about its order.
 #[derive(Clone, Debug, Eq, Hash, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "kebab-case")]
