--- a/crates/peer/tests/peer_calls.rs
+++ b/crates/peer/tests/peer_calls.rs
@@ -18,7 +18,7 @@
 
 #[tokio::test]
 async fn heartbeat() {
-    let (server, _) = start(Daemon::default(), Settings::default()).await;
+    let (server, _) = start(Daemon::default(), Settings::default());
     let answer = client().heartbeat(server.address(), &exchange(1)).await;
     assert_eq!(answer, Ok(exchange(2)));
 }
@@ -28,7 +28,7 @@
 async fn configuration() {
     let snapshot = order(1 << 20, 0).body.0;
     let daemon = Daemon { snapshot: snapshot.clone(), ..Daemon::default() };
-    let (server, _) = start(daemon, Settings::default()).await;
+    let (server, _) = start(daemon, Settings::default());
     let client = client();
     assert_eq!(client.configuration(server.address(), 0).await, Ok(Some(snapshot)));
     assert_eq!(client.configuration(server.address(), END).await, Ok(None));
@@ -36,7 +36,7 @@
 
 #[tokio::test]
 async fn forwarded_order() {
-    let (server, daemon) = start(Daemon::default(), Settings::default()).await;
+    let (server, daemon) = start(Daemon::default(), Settings::default());
     for size in [0, 3, 5 << 20] {
         let sent = order(size, 0);
         let res: Result<Order, _> = client().forward(server.address(), &sent, TIMEOUT).await;
@@ -48,7 +48,7 @@
 /// An order whose sender gives up runs to its end, once.
 #[tokio::test]
 async fn sender_gives_up() {
-    let (server, daemon) = start(Daemon::default(), Settings::default()).await;
+    let (server, daemon) = start(Daemon::default(), Settings::default());
     let client = client();
     let sent = order(3, 200);
     let timeout = Duration::from_millis(50);
@@ -63,7 +63,7 @@
 /// A planned stop finishes the calls in progress and takes no new ones.
 #[tokio::test]
 async fn planned_stop() {
-    let (server, daemon) = start(Daemon::default(), Settings::default()).await;
+    let (server, daemon) = start(Daemon::default(), Settings::default());
     let address = server.address();
     let call = tokio::spawn(async move {
         client().forward::<_, Order>(address, &order(3, 100), TIMEOUT).await
