balance: shrink own limits only for lasting queues

A limit that shrank on one report of a long queue answered each noisy neighbour like a flood. The mean of the reported queues over 2 s decides now.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -335,7 +335,7 @@
         let state = &mut self.states[place];
         let own = state.own_in_report(at, &self.settings);
         state.load.reported(at, report.total(), own);
-        state.limit.reported(report, self.settings.queue_percent);
+        state.limit.reported(at, report, self.settings.queue_percent);
         let per_slot = state.load.others() / state.slots();
         self.service.reported(at, per_slot);
     }
--- a/crates/balance/src/limit.rs
+++ b/crates/balance/src/limit.rs
@@ -1,7 +1,13 @@
 //! The limit of own requests in flight to an upstream.
 
-use crate::Report;
+use crate::{
+    Report,
+    moment::{Moment, fade},
+};
 
+/// Time constant of the mean of reported queues, in seconds: a flood lasts, a noisy neighbour's
+/// queue mostly does not.
+const QUEUE_MEMORY_S: f64 = 2.0;
 /// Share of the limit that remains after an upstream reported a long queue.
 const QUEUE_BACKOFF: f64 = 0.8;
 /// Share of the limit that remains after an upstream shed a request.
@@ -19,13 +25,21 @@
 pub(crate) struct Limit {
     value: f64,
     slots: f64,
+    /// Mean of the reported queues, newer ones more.
+    queue: f64,
+    reported_at: Moment,
 }
 
 impl Limit {
     /// A limit that starts at an even share of `slots` among `hosts`, and at least at 1.
     pub(crate) fn new(slots: u32, hosts: u32) -> Self {
         let slots = f64::from(slots.max(1));
-        Self { value: (slots / f64::from(hosts.max(1))).max(1.0), slots }
+        Self {
+            value: (slots / f64::from(hosts.max(1))).max(1.0),
+            slots,
+            queue: 0.0,
+            reported_at: 0.0,
+        }
     }
 
     /// Changes the slots and keeps what was learnt.
@@ -39,10 +53,13 @@
         self.value
     }
 
-    /// Takes in a report; a queue of up to `queue_percent` of the slots is usual.
-    pub(crate) fn reported(&mut self, report: Report, queue_percent: u32) {
-        let usual = self.slots * f64::from(queue_percent) / 100.0;
-        if f64::from(report.queued) > usual {
+    /// Takes in a report; a lasting queue of up to `queue_percent` of the slots is usual.
+    pub(crate) fn reported(&mut self, now: Moment, report: Report, queue_percent: u32) {
+        let kept = fade(now - self.reported_at, QUEUE_MEMORY_S);
+        let queued = f64::from(report.queued);
+        self.queue = (self.queue - queued).mul_add(kept, queued);
+        self.reported_at = now;
+        if self.queue > self.slots * f64::from(queue_percent) / 100.0 {
             self.scale(QUEUE_BACKOFF);
         } else {
             self.grow();
