--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,7 @@
 //! Chores and measurements for developers: `cargo xtask COMMAND`.
 
 mod load;
+mod matrix;
 mod tour;
 
 use std::process::ExitCode;
@@ -9,6 +10,7 @@
 usage: cargo xtask COMMAND [OPTIONS]
 
   load      measures what the daemon adds to a call, on loopback
+  matrix    plays every fault at every step and checks every promise
   tour      shows the whole path on loopback, in one process
   help      prints this page
 
@@ -20,6 +22,7 @@
     let command = arguments.next().unwrap_or_default();
     match command.as_str() {
         "load" => load::run(),
+        "matrix" => matrix::run(arguments.collect()),
         "tour" => tour::run(),
         "help" | "--help" | "-h" => {
             print!("{HELP}");
