--- a/crates/balance/src/state.rs
+++ b/crates/balance/src/state.rs
@@ -14,7 +14,7 @@
 /// Least share of its limit that an upstream has while it is brought up.
 const LEAST_RAMP: f64 = 0.2;
 /// Requests by which a report without age may be wrong.
-const REPORT_ERROR: f64 = 0.5;
+const REPORT_ERROR: f64 = 2.0;
 
 /// An attempt in flight.
 #[derive(Clone, Copy, Debug)]
@@ -79,17 +79,23 @@
         u32::try_from(self.flights.len()).unwrap_or(u32::MAX)
     }
 
+    /// Whether the upstream may be given work; ejection counts only if failures are `trusted`.
+    pub(crate) fn may_work(&self, now: Moment, trusted: bool) -> bool {
+        let ejected = trusted && self.health.is_ejected(now);
+        !(self.leaving || ejected)
+    }
+
     /// Own requests that a report received at `now` counts.
     pub(crate) fn own_in_report(&self, now: Moment, settings: &Settings) -> usize {
         let latest = now - settings.round_trip.as_secs_f64();
         self.flights.iter().filter(|it| it.at <= latest).count()
     }
 
-    /// Service time in seconds, from answers, own requests still in flight, and peers.
+    /// Service time in seconds, from answers and own requests still in flight.
     pub(crate) fn service_time(&self, now: Moment, settings: &Settings, means: Means) -> f64 {
         let memory = settings.speed_memory.as_secs_f64();
         let pending: f64 = self.flights.iter().map(|it| (now - it.at) / it.stretch).sum();
-        let mean = self.peers_service_time(now, settings, means);
+        let mean = means.service_time;
         self.speed.estimate(now, memory, settings.speed_prior, mean, pending.max(0.0))
     }
 
@@ -120,46 +126,41 @@
             expected: service_time * stretch / ramp + distance + penalty,
             stretch,
             others,
-            has_room: self.has_room(now, settings, present, ramp),
+            has_room: self.room_beside(now, settings, others) > 0,
         }
     }
 
-    fn has_room(&self, now: Moment, settings: &Settings, present: f64, ramp: f64) -> bool {
+    /// Further own requests that may be sent now.
+    pub(crate) fn room(&self, now: Moment, settings: &Settings, means: Means) -> u32 {
+        let (others, _) = self.others(now, settings, means);
+        self.room_beside(now, settings, others)
+    }
+
+    fn room_beside(&self, now: Moment, settings: &Settings, others: f64) -> u32 {
         if self.health.is_on_trial(now) {
-            return self.flights.is_empty();
+            return u32::from(self.flights.is_empty());
         }
-        let headroom = f64::from(settings.headroom_percent) / 100.0;
-        let limit = (self.limit.value() * ramp).max(1.0);
+        let most = self.slots() * (1.0 + f64::from(settings.headroom_percent) / 100.0) - others;
+        let limit = (self.limit.value() * self.ramp(now, settings)).max(1.0);
         let own = f64::from(self.own());
-        own + 1.0 <= limit && present + 1.0 <= self.slots() * (1.0 + headroom)
+        floor(most.min(limit) - own)
     }
 
     /// Estimate of others' requests at the upstream, and by how much it may be wrong.
     fn others(&self, now: Moment, settings: &Settings, means: Means) -> (f64, f64) {
         let memory = settings.report_memory * means.service_time;
         let weight = self.load.freshness(now, memory);
-        let usual = self.peers_in_flight(now, settings, means);
+        let usual = self.peers_in_flight(now, memory, means);
         let others = (self.load.others() - usual).mul_add(weight, usual);
         let error = (usual * (1.0 - weight)).sqrt() + REPORT_ERROR;
         (others, error)
     }
 
-    fn peers_in_flight(&self, now: Moment, settings: &Settings, means: Means) -> f64 {
+    fn peers_in_flight(&self, now: Moment, memory: f64, means: Means) -> f64 {
         let mean = means.others_per_slot * self.slots();
-        let weight = self.peers_weight(now, settings);
+        let weight = self.told.at.map_or(0.0, |at| fade(now - at, memory));
         (self.told.in_flight - mean).mul_add(weight, mean)
     }
-
-    fn peers_service_time(&self, now: Moment, settings: &Settings, means: Means) -> f64 {
-        let mean = means.service_time;
-        let Some(told) = self.told.service_time else { return mean };
-        (told - mean).mul_add(self.peers_weight(now, settings), mean)
-    }
-
-    fn peers_weight(&self, now: Moment, settings: &Settings) -> f64 {
-        let memory = settings.digest_life.as_secs_f64();
-        self.told.at.map_or(0.0, |at| fade(now - at, memory))
-    }
 }
 
 /// The part of `excess` above 0, smoothed over `error`, so that a doubtful slot is worth less than
@@ -167,3 +168,9 @@
 fn smooth_excess(excess: f64, error: f64) -> f64 {
     0.5 * (excess + excess.hypot(error))
 }
+
+/// The whole part of a number, 0 if it is negative.
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "cut to the range")]
+fn floor(it: f64) -> u32 {
+    it.clamp(0.0, f64::from(u32::MAX)) as u32
+}
--- a/crates/daemon/src/path/plan.rs
+++ b/crates/daemon/src/path/plan.rs
@@ -26,7 +26,7 @@
     /// Who asks.
     pub caller: Caller,
     /// Version of the configuration that the plan rests on.
-    pub version: u64,
+    pub version: document::Version,
     /// Route that matched.
     pub route: Arc<Route>,
     /// Limits of the route's service.
@@ -48,22 +48,23 @@
     accepted: Instant,
 ) -> Result<Plan> {
     let table = state.table();
-    if table.version == 0 {
+    let Some(version) = table.version else {
         return Err(Refusal {
             reason: "not-ready",
             message: "this entry host has no configuration yet; use another".into(),
             ..Refusal::default()
         });
-    }
+    };
     check_path(head.uri.path())?;
     let Some(route) = table.route(head.method.as_str(), head.uri.path()) else {
         return Err(no_route(&head.method, head.uri.path(), table.knows_path(head.uri.path())));
     };
+    check_key(&route.config, &head.headers)?;
     let stated = stated_deadline(&head.headers)?;
     Ok(Plan {
         id,
         caller: caller_name(&head.headers, caller),
-        version: table.version,
+        version,
         route: Arc::clone(route),
         limits: route.service.config(),
         deadline: Deadline::new(accepted, route.config.deadline, stated),
@@ -109,6 +110,22 @@
     Refusal { status, reason, message, ..Refusal::default() }
 }
 
+/// Refuses an order without a key, unless its route allows it.
+fn check_key(route: &document::Route, headers: &HeaderMap) -> Result<()> {
+    if route.idempotent || route.allow_unkeyed || headers.contains_key(header::KEY) {
+        return Ok(());
+    }
+    Err(Refusal {
+        status: StatusCode::BAD_REQUEST,
+        reason: "key-required",
+        message:
+            "this route places orders: send Idempotency-Key: SESSION.NUMBER, with the session \
+                  from /fireflydrum/entry"
+                .into(),
+        ..Refusal::default()
+    })
+}
+
 fn stated_deadline(headers: &HeaderMap) -> Result<Option<std::time::Duration>> {
     let Some(value) = headers.get(header::DEADLINE_MS) else { return Ok(None) };
     let stated = value.to_str().ok().and_then(Deadline::parse);
@@ -123,7 +140,9 @@
     })
 }
 
-fn caller_name(headers: &HeaderMap, address: SocketAddr) -> Caller {
+/// Name of a caller: what it says of itself, else its IP address.
+#[must_use]
+pub fn caller_name(headers: &HeaderMap, address: SocketAddr) -> Caller {
     match headers.get(header::CALLER).and_then(|it| it.to_str().ok()) {
         Some(name) if !name.is_empty() => name.get(..CALLER_LIMIT_BYTES).unwrap_or(name).into(),
         _ => address.ip().to_string().into(),
--- a/crates/daemon/src/table.rs
+++ b/crates/daemon/src/table.rs
@@ -10,7 +10,7 @@
 };
 
 use clock::Clock;
-use document::{Document, ServiceId};
+use document::{Document, ServiceId, Version};
 
 use crate::{
     decision::micros,
@@ -25,8 +25,8 @@
 /// One accepted version of the configuration.
 #[derive(Default)]
 pub struct Table {
-    /// Version: the offset of the accepted publication; 0 before the first.
-    pub version: u64,
+    /// Version: the offset of the accepted publication; none before the first.
+    pub version: Option<Version>,
     /// The document itself.
     pub document: Arc<Document>,
     /// Services by name.
@@ -35,6 +35,18 @@
     routes: HashMap<String, Vec<Arc<Route>>>,
 }
 
+/// What a table takes from the daemon that builds it.
+pub struct Origin {
+    /// Failure domain of the host.
+    pub domain: balance::Domain,
+    /// Entry hosts that may be at work.
+    pub hosts: u32,
+    /// Clock of the daemon.
+    pub clock: Arc<dyn Clock>,
+    /// Seed of random numbers.
+    pub seed: u64,
+}
+
 /// A route with its service.
 pub struct Route {
     /// The route as configured.
@@ -62,34 +74,29 @@
 impl Table {
     /// The table for `document`; services that `old` already holds keep their state.
     #[must_use]
-    pub fn build(
-        document: &Arc<Document>,
-        version: u64,
-        old: &Self,
-        domain: &balance::Domain,
-        clock: &Arc<dyn Clock>,
-        seed: u64,
-    ) -> Self {
+    pub fn build(document: &Arc<Document>, version: Version, old: &Self, origin: &Origin) -> Self {
         let ranks = ranks(document);
         let mut upstreams: HashMap<ServiceId, Vec<document::Upstream>> = HashMap::new();
         for it in &document.upstreams {
             upstreams.entry(Arc::clone(&it.service)).or_default().push(it.clone());
         }
-        let mut res = Self { version, document: Arc::clone(document), ..Self::default() };
+        let mut res =
+            Self { version: Some(version), document: Arc::clone(document), ..Self::default() };
         for it in &document.services {
             let parts = Parts {
                 service: Arc::new(it.clone()),
                 ranks: ranks.clone(),
                 upstreams: upstreams.remove(&it.id).unwrap_or_default(),
-                domain: Arc::clone(domain),
-                seed,
+                domain: Arc::clone(&origin.domain),
+                hosts: origin.hosts,
+                seed: origin.seed,
             };
             let service = match old.services.get(&it.id) {
                 Some(service) => {
                     service.update(&parts);
                     Arc::clone(service)
                 }
-                None => Arc::new(Service::new(&parts, Arc::clone(clock))),
+                None => Arc::new(Service::new(&parts, Arc::clone(&origin.clock))),
             };
             res.services.insert(Arc::clone(&it.id), service);
         }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,8 @@
 
 mod load;
 mod matrix;
+mod orders;
+mod policy;
 mod tour;
 
 use std::process::ExitCode;
@@ -11,6 +13,8 @@
 
   load      measures what the daemon adds to a call, on loopback
   matrix    plays every fault at every step and checks every promise
+  orders    explores the order protocol's core under faults
+  policy    compares the choice of upstreams with baselines and an oracle
   tour      shows the whole path on loopback, in one process
   help      prints this page
 
@@ -18,11 +22,13 @@
 ";
 
 fn main() -> ExitCode {
-    let mut arguments = std::env::args().skip(1);
-    let command = arguments.next().unwrap_or_default();
-    match command.as_str() {
+    let mut args = std::env::args_os().skip(1);
+    let command = args.next().unwrap_or_default();
+    match command.to_str().unwrap_or_default() {
         "load" => load::run(),
-        "matrix" => matrix::run(arguments.collect()),
+        "matrix" => matrix::run(args),
+        "orders" => orders::run(args),
+        "policy" => policy::run(&mut lexopt::Parser::from_args(args)),
         "tour" => tour::run(),
         "help" | "--help" | "-h" => {
             print!("{HELP}");
--- a/xtask/src/matrix.rs
+++ b/xtask/src/matrix.rs
@@ -16,6 +16,7 @@
 mod world;
 
 use std::{
+    ffi::OsString,
     process::ExitCode,
     sync::atomic::{AtomicUsize, Ordering},
     thread,
@@ -54,7 +55,7 @@
 }
 
 /// Runs the matrix.
-pub(crate) fn run(arguments: Vec<String>) -> ExitCode {
+pub(crate) fn run(arguments: impl Iterator<Item = OsString>) -> ExitCode {
     match parse(arguments) {
         Ok(Some(options)) => play(&options),
         Ok(None) => ExitCode::SUCCESS,
@@ -65,7 +66,7 @@
     }
 }
 
-fn parse(arguments: Vec<String>) -> Result<Option<Options>, lexopt::Error> {
+fn parse(arguments: impl Iterator<Item = OsString>) -> Result<Option<Options>, lexopt::Error> {
     let mut parser = lexopt::Parser::from_args(arguments);
     let mut options = Options {
         is_brief: false,
