--- a/xtask/src/matrix.rs
+++ b/xtask/src/matrix.rs
@@ -31,9 +31,10 @@
 };
 
 const HELP: &str = "\
-usage: cargo xtask matrix [--brief] [--seed N] [--only TEXT] [--without GUARD] [--threads N] [--verbose]
+usage: cargo xtask matrix [--alone | --brief] [--seed N] [--only TEXT] [--without GUARD] [--threads N] [--verbose]
 
-  --brief          every fault alone at every step, and a part of the pairs
+  --alone          every fault alone at every step
+  --brief          the same, and a part of the pairs
   --seed N         seed of the random numbers; 1 if not given
   --only TEXT      cells whose name holds TEXT
   --without GUARD  removes a guard; the command must then fail
@@ -41,12 +42,20 @@
   --verbose        a line for each cell
 ";
 /// Of the pairs, a brief run plays one in this many.
-const BRIEF_SHARE: usize = 16;
+const BRIEF_SHARE: usize = 40;
 /// Violations that are printed at most.
 const PRINTED: usize = 40;
 
+/// How much is played.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Part {
+    Alone,
+    Brief,
+    Whole,
+}
+
 struct Options {
-    is_brief: bool,
+    part: Part,
     seed: u64,
     only: String,
     off: Option<Guard>,
@@ -69,7 +78,7 @@
 fn parse(arguments: impl Iterator<Item = OsString>) -> Result<Option<Options>, lexopt::Error> {
     let mut parser = lexopt::Parser::from_args(arguments);
     let mut options = Options {
-        is_brief: false,
+        part: Part::Whole,
         seed: 1,
         only: String::new(),
         off: None,
@@ -78,7 +87,8 @@
     };
     while let Some(it) = parser.next()? {
         match it {
-            Long("brief") => options.is_brief = true,
+            Long("alone") => options.part = Part::Alone,
+            Long("brief") => options.part = Part::Brief,
             Long("seed") => options.seed = parser.value()?.parse()?,
             Long("only") => options.only = parser.value()?.string()?,
             Long("threads") => options.threads = parser.value()?.parse()?,
@@ -89,7 +99,9 @@
                 options.off = Some(guard);
             }
             Long("guards") => {
-                GUARDS.iter().for_each(|(_, it)| println!("{it}"));
+                for (_, name) in GUARDS {
+                    println!("{name}");
+                }
                 return Ok(None);
             }
             Long("help") => {
@@ -105,9 +117,12 @@
 fn play(options: &Options) -> ExitCode {
     let is_wanted = |it: &Cell| it.name().contains(&options.only);
     let singles: Vec<Cell> = cell::singles(options.seed).into_iter().filter(is_wanted).collect();
-    let share = if options.is_brief { BRIEF_SHARE } else { 1 };
-    let pairs = cell::pairs(options.seed).into_iter().filter(is_wanted).step_by(share);
-    let pairs: Vec<Cell> = pairs.collect();
+    let pairs = cell::pairs(options.seed).into_iter().filter(is_wanted);
+    let pairs: Vec<Cell> = match options.part {
+        Part::Alone => Vec::new(),
+        Part::Brief => pairs.step_by(BRIEF_SHARE).collect(),
+        Part::Whole => pairs.collect(),
+    };
     let all: Vec<Cell> = singles.iter().chain(&pairs).copied().collect();
     let verdicts = play_all(&all, options);
     report(&verdicts, options);
@@ -155,6 +170,8 @@
             println!("{}: {}", cell.name(), exercised(verdict));
         }
     }
+    let red = verdicts.iter().filter(|(_, it)| !it.violations.is_empty()).count();
+    println!("cells with a violation: {red} of {}", verdicts.len());
     println!("promise: cells that exercised it, of {}", verdicts.len());
     for (promise, name) in PROMISES {
         let cells = verdicts.iter().filter(|(_, it)| it.exercised[promise.index()] > 0).count();
--- a/xtask/src/matrix/author.rs
+++ b/xtask/src/matrix/author.rs
@@ -27,8 +27,8 @@
         Self { number, edits: 0, publication: None }
     }
 
-    pub(super) fn take(&mut self, message: Message, net: &mut Net) {
-        match message {
+    pub(super) fn take(&mut self, message: &Message, net: &mut Net) {
+        match *message {
             Message::Edit => self.edit(net),
             Message::Publish => self.publish(net),
             Message::Appended { append: Append::Done, .. } => self.publication = None,
--- a/xtask/src/matrix/backend.rs
+++ b/xtask/src/matrix/backend.rs
@@ -39,8 +39,8 @@
         balance::Report { occupied: self.busy, queued }
     }
 
-    pub(super) fn take(&mut self, message: Message, net: &mut Net) {
-        match message {
+    pub(super) fn take(&mut self, message: &Message, net: &mut Net) {
+        match *message {
             Message::Work(work) => self.arrive(work, net),
             Message::Finish(work) => self.finish(work, net),
             Message::Probe { from } => {
--- a/xtask/src/matrix/caller.rs
+++ b/xtask/src/matrix/caller.rs
@@ -18,6 +18,8 @@
 const END: Duration = Duration::from_millis(8_500);
 /// Time after its deadline at which a caller gives up waiting.
 const PATIENCE: Duration = Duration::from_millis(100);
+/// Deadline of an order.
+const ORDER_DEADLINE: Duration = Duration::from_secs(1);
 /// Pause before an order is repeated.
 const REPEAT_AFTER: Duration = Duration::from_millis(200);
 /// Times that an order is sent at most.
@@ -103,12 +105,12 @@
                     let host = self.pick(net);
                     for _ in 0..BURST {
                         let job = net.job();
-                        self.send(host, self.read(job, rank, deadline, net), net);
+                        send(host, self.read(job, rank, deadline, net), net);
                     }
-                    return self.send(host, self.read(job, rank, deadline, net), net);
+                    return send(host, self.read(job, rank, deadline, net), net);
                 }
                 let host = self.pick(net);
-                self.send(host, self.read(job, rank, deadline, net), net);
+                send(host, self.read(job, rank, deadline, net), net);
             }
             Kind::Session if self.lease.is_none() => {
                 if self.number == FIRST_SESSION {
@@ -154,7 +156,7 @@
     fn send_order(&mut self, host: usize, net: &mut Net) {
         let Some(order) = &mut self.order else { return };
         order.tries += 1;
-        let deadline = Duration::from_millis(1_000);
+        let deadline = ORDER_DEADLINE;
         let call = Call {
             caller: self.number,
             job: order.job,
@@ -165,7 +167,7 @@
             deadline: net.now + deadline,
         };
         let job = order.job;
-        self.send(host, call, net);
+        send(host, call, net);
         net.send(self.node(), deadline + PATIENCE, Message::CallTimeout(job));
     }
 
@@ -256,15 +258,15 @@
         self.hosts[net.random.usize(..self.hosts.len())]
     }
 
-    fn send(&self, host: usize, call: Call, net: &mut Net) {
-        net.send(net.host(host), HOP, Message::Call(call));
-    }
-
     fn node(&self) -> Node {
         Node::Caller(self.number)
     }
 }
 
+fn send(host: usize, call: Call, net: &mut Net) {
+    net.send(net.host(host), HOP, Message::Call(call));
+}
+
 /// Number of the first caller with a session; its order is the one whose steps count.
 pub(super) const FIRST_SESSION: usize = 2;
 
--- a/xtask/src/matrix/guard.rs
+++ b/xtask/src/matrix/guard.rs
@@ -24,7 +24,7 @@
     RepeatKey,
     /// Backend servers that leave get no new work.
     LeavingUpstream,
-    /// An entry host that leaves turns new work away.
+    /// An entry host that is told to leave gets out of the directions and turns new work away.
     LeavingHost,
     /// An entry host stops only when its work is finished.
     GracefulStop,
--- a/xtask/src/matrix/host.rs
+++ b/xtask/src/matrix/host.rs
@@ -8,15 +8,16 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use admission::{Budget, Gate};
 use balance::Balancer;
 use document::{Replica, Version};
+use member::{Address, Life as Stage, Phase, Starting, Table};
 use order::{Engine, Event, Key, Offset, Stream, Ticket};
 
-use self::{peers::Peer, task::Task};
+use self::task::Task;
 use super::{
     backend::SLOTS,
     guard::Guard,
@@ -52,8 +53,11 @@
     next_ticket: Ticket,
     follows: BTreeMap<Stream, Offset>,
     reading: BTreeSet<String>,
-    peers: BTreeMap<usize, Peer>,
-    leaving: Option<Instant>,
+    table: Table,
+    stage: Stage,
+    /// Heartbeats that wait for an answer, by their serial numbers.
+    unanswered: BTreeMap<Address, u64>,
+    heartbeats: u64,
     /// Upstreams that said themselves that they leave.
     shedding: BTreeSet<usize>,
     served: usize,
@@ -66,13 +70,19 @@
         net.lives[number] += 1;
         net.up[number] = true;
         net.ledger.host_starts(number);
+        net.list_host(number, Some(false));
         let (now, life) = (net.now, net.lives[number]);
         let settings =
             balance::Settings { probe_budget_per_s: PROBES_PER_S, ..balance::Settings::default() };
         let seed = net.random.u64(..);
         let mut balancer = Balancer::new(settings, domain(number), Vec::new(), seed, now);
         balancer.set_hosts(now, u32::try_from(HOSTS).unwrap_or(u32::MAX));
-        let (engine, actions) = Engine::new(order::Settings::default(), net.random.u64(..));
+        let incarnation = net.random.u64(..);
+        let (engine, actions) = Engine::new(order::Settings::default(), incarnation);
+        let identity = Self::identity(number, incarnation);
+        let seeds: Vec<Address> = (0..HOSTS).map(peers::address).collect();
+        let rng = fastrand::Rng::with_seed(net.random.u64(..));
+        let table = Table::new(identity, &seeds, member::Settings::default(), rng, now);
         let slots = SLOTS * u32::try_from(BACKENDS / HOSTS).unwrap_or(1);
         let mut host = Self {
             number,
@@ -89,11 +99,14 @@
             next_ticket: 0,
             follows: BTreeMap::new(),
             reading: BTreeSet::new(),
-            peers: BTreeMap::new(),
-            leaving: None,
+            table,
+            stage: Stage::Starting(Starting),
+            unanswered: BTreeMap::new(),
+            heartbeats: 0,
             shedding: BTreeSet::new(),
             served: 0,
-            ticks: 0,
+            // Hosts read the log at different times.
+            ticks: 2 * u32::try_from(number).unwrap_or_default(),
         };
         host.perform(actions, net);
         net.send(host.node(), TICK, Message::Tick);
@@ -113,7 +126,7 @@
             Message::Call(call) => self.call(call, net),
             Message::Session { caller } => self.issue(caller, net),
             Message::Directions { caller } => {
-                let hosts = self.directions(net.now);
+                let hosts = self.directions(caller, net);
                 net.send(Node::Caller(caller), super::net::HOP, Message::Hosts(hosts));
             }
             Message::Connected { attempt, is_refused } => self.connected(attempt, is_refused, net),
@@ -126,9 +139,11 @@
             Message::Tick => self.tick(net),
             Message::Appended { token, append } => self.appended(token, append, net),
             Message::Records { stream, page } => self.records(&stream, page, net),
-            Message::Heartbeat(it) => self.heartbeat(it, net.now),
+            Message::Heartbeat { .. } => self.heartbeat(message, net),
+            Message::HeartbeatAnswer { .. } => self.heartbeat_answer(message, net),
+            Message::HeartbeatTimeout { to, serial } => self.heartbeat_timeout(to, serial),
             Message::Forward { from, ticket, submission, call } => {
-                self.forwarded_here(from, ticket, submission, call, net);
+                self.forwarded_here(from, ticket, &submission, call, net);
             }
             Message::Forwarded { ticket, outcome } => {
                 self.event(Event::Forwarded(ticket, outcome), net);
@@ -146,13 +161,14 @@
     fn tick(&mut self, net: &mut Net) {
         net.send(self.node(), TICK, Message::Tick);
         self.ticks += 1;
-        let events = self.gate.tick(net.now);
-        self.follow_gate(&events, net);
+        self.refresh_capacity(net);
         self.event(Event::Tick, net);
+        let due = self.table.tick(net.now);
+        self.send_heartbeats(due, net);
         self.probe(net);
         if self.ticks.is_multiple_of(20) {
-            self.send_heartbeats(net);
             self.mark_leaving_upstreams(net);
+            self.read_host_list(net);
         }
         if self.ticks.is_multiple_of(5) {
             self.poll(net);
@@ -164,23 +180,34 @@
         let named = self.balancer.probe(net.now);
         let is_due = self.ticks.is_multiple_of(10);
         let unasked = (!net.guards(Guard::ProbeBudget) && is_due).then(|| upstream(0));
-        for it in named.or(unasked) {
+        if let Some(it) = named.or(unasked) {
             net.ledger.probed(net.now);
-            net.send(
-                Node::Backend(backend(&it)),
-                super::net::HOP,
-                Message::Probe { from: self.node() },
-            );
+            let probe = Message::Probe { from: self.node() };
+            net.send(Node::Backend(backend(&it)), super::net::HOP, probe);
         }
     }
 
+    /// Lets the gate give out as many slots as the upstreams have room for.
+    fn refresh_capacity(&mut self, net: &mut Net) {
+        let capacity = self.balancer.capacity(net.now);
+        let mut events = self.gate.set_capacity(net.now, capacity);
+        events.extend(self.gate.tick(net.now));
+        self.follow_gate(&events, net);
+    }
+
     fn leave(&mut self, net: &mut Net) {
-        if self.leaving.is_some() {
+        if !net.guards(Guard::LeavingHost) {
+            net.ledger.host_leaves(self.number, net.now);
             return;
         }
-        self.leaving = Some(net.now);
+        self.stage = match self.stage {
+            Stage::Starting(it) => Stage::Stopped(it.stop()),
+            Stage::Ready(it) => Stage::Leaving(it.leave(net.now, DIRECTIONS_KEEP)),
+            Stage::Leaving(_) | Stage::Stopped(_) => return,
+        };
         net.ledger.host_leaves(self.number, net.now);
-        self.send_heartbeats(net);
+        net.list_host(self.number, Some(true));
+        self.tell_phase(Phase::Leaving, net);
         if self.number == HOSTS - 1 {
             net.reach(Step::HostLeave, self.number, None);
         }
@@ -188,23 +215,31 @@
 
     /// Whether new work is turned away.
     fn turns_away(&self, net: &Net) -> bool {
-        let is_past = |it: Instant| net.now >= it + DIRECTIONS_KEEP;
-        net.guards(Guard::LeavingHost) && self.leaving.is_some_and(is_past)
+        match self.stage {
+            Stage::Starting(_) | Stage::Stopped(_) => true,
+            Stage::Ready(_) => false,
+            Stage::Leaving(it) => it.admit(net.now) == member::Verdict::TurnAway,
+        }
     }
 
     /// Stops once the directions that named this host are used up and its work is finished.
     fn stop_if_done(&mut self, net: &mut Net) {
-        let Some(since) = self.leaving else { return };
-        let is_due = net.now >= since + DIRECTIONS_KEEP * 2;
-        let is_abrupt = !net.guards(Guard::GracefulStop) && !self.tasks.is_empty();
-        if is_abrupt || (is_due && self.tasks.is_empty()) {
-            net.up[self.number] = false;
-            net.ledger.host_stopped(self.number, self.served, self.tasks.len());
-            net.send(Node::World, DIRECTIONS_KEEP, Message::Start(self.number));
-            if self.number == HOSTS - 1 {
-                net.reach(Step::HostStop, self.number, None);
+        if let Stage::Leaving(it) = self.stage {
+            let in_progress = if net.guards(Guard::GracefulStop) { self.tasks.len() } else { 0 };
+            if let Ok(stopped) = it.finish(in_progress, net.now) {
+                self.stage = Stage::Stopped(stopped);
             }
         }
+        if !matches!(self.stage, Stage::Stopped(_)) {
+            return;
+        }
+        net.up[self.number] = false;
+        net.list_host(self.number, None);
+        net.ledger.host_stopped(self.number, self.served, self.tasks.len());
+        net.send(Node::World, DIRECTIONS_KEEP, Message::Start(self.number));
+        if self.number == HOSTS - 1 {
+            net.reach(Step::HostStop, self.number, None);
+        }
     }
 }
 
--- a/xtask/src/matrix/host/configuration.rs
+++ b/xtask/src/matrix/host/configuration.rs
@@ -111,6 +111,13 @@
         self.mark_leaving_upstreams(net);
         let events = self.gate.set_ranks(net.now, &ranks);
         self.follow_gate(&events, net);
+        self.refresh_capacity(net);
+        if let member::Life::Starting(it) = self.stage {
+            self.stage = member::Life::Ready(it.ready());
+        }
+        // Members count versions from 1, so that 0 stands for none.
+        self.table.set_version(version + 1);
+        self.tell_phase(self.stage.phase(), net);
         let live = net.live();
         net.ledger.in_force(self.number, version, &live, net.now);
         if version > 0 && !is_first {
--- a/xtask/src/matrix/host/orders.rs
+++ b/xtask/src/matrix/host/orders.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use order::{Action, Event, Fingerprint, Key, Landing, Outcome, Stream, Submission, Ticket};
 
-use super::{Host, task::Origin};
+use super::{Host, peers::Holder, task::Origin};
 use crate::matrix::{
     guard::Guard,
     message::{Append, Call, Message, Node, Payload, Reply, Token},
@@ -18,7 +18,7 @@
 
 impl Host {
     pub(super) fn issue(&mut self, caller: usize, net: &mut Net) {
-        let is_open = self.version.is_some() && self.leaving.is_none();
+        let is_open = matches!(self.stage, member::Life::Ready(_));
         let nonce = net.random.u64(..);
         let lease = if is_open { self.engine.issue(true, nonce, net.now) } else { None };
         net.send(Node::Caller(caller), HOP, Message::Lease(lease));
@@ -43,13 +43,14 @@
         &mut self,
         from: Node,
         ticket: Ticket,
-        submission: Submission,
+        submission: &Submission,
         call: Call,
         net: &mut Net,
     ) {
         let origin = Origin::Peer { host: from, ticket };
         let ticket = self.open(call, origin, net);
-        self.event(Event::Submitted(Submission { ticket, forwarded: true, ..submission }), net);
+        let submission = Submission { ticket, forwarded: true, ..submission.clone() };
+        self.event(Event::Submitted(submission), net);
     }
 
     pub(super) fn event(&mut self, event: Event, net: &mut Net) {
@@ -96,16 +97,12 @@
     }
 
     fn start_order(&mut self, ticket: Ticket, key: Key, net: &mut Net) {
-        match self.tasks.get(&ticket) {
-            Some(task) => {
-                net.reach_job(task.call.job, Step::OrderReadBack, self.number, None);
-                self.admit(ticket, net);
-            }
-            None => {
-                let outcome = Outcome::NotRun(order::Reason::Refused);
-                self.event(Event::Finished(key, outcome), net);
-            }
+        if let Some(task) = self.tasks.get(&ticket) {
+            net.reach_job(task.call.job, Step::OrderReadBack, self.number, None);
+            return self.admit(ticket, net);
         }
+        let outcome = Outcome::NotRun(order::Reason::Refused);
+        self.event(Event::Finished(key, outcome), net);
     }
 
     fn pass_on(&mut self, ticket: Ticket, to: order::Incarnation, net: &mut Net) {
@@ -114,10 +111,14 @@
         if !net.guards(Guard::Issuer) {
             return self.admit(ticket, net);
         }
-        let holder = self.peers.iter().find(|(_, it)| it.incarnations.contains(&to));
-        let Some((&number, _)) = holder else {
-            let gone = Event::ForwardFailed { ticket, gone: self.has_ended(to, net.now) };
-            return self.event(gone, net);
+        let number = match self.holder(to, net) {
+            Holder::Host(it) => it,
+            Holder::Ended => {
+                return self.event(Event::ForwardFailed { ticket, gone: true }, net);
+            }
+            Holder::Unreachable => {
+                return self.event(Event::ForwardFailed { ticket, gone: false }, net);
+            }
         };
         let fingerprint = Fingerprint::of("POST", "/orders", &call.job.to_le_bytes());
         let (deadline, acknowledged) = (call.deadline, call.acknowledged);
--- a/xtask/src/matrix/host/peers.rs
+++ b/xtask/src/matrix/host/peers.rs
@@ -1,70 +1,107 @@
 //! The other entry hosts, directions to callers, and backend servers that leave.
 
-use std::{
-    collections::BTreeSet,
-    time::{Duration, Instant},
-};
+use std::time::Duration;
 
 use balance::Digest;
+use member::{Address, Heartbeat, Identity, Issuer, Listed, Phase};
 use order::Incarnation;
 
-use super::{Host, upstream};
+use super::{Host, domain, upstream};
 use crate::matrix::{
     guard::Guard,
-    message::{Heartbeat, Message},
-    net::{BACKENDS, HOSTS, Net},
+    message::{Message, Node},
+    net::{BACKENDS, Net},
 };
 
-/// Time without a heartbeat after which a peer is no longer named to callers.
-const SILENCE: Duration = Duration::from_millis(1_000);
+/// Time after which a heartbeat counts as unanswered.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Port of the first entry host; the others follow.
+const FIRST_PORT: u16 = 7_000;
 
-/// What was last heard of another entry host.
-pub(super) struct Peer {
-    pub(super) at: Instant,
-    pub(super) incarnations: BTreeSet<Incarnation>,
-    /// Incarnations that the host had in earlier lives.
-    pub(super) ended: BTreeSet<Incarnation>,
-    pub(super) is_leaving: bool,
+/// Where a request for an incarnation should go.
+pub(super) enum Holder {
+    Host(usize),
+    /// The incarnation's host answers with a later one.
+    Ended,
+    Unreachable,
 }
 
 impl Host {
-    pub(super) fn send_heartbeats(&self, net: &mut Net) {
-        let heartbeat = Heartbeat {
-            from: self.number,
-            incarnations: self.engine.incarnations(),
-            is_leaving: self.leaving.is_some() || self.version.is_none(),
-            digest: self.balancer.digest(net.now),
-        };
-        for other in (0..HOSTS).filter(|it| *it != self.number) {
-            let message = Message::Heartbeat(heartbeat.clone());
-            net.send_peer(self.number, net.host(other), message);
+    /// Who a host is in one of its lives.
+    pub(super) fn identity(number: usize, incarnation: Incarnation) -> Identity {
+        let address = address(number);
+        Identity { address, entry: address, admin: address, domain: domain(number), incarnation }
+    }
+
+    /// Sends the heartbeats that are due.
+    pub(super) fn send_heartbeats(&mut self, due: Vec<Heartbeat>, net: &mut Net) {
+        for Heartbeat { to, exchange } in due {
+            let message = Message::Heartbeat {
+                from: self.node(),
+                exchange: Box::new(exchange),
+                digest: self.balancer.digest(),
+                leaving: self.shedding.clone(),
+            };
+            net.send_peer(self.number, net.host(number(to)), message);
+            self.heartbeats += 1;
+            self.unanswered.insert(to, self.heartbeats);
+            let timeout = Message::HeartbeatTimeout { to, serial: self.heartbeats };
+            net.send(self.node(), HEARTBEAT_TIMEOUT, timeout);
+        }
+    }
+
+    pub(super) fn heartbeat(&mut self, message: Message, net: &mut Net) {
+        let Message::Heartbeat { from, exchange, digest, leaving } = message else { return };
+        let Node::Host(sender, _) = from else { return };
+        self.take_digest(sender, digest, net);
+        self.shedding.extend(leaving);
+        if let Ok(answer) = self.table.receive(&exchange, net.now) {
+            let answer = Message::HeartbeatAnswer {
+                from: self.node(),
+                exchange: Box::new(answer),
+                leaving: self.shedding.clone(),
+            };
+            net.send_peer(self.number, from, answer);
         }
     }
 
-    pub(super) fn heartbeat(&mut self, it: Heartbeat, now: Instant) {
-        let Heartbeat { from, incarnations, is_leaving, digest } = it;
-        self.take_digest(from, digest, now);
-        let mut ended = BTreeSet::new();
-        if let Some(old) = self.peers.remove(&from) {
-            ended.extend(old.ended);
-            ended.extend(old.incarnations.difference(&incarnations));
+    pub(super) fn heartbeat_answer(&mut self, message: Message, net: &mut Net) {
+        let Message::HeartbeatAnswer { from: Node::Host(sender, _), exchange, leaving } = message
+        else {
+            return;
+        };
+        self.unanswered.remove(&address(sender));
+        self.shedding.extend(leaving);
+        self.mark_leaving_upstreams(net);
+        let _refused = self.table.answered(address(sender), *exchange, net.now);
+    }
+
+    pub(super) fn heartbeat_timeout(&mut self, to: Address, serial: u64) {
+        if self.unanswered.get(&to) == Some(&serial) {
+            self.unanswered.remove(&to);
+            self.table.unanswered(to);
         }
-        self.peers.insert(from, Peer { at: now, incarnations, ended, is_leaving });
     }
 
-    /// Whether an incarnation is known to have ended, not just unreachable.
-    pub(super) fn has_ended(&self, incarnation: Incarnation, now: Instant) -> bool {
-        let is_fresh = |it: &super::Peer| now.saturating_duration_since(it.at) <= SILENCE;
-        self.peers.values().any(|it| is_fresh(it) && it.ended.contains(&incarnation))
+    /// Where a request for an incarnation should go.
+    pub(super) fn holder(&self, incarnation: Incarnation, net: &Net) -> Holder {
+        match self.table.issuer(incarnation, net.now) {
+            Issuer::At(it) | Issuer::Silent(it) => Holder::Host(number(it)),
+            Issuer::Replaced(_) => Holder::Ended,
+            Issuer::Own | Issuer::Unknown => Holder::Unreachable,
+        }
     }
 
     /// Entry hosts that callers should use.
-    pub(super) fn directions(&self, now: Instant) -> Vec<usize> {
-        let is_usable =
-            |it: &Peer| !it.is_leaving && now.saturating_duration_since(it.at) <= SILENCE;
-        let others = self.peers.iter().filter(|(_, it)| is_usable(it)).map(|(it, _)| *it);
-        let own = (self.leaving.is_none() && self.version.is_some()).then_some(self.number);
-        own.into_iter().chain(others).collect()
+    pub(super) fn directions(&self, caller: usize, net: &Net) -> Vec<usize> {
+        let found = self.table.directions(&caller.to_string(), None, net.now);
+        found.iter().map(|it| number(it.address)).collect()
+    }
+
+    /// Tells peers in which phase the host is.
+    pub(super) fn tell_phase(&mut self, phase: Phase, net: &mut Net) {
+        let due = self.table.set_phase(phase, net.now);
+        self.send_heartbeats(due, net);
     }
 
     /// Tells the balancer which upstreams leave, by the host list or by their own word.
@@ -78,7 +115,28 @@
         }
     }
 
-    fn take_digest(&mut self, from: usize, digest: Digest, now: Instant) {
-        self.balancer.peer_digest(now, format!("h{from}").into(), digest);
+    /// Takes over what the platform lists.
+    pub(super) fn read_host_list(&mut self, net: &Net) {
+        let listed = net.listed_hosts();
+        let list: Vec<Listed> = listed
+            .into_iter()
+            .map(|(host, leaving)| Listed { address: address(host), leaving })
+            .collect();
+        self.table.listed(&list, net.now);
+    }
+
+    fn take_digest(&mut self, from: usize, digest: Digest, net: &Net) {
+        self.balancer.peer_digest(net.now, format!("h{from}").into(), digest);
+        self.mark_leaving_upstreams(net);
     }
 }
+
+/// Address of a host for its peers.
+pub(super) fn address(number: usize) -> Address {
+    let offset = u16::try_from(number).unwrap_or_default();
+    Address::from(([127, 0, 0, 1], FIRST_PORT + offset))
+}
+
+fn number(address: Address) -> usize {
+    usize::from(address.port().saturating_sub(FIRST_PORT))
+}
--- a/xtask/src/matrix/message.rs
+++ b/xtask/src/matrix/message.rs
@@ -8,7 +8,8 @@
 use balance::Digest;
 use bytes::Bytes;
 use document::Offset;
-use order::{Batch, Incarnation, Key, Lease, Number, Outcome, Submission, Ticket};
+use member::{Address, Exchange};
+use order::{Batch, Key, Lease, Number, Outcome, Submission, Ticket};
 
 /// Identity of a request's content: the answer to it repeats this number.
 pub(super) type Job = u64;
@@ -115,15 +116,6 @@
     pub(super) records: Vec<(Offset, Bytes)>,
 }
 
-/// What an entry host tells the others now and then.
-#[derive(Clone, Debug)]
-pub(super) struct Heartbeat {
-    pub(super) from: usize,
-    pub(super) incarnations: BTreeSet<Incarnation>,
-    pub(super) is_leaving: bool,
-    pub(super) digest: Digest,
-}
-
 /// What the parts of a cell send each other.
 #[derive(Clone, Debug)]
 pub(super) enum Message {
@@ -160,7 +152,22 @@
         stream: String,
         page: Option<Page>,
     },
-    Heartbeat(Heartbeat),
+    Heartbeat {
+        from: Node,
+        exchange: Box<Exchange>,
+        digest: Digest,
+        /// Backend servers that said themselves that they leave.
+        leaving: BTreeSet<usize>,
+    },
+    HeartbeatAnswer {
+        from: Node,
+        exchange: Box<Exchange>,
+        leaving: BTreeSet<usize>,
+    },
+    HeartbeatTimeout {
+        to: Address,
+        serial: u64,
+    },
     Forward {
         from: Node,
         ticket: Ticket,
--- a/xtask/src/matrix/net.rs
+++ b/xtask/src/matrix/net.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::BinaryHeap,
+    collections::{BTreeMap, BinaryHeap},
     time::{Duration, Instant},
 };
 
@@ -26,7 +26,7 @@
 /// Time of a message between an entry host and a backend server or a caller.
 pub(super) const HOP: Duration = Duration::from_micros(300);
 /// Length of most faults.
-const SHORT: Duration = Duration::from_millis(1_000);
+const SHORT: Duration = Duration::from_secs(1);
 /// Length of faults that must outlast a suspicion.
 const LONG: Duration = Duration::from_millis(2_500);
 /// Time between the two injections of a fault that comes twice.
@@ -69,6 +69,8 @@
     cut_in: [Instant; HOSTS],
     cut_out: [Instant; HOSTS],
     list_frozen: Option<(Instant, Instant)>,
+    /// Entry hosts and whether each leaves, by the time at which that became true.
+    listings: Vec<(Instant, BTreeMap<usize, bool>)>,
     off: Option<Guard>,
     cell: Option<Cell>,
     again: Option<(Fault, usize, usize)>,
@@ -132,6 +134,7 @@
             cut_in: [now; HOSTS],
             cut_out: [now; HOSTS],
             list_frozen: None,
+            listings: Vec::new(),
             off,
             cell: Some(cell),
             again: None,
@@ -241,10 +244,7 @@
         match fault {
             Fault::Slow => target.slow = long,
             Fault::SuddenSlow => target.stalled = short,
-            Fault::Drain => {
-                target.drains.get_or_insert(now);
-                self.ledger.backend_leaves(backend, now);
-            }
+            Fault::Drain => self.drain(backend),
             Fault::FailFast => target.fails_fast = short,
             Fault::Refused => target.refuses = short,
             Fault::Reset => target.resets = short,
@@ -280,13 +280,40 @@
         self.send(Node::World, Duration::ZERO, Message::Flood { host, rank, left: FLOOD });
     }
 
+    /// Takes a backend server out of service as planned.
+    pub(super) fn drain(&mut self, backend: usize) {
+        self.backends[backend].drains.get_or_insert(self.now);
+        self.ledger.backend_leaves(backend, self.now);
+    }
+
+    /// Tells the platform of an entry host that starts, leaves, or is gone.
+    pub(super) fn list_host(&mut self, host: usize, is_leaving: Option<bool>) {
+        let mut next = self.listings.last().map(|(_, it)| it.clone()).unwrap_or_default();
+        match is_leaving {
+            Some(it) => next.insert(host, it),
+            None => next.remove(&host),
+        };
+        self.listings.push((self.now, next));
+    }
+
+    /// Entry hosts that the platform lists, and whether each is marked as leaving.
+    pub(super) fn listed_hosts(&self) -> BTreeMap<usize, bool> {
+        let seen = self.listed_until();
+        let found = self.listings.iter().rev().find(|(at, _)| *at <= seen);
+        found.map(|(_, it)| it.clone()).unwrap_or_default()
+    }
+
     /// Whether the platform's list shows a backend server as leaving.
     pub(super) fn is_listed_leaving(&self, backend: usize) -> bool {
-        let Some(since) = self.backends[backend].drains else { return false };
+        self.backends[backend].drains.is_some_and(|it| it <= self.listed_until())
+    }
+
+    /// The time up to which the list knows what happened.
+    fn listed_until(&self) -> Instant {
         let seen = match self.list_frozen {
-            Some((from, until)) if since + LIST_LAG > from => until.max(since + LIST_LAG),
-            _ => since + LIST_LAG,
+            Some((from, until)) if self.now < until => from,
+            _ => self.now,
         };
-        self.now >= seen
+        seen.checked_sub(LIST_LAG).unwrap_or(seen)
     }
 }
--- a/xtask/src/matrix/world.rs
+++ b/xtask/src/matrix/world.rs
@@ -25,10 +25,10 @@
 const END: Duration = Duration::from_secs(13);
 /// When the last host begins its life, if its life is the subject.
 const LATE_START: Duration = Duration::from_millis(1_500);
-/// When the last host leaves as planned.
+/// When the last entry host and the last backend server leave as planned.
 const LEAVE: Duration = Duration::from_secs(4);
 /// When the first author makes changes.
-const EDITS: [Duration; 2] = [Duration::from_millis(1_500), Duration::from_millis(5_000)];
+const EDITS: [Duration; 2] = [Duration::from_millis(1_500), Duration::from_secs(5)];
 /// Pause between two requests of a flood.
 const FLOOD_PAUSE: Duration = Duration::from_micros(800);
 /// Deadline of a flood's requests.
@@ -46,7 +46,7 @@
 
 /// Plays a cell, with one guard removed if `off` names one.
 pub(super) fn play(cell: Cell, off: Option<Guard>) -> Verdict {
-    let mut net = Net::new(cell, off);
+    let net = Net::new(cell, off);
     let start = net.now;
     let mut world = World {
         log: Log::default(),
@@ -54,10 +54,7 @@
         backends: (0..BACKENDS).map(Backend::new).collect(),
         callers: Vec::new(),
         authors: (0..3).map(Author::new).collect(),
-        net: {
-            net.ledger.host_starts(0);
-            net
-        },
+        net,
     };
     world.begin(cell, start);
     while let Some((to, message)) = world.net.receive(start + END) {
@@ -96,7 +93,7 @@
                     host.take(message, net);
                 }
             }
-            Node::Backend(number) => self.backends[number].take(message, net),
+            Node::Backend(number) => self.backends[number].take(&message, net),
             Node::Log => self.log.take(message, net),
             Node::Caller(number) => {
                 if let Some(caller) = self.callers.get_mut(number) {
@@ -105,22 +102,24 @@
                     net.ledger.told(job, reply);
                 }
             }
-            Node::Author(number) => self.authors[number].take(message, net),
-            Node::World => self.steer(message),
+            Node::Author(number) => self.authors[number].take(&message, net),
+            Node::World => self.steer(&message),
         }
     }
 
-    fn steer(&mut self, message: Message) {
+    fn steer(&mut self, message: &Message) {
         let net = &mut self.net;
-        match message {
+        match *message {
             Message::Start(number) if !net.up[number] => {
                 self.hosts[number] = Some(Host::start(number, net));
             }
             Message::Kill(number) if net.up[number] => {
                 net.up[number] = false;
+                net.list_host(number, None);
                 net.ledger.host_died(number);
             }
             Message::Leave => {
+                net.drain(BACKENDS - 1);
                 let last = net.host(HOSTS - 1);
                 net.send(last, Duration::ZERO, Message::Leave);
             }
