--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,6 @@
 //! Chores and measurements for developers: `cargo xtask COMMAND`.
 
+mod config;
 mod load;
 mod matrix;
 mod orders;
@@ -11,6 +12,7 @@
 const HELP: &str = "\
 usage: cargo xtask COMMAND [OPTIONS]
 
+  config    runs editors and daemons on a virtual clock under faults of the log
   load      measures what the daemon adds to a call, on loopback
   matrix    plays every fault at every step and checks every promise
   orders    explores the order protocol's core under faults
@@ -25,6 +27,7 @@
     let mut args = std::env::args_os().skip(1);
     let command = args.next().unwrap_or_default();
     match command.to_str().unwrap_or_default() {
+        "config" => config::run(args),
         "load" => load::run(),
         "matrix" => matrix::run(args),
         "orders" => orders::run(args),
