--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod config;
 mod load;
+mod matrix;
 mod orders;
 mod policy;
 mod standins;
@@ -14,6 +15,7 @@
 
   config    runs editors and daemons on a virtual clock under faults of the log
   load      measures what the daemon adds to a call, on loopback
+  matrix    plays every fault at every step and checks every promise
   orders    explores the order protocol's core under faults
   policy    compares the choice of upstreams with baselines and an oracle
   standins  runs the stand-ins, for daemons and command line started by hand
@@ -29,6 +31,7 @@
     match command.to_str().unwrap_or_default() {
         "config" => config::run(args),
         "load" => load::run(),
+        "matrix" => matrix::run(args),
         "orders" => orders::run(args),
         "policy" => policy::run(&mut lexopt::Parser::from_args(args)),
         "standins" => standins::run(args),
