--- a/xtask/src/policy.rs
+++ b/xtask/src/policy.rs
@@ -4,6 +4,7 @@
 
 mod agenda;
 mod baseline;
+mod disturbance;
 mod entry;
 mod ini;
 mod outcome;
--- /dev/null
+++ b/xtask/src/policy/disturbance.rs
@@ -0,0 +1,75 @@
+//! Noisy neighbours and faults, as events of a run.
+
+use super::{
+    scenario::FaultKind,
+    server::{draw_exponential, draw_log_uniform},
+    world::{Event, Hosts, World},
+};
+
+/// Steps in which a cold server becomes warm.
+const WARMING_STEPS: u32 = 20;
+
+impl World<'_> {
+    pub(super) fn change_noise(&mut self, upstream: usize, starts: bool) {
+        let noise = &self.scenario.noise;
+        let rng = &mut self.noise[upstream];
+        let factor = draw_log_uniform(rng, noise.least_factor, noise.greatest_factor);
+        self.servers[upstream].advance(self.now_s);
+        self.servers[upstream].noise = if starts { factor } else { 1.0 };
+        self.schedule_completion(upstream);
+        self.schedule_noise(upstream, !starts);
+    }
+
+    pub(super) fn change_fault(&mut self, index: usize, step: u32) {
+        let fault = &self.scenario.faults[index];
+        let upstream = fault.upstream;
+        let is_over = step >= WARMING_STEPS;
+        let next_step = if fault.kind == FaultKind::Cold { step + 1 } else { WARMING_STEPS };
+        let gone = f64::from(step) / f64::from(WARMING_STEPS);
+        self.servers[upstream].advance(self.now_s);
+        let server = &mut self.servers[upstream];
+        match fault.kind {
+            FaultKind::Slow | FaultKind::Cold => {
+                server.fault = (fault.factor - 1.0).mul_add(1.0 - gone, 1.0);
+            }
+            FaultKind::FailFast => server.fails_fast = !is_over,
+            FaultKind::Drain => server.drains = !is_over,
+        }
+        self.schedule_completion(upstream);
+        if fault.kind == FaultKind::Drain {
+            let lag_s = self.scenario.host_list_lag_ms / 1e3;
+            self.agenda.push(self.now_s + lag_s, Event::HostList { upstream, leaving: !is_over });
+        }
+        if !is_over {
+            let share = f64::from(next_step - step) / f64::from(WARMING_STEPS);
+            let event = Event::Fault { index, step: next_step };
+            self.agenda.push(self.now_s + fault.for_s * share, event);
+        }
+    }
+
+    pub(super) fn set_leaving(&mut self, upstream: usize, leaving: bool) {
+        match &mut self.hosts {
+            Hosts::Product(hosts) => {
+                for it in hosts {
+                    it.set_leaving(upstream, leaving);
+                }
+            }
+            Hosts::Baseline(hosts) => {
+                for it in hosts {
+                    it.set_leaving(upstream, leaving);
+                }
+            }
+        }
+    }
+
+    pub(super) fn schedule_noise(&mut self, upstream: usize, starts: bool) {
+        let noise = &self.scenario.noise;
+        let rng = &mut self.noise[upstream];
+        let after_ms = if starts {
+            noise.every_ms * draw_exponential(rng)
+        } else {
+            draw_log_uniform(rng, noise.shortest_ms, noise.longest_ms)
+        };
+        self.agenda.push(self.now_s + after_ms / 1e3, Event::Noise { upstream, starts });
+    }
+}
--- a/xtask/src/policy/outcome.rs
+++ b/xtask/src/policy/outcome.rs
@@ -25,18 +25,19 @@
             it.name, it.upstreams, it.slots, it.hosts, it.load_percent, it.duration_s
         );
         println!(
-            "  policy       p50 ms  p99 ms (least-most)      p99.9 ms  queue seen  refused  failed"
+            "  policy       p50 ms  p99 ms (least-most)      p99.9 ms  urgent p99  queue seen  refused  failed"
         );
         for (policy, tallies) in &self.tallies {
             let p99: Vec<f64> = tallies.iter().map(Tally::p99_ms).collect();
             let least = p99.iter().copied().fold(f64::INFINITY, f64::min);
             let most = p99.iter().copied().fold(0.0, f64::max);
             println!(
-                "  {:<12} {:6.1}  {:6.1} ({least:6.1}-{most:6.1})  {:9.1}  {:10.2}  {:7}  {:6}",
+                "  {:<12} {:6.1}  {:6.1} ({least:6.1}-{most:6.1})  {:9.1}  {:10.1}  {:10.2}  {:7}  {:6}",
                 policy.name(),
                 mean(tallies, |it| it.percentile_ms(50.0)),
                 mean(tallies, Tally::p99_ms),
                 mean(tallies, |it| it.percentile_ms(99.9)),
+                mean(tallies, Tally::urgent_p99_ms),
                 mean(tallies, |it| it.queue_seen as f64 / it.dispatches.max(1) as f64),
                 tallies.iter().flat_map(|it| &it.ranks).map(|it| it.refused).sum::<u64>(),
                 tallies.iter().flat_map(|it| &it.ranks).map(|it| it.failed).sum::<u64>(),
--- a/xtask/src/policy/tally.rs
+++ b/xtask/src/policy/tally.rs
@@ -29,6 +29,8 @@
     /// Latency of answers at the entry host in microseconds; a refusal or failure counts as the
     /// rank's deadline.
     pub(crate) latency_us: Histogram<u64>,
+    /// The same for the most urgent rank alone.
+    pub(crate) urgent_latency_us: Histogram<u64>,
     pub(crate) ranks: Vec<RankTally>,
     pub(crate) probes: u64,
     /// Largest excess of the probes sent so far over what the budget allowed until then.
@@ -57,9 +59,11 @@
             in_time_in_flood: 0,
             slot_time_in_flood_s: 0.0,
         };
+        let latency_us =
+            Histogram::new_with_max(LONGEST_US, DIGITS).expect("bounds and precision are valid");
         Self {
-            latency_us: Histogram::new_with_max(LONGEST_US, DIGITS)
-                .expect("bounds and precision are valid"),
+            latency_us: latency_us.clone(),
+            urgent_latency_us: latency_us,
             ranks: vec![rank; scenario.ranks.len()],
             probes: 0,
             probes_over_budget: 0.0,
@@ -93,6 +97,9 @@
         counts.in_time_in_flood += u64::from(in_flood && in_time);
         let latency_s = if end == End::Answered { taken_s } else { taken_s.max(deadline_s) };
         self.latency_us.saturating_record(micros(latency_s));
+        if rank == scenario.urgent() {
+            self.urgent_latency_us.saturating_record(micros(latency_s));
+        }
     }
 
     /// Takes in that a request of `rank` held a slot from `start_s` to `end_s`.
@@ -115,6 +122,11 @@
         self.percentile_ms(99.0)
     }
 
+    /// 99th percentile of the most urgent rank's latency in milliseconds.
+    pub(crate) fn urgent_p99_ms(&self) -> f64 {
+        self.urgent_latency_us.value_at_percentile(99.0) as f64 / 1e3
+    }
+
     pub(crate) fn percentile_ms(&self, percent: f64) -> f64 {
         self.latency_us.value_at_percentile(percent) as f64 / 1e3
     }
--- a/xtask/src/policy/world.rs
+++ b/xtask/src/policy/world.rs
@@ -8,8 +8,8 @@
     agenda::Agenda,
     baseline::{Baseline, Policy},
     entry::{Action, Entry, Offer},
-    scenario::{FaultKind, Scenario},
-    server::{Server, draw_exponential, draw_log_uniform, draw_work_s},
+    scenario::Scenario,
+    server::{Server, draw_exponential, draw_work_s},
     tally::{End, Tally},
 };
 
@@ -19,12 +19,10 @@
 const TICK_S: f64 = 0.002;
 /// Time after which a server that fails fast answers.
 const FAIL_FAST_S: f64 = 0.0002;
-/// Steps in which a cold server becomes warm.
-const WARMING_STEPS: u32 = 20;
 
 /// Something that happens at a moment.
 #[derive(Clone, Debug)]
-enum Event {
+pub(super) enum Event {
     Arrive { rank: usize },
     Reach { upstream: usize, request: usize },
     Complete { upstream: usize, generation: u64 },
@@ -52,22 +50,22 @@
 }
 
 /// The entry hosts, all with the same policy.
-enum Hosts {
+pub(super) enum Hosts {
     Product(Vec<Entry>),
     Baseline(Vec<Baseline>),
 }
 
 /// One run.
 pub(crate) struct World<'a> {
-    scenario: &'a Scenario,
+    pub(super) scenario: &'a Scenario,
     origin: Instant,
-    now_s: f64,
-    agenda: Agenda<Event>,
-    servers: Vec<Server>,
-    hosts: Hosts,
+    pub(super) now_s: f64,
+    pub(super) agenda: Agenda<Event>,
+    pub(super) servers: Vec<Server>,
+    pub(super) hosts: Hosts,
     requests: Vec<Request>,
     arrivals: Vec<fastrand::Rng>,
-    noise: Vec<fastrand::Rng>,
+    pub(super) noise: Vec<fastrand::Rng>,
     probes: Vec<(usize, usize)>,
     tally: Tally,
 }
@@ -324,58 +322,6 @@
         }
     }
 
-    fn change_noise(&mut self, upstream: usize, starts: bool) {
-        let noise = &self.scenario.noise;
-        let rng = &mut self.noise[upstream];
-        let factor = draw_log_uniform(rng, noise.least_factor, noise.greatest_factor);
-        self.servers[upstream].advance(self.now_s);
-        self.servers[upstream].noise = if starts { factor } else { 1.0 };
-        self.schedule_completion(upstream);
-        self.schedule_noise(upstream, !starts);
-    }
-
-    fn change_fault(&mut self, index: usize, step: u32) {
-        let fault = &self.scenario.faults[index];
-        let upstream = fault.upstream;
-        let is_over = step >= WARMING_STEPS;
-        let next_step = if fault.kind == FaultKind::Cold { step + 1 } else { WARMING_STEPS };
-        let gone = f64::from(step) / f64::from(WARMING_STEPS);
-        self.servers[upstream].advance(self.now_s);
-        let server = &mut self.servers[upstream];
-        match fault.kind {
-            FaultKind::Slow | FaultKind::Cold => {
-                server.fault = (fault.factor - 1.0).mul_add(1.0 - gone, 1.0);
-            }
-            FaultKind::FailFast => server.fails_fast = !is_over,
-            FaultKind::Drain => server.drains = !is_over,
-        }
-        self.schedule_completion(upstream);
-        if fault.kind == FaultKind::Drain {
-            let lag_s = self.scenario.host_list_lag_ms / 1e3;
-            self.agenda.push(self.now_s + lag_s, Event::HostList { upstream, leaving: !is_over });
-        }
-        if !is_over {
-            let share = f64::from(next_step - step) / f64::from(WARMING_STEPS);
-            let event = Event::Fault { index, step: next_step };
-            self.agenda.push(self.now_s + fault.for_s * share, event);
-        }
-    }
-
-    fn set_leaving(&mut self, upstream: usize, leaving: bool) {
-        match &mut self.hosts {
-            Hosts::Product(hosts) => {
-                for it in hosts {
-                    it.set_leaving(upstream, leaving);
-                }
-            }
-            Hosts::Baseline(hosts) => {
-                for it in hosts {
-                    it.set_leaving(upstream, leaving);
-                }
-            }
-        }
-    }
-
     fn tick(&mut self, host: usize) {
         let now = self.now();
         self.agenda.push(self.now_s + TICK_S, Event::Tick { host });
@@ -413,18 +359,7 @@
         }
     }
 
-    fn schedule_noise(&mut self, upstream: usize, starts: bool) {
-        let noise = &self.scenario.noise;
-        let rng = &mut self.noise[upstream];
-        let after_ms = if starts {
-            noise.every_ms * draw_exponential(rng)
-        } else {
-            draw_log_uniform(rng, noise.shortest_ms, noise.longest_ms)
-        };
-        self.agenda.push(self.now_s + after_ms / 1e3, Event::Noise { upstream, starts });
-    }
-
-    fn schedule_completion(&mut self, upstream: usize) {
+    pub(super) fn schedule_completion(&mut self, upstream: usize) {
         let server = &self.servers[upstream];
         let generation = server.generation;
         if let Some(at_s) = server.next_completion_s() {
