--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -37,6 +37,8 @@
     failing: usize,
     peers: Peers,
     bucket: Bucket,
+    /// Kept between choices for its memory.
+    ranking: Ranking,
     probes: u64,
 }
 
@@ -68,6 +70,7 @@
             failing: 0,
             peers: Peers::default(),
             bucket,
+            ranking: Ranking::default(),
             probes: 0,
         };
         res.update(now, upstreams);
@@ -135,14 +138,14 @@
     /// Says why no upstream was chosen; nothing counts as in flight then.
     pub fn choose(&mut self, now: Instant, tried: &[UpstreamId]) -> Result<Choice> {
         let at = self.moment(now);
-        let (best, ranking) = self.weigh(at, tried)?;
+        let (best, runner_up) = self.weigh(at, tried)?;
         let chosen = self.candidate(best);
-        let runner_up = ranking.runner_up.map(|it| self.candidate(it));
+        let runner_up = runner_up.map(|it| self.candidate(it));
         self.serial += 1;
         let flight = Flight { serial: self.serial, at, stretch: best.view.stretch };
         self.states[best.index].flights.push(flight);
         let dispatch = Dispatch { upstream: chosen.upstream.clone(), serial: self.serial, at: now };
-        Ok(Choice { dispatch, chosen, runner_up, weighed: ranking.weighed })
+        Ok(Choice { dispatch, chosen, runner_up, weighed: self.ranking.weighed })
     }
 
     /// Takes in the end of an attempt.
@@ -260,16 +263,16 @@
         self.states.iter().filter(|it| it.health.is_ejected(at)).count()
     }
 
-    fn weigh(&mut self, at: Moment, tried: &[UpstreamId]) -> Result<(Place, Ranking)> {
+    fn weigh(&mut self, at: Moment, tried: &[UpstreamId]) -> Result<(Place, Option<Place>)> {
         let means = self.service.means(at, &self.settings);
         let trusted = self.trusts_failures();
         let len = self.states.len();
         let start = if len == 0 { 0 } else { self.rng.usize(..len) };
         let sample = self.settings.sample.max(1);
-        let mut ranking = Ranking::default();
+        self.ranking.clear();
         let mut reason = Reason::NoUpstream;
         for step in 0..len.min(sample.saturating_mul(WINDOWS)) {
-            if step >= sample && ranking.best.is_some() {
+            if step >= sample && !self.ranking.is_empty() {
                 break;
             }
             let index = (start + step) % len;
@@ -281,17 +284,17 @@
                 reason = reason.max(Reason::AllTried);
                 continue;
             }
-            ranking.weighed += 1;
+            self.ranking.weighed += 1;
             let view = state.view(at, &self.settings, means, trusted);
             if view.has_room {
-                ranking.offer(Place { index, view });
+                self.ranking.offer(Place { index, view });
             } else {
                 reason = Reason::Full;
             }
         }
         let retry_after = duration(means.service_time * RETRY_SHARE);
-        let best = ranking.best.ok_or(Refusal { reason, retry_after })?;
-        Ok((best, ranking))
+        let tie = 1.0 + f64::from(self.settings.tie_percent) / 100.0;
+        self.ranking.pick(&mut self.rng, tie).ok_or(Refusal { reason, retry_after })
     }
 
     fn candidate(&self, place: Place) -> Candidate {
--- a/crates/balance/src/settings.rs
+++ b/crates/balance/src/settings.rs
@@ -10,6 +10,9 @@
     pub hosts: u32,
     /// Upstreams weighed for one choice; all are weighed if the service has no more.
     pub sample: usize,
+    /// Candidates whose expected time is this much longer than the best one's count as equal, in
+    /// percent.
+    pub tie_percent: u32,
     /// Service time assumed before any answer.
     pub initial_service_time: Duration,
     /// Time constant with which an upstream's own service time returns to the service's mean.
@@ -59,6 +62,7 @@
         Self {
             hosts: 1,
             sample: 32,
+            tie_percent: 3,
             initial_service_time: Duration::from_millis(10),
             speed_memory: Duration::from_millis(200),
             speed_prior: 2.0,
