--- a/crates/daemon/src/path.rs
+++ b/crates/daemon/src/path.rs
@@ -7,7 +7,10 @@
 pub mod draft;
 pub mod plan;
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -21,11 +24,13 @@
         reply::{self, Outcome, Refusal, Reply},
     },
     id,
+    membership::Intake,
+    orders,
     state::State,
     upstream::attempt::{Answer, Message},
 };
 
-use draft::Draft;
+pub use draft::Draft;
 pub use plan::Plan;
 
 /// A value, or the refusal that the caller gets in its place.
@@ -47,10 +52,16 @@
 impl Handler for Path {
     async fn handle(self: Arc<Self>, req: Request<Incoming>, caller: SocketAddr) -> Reply {
         let id = self.state.ids.next();
+        let _busy = Busy::new(&self.state);
         if req.uri().path() == directions::PATH {
-            return directions::answer(&self.state, &req, id);
+            return directions::answer(&self.state, &req, caller, id);
         }
         let mut draft = Draft::new(&self.state, id);
+        let has_key = req.headers().contains_key(header::KEY);
+        if let Some(it) = turned_away(&self.state, caller).map(|it| orders::soften(it, has_key)) {
+            draft.close(it.outcome, it.status, it.reason);
+            return it.reply(id);
+        }
         match answer(&self.state, req, caller, id, &mut draft).await {
             Ok(it) => {
                 draft.close(Outcome::Done, it.status, "");
@@ -64,6 +75,35 @@
     }
 }
 
+/// Counts a request as in progress until it is dropped.
+struct Busy(Arc<State>);
+
+impl Busy {
+    fn new(state: &Arc<State>) -> Self {
+        state.in_progress.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(state))
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.in_progress.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// The refusal of a request that arrives before the daemon serves, or after it has left.
+fn turned_away(state: &State, caller: SocketAddr) -> Option<Refusal> {
+    let intake = state.membership().map_or(Intake::NotReady, |it| it.intake());
+    let (reason, message) = match intake {
+        Intake::Serve => return None,
+        Intake::NotReady => ("not-ready", "this entry host has no configuration yet; use another"),
+        Intake::TurnAway => ("leaving", "this entry host is leaving; use another"),
+    };
+    let others = state.entry_hosts(&caller.ip().to_string());
+    let others: Vec<_> = others.iter().map(ToString::to_string).collect();
+    Some(Refusal { reason, message: message.into(), entry: others.join(","), ..Refusal::default() })
+}
+
 async fn answer(
     state: &Arc<State>,
     req: Request<Incoming>,
@@ -73,9 +113,12 @@
 ) -> Result<Answer> {
     let accepted = state.clock.now();
     let (head, body) = req.into_parts();
-    let plan = plan::make(state, &head, caller, id, accepted)?;
+    let has_key = head.headers.contains_key(header::KEY);
+    let planned = plan::make(state, &head, caller, id, accepted);
+    let plan = planned.map_err(|it| orders::soften(it, has_key))?;
     draft.plan(&plan);
-    let body = read(state, body, &plan).await?;
+    let body = read(state, body, &plan).await;
+    let body = body.map_err(|it| orders::soften(it, plan.order.is_some()))?;
     let message = plan::message(head, body.bytes.clone());
     if plan.route.config.idempotent {
         return attempts::run(state, &plan, &message, draft).await;
@@ -94,8 +137,10 @@
 ) -> Result<Answer> {
     let state = Arc::clone(state);
     let mut detached = draft.detach(&state, plan.id);
+    let busy = Busy::new(&state);
     let task = tokio::spawn(async move {
-        let res = attempts::run(&state, &plan, &message, &mut detached).await;
+        let _busy = busy;
+        let res = orders::run(&state, &plan, &message, &mut detached).await;
         drop(body);
         (res, detached)
     });
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -86,30 +86,37 @@
     ///
     /// Fails if a part can't start or the document is not in force within 10 s.
     pub fn start(settings: Settings) -> Result<Self> {
+        let mut res = Self::idle(settings)?;
+        let version = res.publish(&res.document())?;
+        for number in 0..res.settings.daemons {
+            let daemon = res.start_daemon(number)?;
+            res.daemons.push(daemon);
+        }
+        res.await_version(version)?;
+        Ok(res)
+    }
+
+    /// Starts the stand-ins alone; nothing is published.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a stand-in can't start.
+    pub fn idle(settings: Settings) -> Result<Self> {
         let mut backends = Vec::new();
         for it in &settings.services {
             let started: io::Result<Vec<_>> =
                 (0..it.upstreams).map(|_| Backend::start(it.backend)).collect();
             backends.push(started?);
         }
-        let log = Log::start(standin::log::Settings::default())?;
-        let hosts = Hosts::start()?;
-        let mut res = Self {
+        Ok(Self {
             daemons: Vec::new(),
             backends,
-            log,
-            hosts,
+            log: Log::start(standin::log::Settings::default())?,
+            hosts: Hosts::start()?,
             settings,
             published: Vec::new(),
             base: 0,
-        };
-        let version = res.publish(&res.document())?;
-        for number in 0..res.settings.daemons {
-            let daemon = res.start_daemon(number)?;
-            res.daemons.push(daemon);
-        }
-        res.await_version(version)?;
-        Ok(res)
+        })
     }
 
     /// Starts one more daemon; the caller keeps it.
@@ -118,12 +125,27 @@
     ///
     /// Fails if the daemon can't start.
     pub fn start_daemon(&self, number: usize) -> Result<Process> {
-        let settings = daemon::Settings {
+        self.start_daemon_with(number, |_as_they_are| {})
+    }
+
+    /// Starts one more daemon with changed settings; the caller keeps it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon can't start.
+    pub fn start_daemon_with(
+        &self,
+        number: usize,
+        change: impl FnOnce(&mut daemon::Settings),
+    ) -> Result<Process> {
+        let mut settings = daemon::Settings {
             log_address: self.log.address(),
             hosts_address: self.hosts.address(),
             domain: ["a", "b", "c"][number % 3].into(),
+            peers: self.daemons.first().map(Process::peer_address).into_iter().collect(),
             ..self.settings.daemon.clone()
         };
+        change(&mut settings);
         Ok(Process::start(settings)?)
     }
 
@@ -182,6 +204,17 @@
         })
     }
 
+    /// Waits until every daemon directs callers to `hosts` entry hosts.
+    ///
+    /// # Errors
+    ///
+    /// Fails after 20 s.
+    pub fn await_hosts(&self, hosts: usize) -> Result<()> {
+        await_that(Duration::from_secs(20), &format!("{hosts} hosts in the directions"), || {
+            self.daemons.iter().all(|it| it.state().entry_hosts("anyone").len() == hosts)
+        })
+    }
+
     /// Address of a daemon for callers.
     #[must_use]
     pub fn address(&self, number: usize) -> SocketAddr {
