peer: close the connections of strangers, bound those that a client keeps

A request without the token left its connection open, so that a stranger could take up all that a server keeps. A client kept one to each of 256 peers, although in a fleet of 96 two hosts meet about once in 48 s; 96 hosts in one process ran out of file descriptors.

--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -1,7 +1,7 @@
 //! The side that calls peers.
 
 use std::{
-    collections::BTreeMap,
+    collections::VecDeque,
     net::SocketAddr,
     sync::{Mutex, PoisonError},
     time::Duration,
@@ -16,8 +16,6 @@
     Blob, CONFIGURATION, Error, FORWARD, HEARTBEAT, Result, Settings, TOKEN_HEADER, Token,
 };
 
-/// Peers whose connections are kept.
-const KEPT_PEERS: usize = 256;
 /// Longest time for any call, whatever its own timeout.
 const CALL_LIMIT: Duration = Duration::from_mins(10);
 
@@ -25,7 +23,8 @@
 pub struct Client {
     token: Token,
     settings: Settings,
-    kept: Mutex<BTreeMap<SocketAddr, HttpClient>>,
+    /// The one used last stands at the end.
+    kept: Mutex<VecDeque<(SocketAddr, HttpClient)>>,
 }
 
 impl Client {
@@ -97,14 +96,15 @@
 
     fn client(&self, peer: SocketAddr) -> Result<HttpClient> {
         let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(it) = kept.get(&peer) {
-            return Ok(it.clone());
+        let place = kept.iter().position(|(it, _)| *it == peer);
+        let client = match place.and_then(|it| kept.remove(it)) {
+            Some((_, it)) => it,
+            None => self.connect(peer)?,
+        };
+        kept.push_back((peer, client.clone()));
+        if kept.len() > self.settings.kept_peers {
+            kept.pop_front();
         }
-        let client = self.connect(peer)?;
-        if kept.len() >= KEPT_PEERS {
-            kept.pop_first();
-        }
-        kept.insert(peer, client.clone());
         Ok(client)
     }
 
--- a/crates/peer/src/guard.rs
+++ b/crates/peer/src/guard.rs
@@ -10,6 +10,7 @@
     core::BoxError,
     server::{HttpBody, HttpRequest, HttpResponse},
 };
+use jsonrpsee_http_client::HeaderValue;
 use tower::{Layer, Service};
 
 use crate::{TOKEN_HEADER, Token, error::UNAUTHORIZED};
@@ -61,6 +62,8 @@
         }
         let mut res = HttpResponse::new(HttpBody::empty());
         *res.status_mut() = UNAUTHORIZED.try_into().expect("a valid status");
+        // Otherwise a stranger could hold all connections that the server keeps.
+        res.headers_mut().insert("connection", HeaderValue::from_static("close"));
         Box::pin(std::future::ready(Ok(res)))
     }
 }
--- a/crates/peer/src/settings.rs
+++ b/crates/peer/src/settings.rs
@@ -11,6 +11,8 @@
     pub answer_limit_bytes: u32,
     /// Connections that a server keeps at once.
     pub connections: u32,
+    /// Peers to which a client keeps connections; beyond it the one used longest ago is dropped.
+    pub kept_peers: usize,
     /// Time for a client to send its first request, and for a server to see the next one.
     pub idle_timeout: Duration,
     /// Time for a connection to be set up.
@@ -26,7 +28,8 @@
         Self {
             request_limit_bytes: 48 << 20,
             answer_limit_bytes: 48 << 20,
-            connections: 512,
+            connections: 1_024,
+            kept_peers: 32,
             idle_timeout: Duration::from_secs(30),
             connect_timeout: Duration::from_millis(250),
             heartbeat_timeout: Duration::from_millis(500),
--- a/crates/peer/tests/bad_peers.rs
+++ b/crates/peer/tests/bad_peers.rs
@@ -13,13 +13,13 @@
 use daemon::{Daemon, Order, TOKEN, client, exchange, listen, start};
 use peer::{Blob, Client, Error, Settings, StartError};
 
-/// Sends raw HTTP and returns the status and the body.
+/// Sends raw HTTP, and returns the status and the body once the server closes the connection.
 fn raw(address: SocketAddr, headers: &str, body: &str) -> (u16, String) {
     let mut stream = TcpStream::connect(address).unwrap();
     let length = body.len();
     write!(
         stream,
-        "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\ncontent-type: application/json\r\n\
+        "POST / HTTP/1.1\r\nhost: a\r\ncontent-type: application/json\r\n\
          {headers}content-length: {length}\r\n\r\n{body}"
     )
     .unwrap();
@@ -44,6 +44,7 @@
     assert_eq!(daemon.started.load(Ordering::Acquire), 0);
 }
 
+/// A request without a token is refused, and its connection is closed at once.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_token() {
     let settings = Settings::default();
@@ -58,7 +59,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn unreadable_messages() {
     let (server, _) = start(Daemon::default(), Settings::default());
-    let headers = format!("fireflydrum-token: {TOKEN}\r\n");
+    let headers = format!("connection: close\r\nfireflydrum-token: {TOKEN}\r\n");
     for (body, code, part) in [
         ("not json", -32_700, "Parse error"),
         ("[]", -32_005, "Batched requests"),
