Hedge urgent reads that take unusually long, within the retry budget

With one of three servers stalled, 30 of 30 urgent reads are answered in a deadline of 400 ms; without budget some end unknown at the deadline. The attempt that loses is cancelled at its server.

--- a/crates/daemon/src/path.rs
+++ b/crates/daemon/src/path.rs
@@ -5,6 +5,7 @@
 
 pub mod attempts;
 pub mod draft;
+pub mod hedge;
 pub mod plan;
 
 use std::{
--- a/crates/daemon/src/path/attempts.rs
+++ b/crates/daemon/src/path/attempts.rs
@@ -12,7 +12,7 @@
     },
     decision::{Attempt as Record, micros},
     orders::Gate,
-    path::{Draft, Plan, Result},
+    path::{Draft, Plan, Result, hedge},
     service::{Flight, Permit},
     state::State,
     upstream::{
@@ -44,13 +44,9 @@
         let chosen = plan.route.service.choose(&tried, deadline).await;
         let flight = chosen.map_err(|it| no_upstream(it, outcome))?;
         tried.push(Arc::clone(flight.upstream()));
-        let started = state.clock.now();
-        let reason = flight.reason();
-        let upstream = flight.upstream().to_string();
-        let res = send(state, plan, message, flight, tried.len()).await;
-        let took = state.clock.now().saturating_duration_since(started);
-        let result = describe(&res);
-        draft.attempt(Record { upstream, reason, result, took_us: micros(took) });
+        let Sent { record, took, may_have_run, res } =
+            send_or_hedge(state, plan, message, flight, &mut tried).await;
+        draft.attempt(record);
         let failure = match res {
             Ok(it) if it.status.is_server_error() && may_retry(state, plan, &tried) => {
                 outcome = Outcome::Unknown;
@@ -62,7 +58,7 @@
             }
             Err(it) => it,
         };
-        if !failure.is_not_run() {
+        if may_have_run {
             outcome = Outcome::Unknown;
         }
         let is_safe = failure.is_not_run() || plan.route.config.idempotent;
@@ -86,6 +82,53 @@
     admitted.map_err(not_admitted)
 }
 
+/// An attempt that has ended.
+pub struct Sent {
+    record: Record,
+    took: Duration,
+    may_have_run: bool,
+    res: attempt::Result<Answer>,
+}
+
+impl Sent {
+    /// Takes in that `other`, an attempt of the same request, failed before.
+    #[must_use]
+    pub fn after(mut self, other: &Self) -> Self {
+        self.may_have_run |= other.may_have_run;
+        self
+    }
+
+    /// Whether the answer can go to the caller without a look at another.
+    #[must_use]
+    pub fn is_good(&self) -> bool {
+        self.res.as_ref().is_ok_and(|it| !it.status.is_server_error())
+    }
+}
+
+/// Sends the message to one upstream, and for urgent work that takes unusually long to another.
+async fn send_or_hedge(
+    state: &State,
+    plan: &Plan,
+    message: &Message,
+    flight: Flight,
+    tried: &mut Vec<UpstreamId>,
+) -> Sent {
+    let delay = hedge::delay(flight.chosen.expected);
+    let first = send(state, plan, message, flight, tried.len());
+    if !plan.route.may_hedge {
+        return first.await;
+    }
+    let second = || {
+        if !plan.route.service.retries().try_hedge(state.clock.now()) {
+            return None;
+        }
+        let flight = plan.route.service.choose_now(tried)?;
+        tried.push(Arc::clone(flight.upstream()));
+        Some(send(state, plan, message, flight, tried.len()))
+    };
+    hedge::race(first, delay, second).await
+}
+
 /// Sends the message to one upstream and tells the balancer what came of it.
 async fn send(
     state: &State,
@@ -93,6 +136,23 @@
     message: &Message,
     flight: Flight,
     number: usize,
+) -> Sent {
+    let upstream = flight.upstream().to_string();
+    let reason = flight.reason();
+    let started = state.clock.now();
+    let res = exchange(state, plan, message, flight, number).await;
+    let took = state.clock.now().saturating_duration_since(started);
+    let record = Record { upstream, reason, result: describe(&res), took_us: micros(took) };
+    let may_have_run = res.as_ref().err().is_none_or(|it| !it.is_not_run());
+    Sent { record, took, may_have_run, res }
+}
+
+async fn exchange(
+    state: &State,
+    plan: &Plan,
+    message: &Message,
+    flight: Flight,
+    number: usize,
 ) -> attempt::Result<Answer> {
     let Some(pool) = plan.route.service.pool(flight.upstream()) else {
         return Err(attempt::Error::NotSent("the upstream was removed".into()));
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -248,6 +248,13 @@
         }
     }
 
+    /// Chooses an upstream that has room now, if any has.
+    #[must_use]
+    pub fn choose_now(self: &Arc<Self>, tried: &[UpstreamId]) -> Option<Flight> {
+        let choice = self.balancer().choose(self.clock.now(), tried).ok()?;
+        Some(self.fly(choice))
+    }
+
     /// Moves time on for requests that wait.
     pub fn tick(&self) {
         let has_expired = lock(&self.leaving).expire(self.clock.now());
--- a/crates/daemon/src/table.rs
+++ b/crates/daemon/src/table.rs
@@ -53,6 +53,8 @@
     pub config: document::Route,
     /// Service that answers.
     pub service: Arc<Service>,
+    /// Whether a second attempt may run beside a first one: urgent, idempotent work.
+    pub may_hedge: bool,
     expected_us: AtomicU64,
 }
 
@@ -127,6 +129,7 @@
 
     fn add_routes(&mut self, old: &Self) {
         let document = Arc::clone(&self.document);
+        let urgent = document.ranks.iter().min_by_key(|it| it.order).map(|it| &it.id);
         for it in &document.routes {
             let Some(service) = self.services.get(&it.service) else { continue };
             let known = old.find(&it.method, &it.path).filter(|known| known.config.id == it.id);
@@ -134,6 +137,7 @@
             let route = Route {
                 config: it.clone(),
                 service: Arc::clone(service),
+                may_hedge: it.idempotent && urgent == Some(&it.rank),
                 expected_us: AtomicU64::new(micros(expected)),
             };
             self.routes.entry(it.path.clone()).or_default().push(Arc::new(route));
--- /dev/null
+++ b/crates/daemon/tests/hedged_reads.rs
@@ -0,0 +1,103 @@
+//! Urgent reads that take unusually long get a second attempt; other work doesn't.
+
+use std::{thread, time::Duration};
+
+use bytes::Bytes;
+use fleet::{Caller, Fleet, Service, Settings, await_that};
+use standin::backend::{Backend, Faults};
+
+/// Calls made for each case.
+const CALLS: usize = 30;
+
+/// What came of the calls while the first of three backend servers had a fault.
+#[derive(Debug)]
+struct Tally {
+    done: usize,
+    unknown: usize,
+    started: u64,
+}
+
+/// Warms a service up, lets its first server go wrong and makes calls one after the other.
+fn check(rank: &str, extra: &str, method: &str, fault: impl Fn(&mut Faults)) -> Tally {
+    let service = Service {
+        rank: rank.into(),
+        deadline_ms: 400,
+        allow_unkeyed: true,
+        extra: extra.into(),
+        ..Service::default()
+    };
+    let settings = Settings { services: vec![service], ..Settings::default() };
+    let fleet = Fleet::start(settings).expect("fleet starts");
+    let caller = Caller::default();
+    let call = || match method {
+        "GET" => caller.get(fleet.address(0), "/stock/1"),
+        _ => caller.post(fleet.address(0), "/stock/1", "", Bytes::from_static(b"x")),
+    };
+    for _warm_up in 0..CALLS {
+        assert_eq!(call().outcome, "done");
+    }
+    let before = started(&fleet);
+    fleet.backends[0][0].update(fault);
+    let answers: Vec<_> = (0..CALLS).map(|_| call()).collect();
+    let count = |outcome: &str| answers.iter().filter(|it| it.outcome == outcome).count();
+    Tally { done: count("done"), unknown: count("unknown"), started: started(&fleet) - before }
+}
+
+fn started(fleet: &Fleet) -> u64 {
+    fleet.backends[0].iter().map(|it| it.total().started).sum()
+}
+
+#[test]
+fn urgent_read() {
+    let res = check("urgent", "", "GET", |it| it.stalled = true);
+    assert_eq!(res.done, CALLS, "{res:?}");
+}
+
+#[test]
+fn no_budget() {
+    let res = check("urgent", "retry_budget_percent = 0", "GET", |it| it.stalled = true);
+    assert!(res.unknown > 0, "{res:?}");
+    assert!(res.started <= CALLS as u64, "{res:?}");
+}
+
+#[test]
+fn normal_read() {
+    let res = check("normal", "", "GET", |it| it.stalled = true);
+    assert!(res.unknown > 0, "{res:?}");
+}
+
+#[test]
+fn order_is_never_hedged() {
+    let res = check("urgent", "", "POST", |it| it.stalled = true);
+    assert!(res.started <= CALLS as u64, "{res:?}");
+    assert!(res.unknown > 0, "{res:?}");
+}
+
+#[test]
+fn broken_then_unreachable() {
+    // The first attempt may have run; that the second one could not be sent must not hide it.
+    let res = check("urgent", "", "GET", |it| {
+        it.answer_delay = Duration::from_millis(60);
+        it.delivery = standin::backend::Delivery::Cut;
+    });
+    assert_eq!(res.done + res.unknown, CALLS, "{res:?}");
+}
+
+/// The attempt that lost is cancelled at the backend server: its connection is closed.
+#[test]
+fn cancelled_attempt() {
+    let fleet = Fleet::start(Settings::default()).expect("fleet starts");
+    let caller = Caller::default();
+    for _warm_up in 0..CALLS {
+        assert_eq!(caller.get(fleet.address(0), "/stock/1").outcome, "done");
+    }
+    let stalled: &Backend = &fleet.backends[0][0];
+    stalled.update(|it| it.stalled = true);
+    thread::scope(|scope| {
+        for _caller in 0..4 {
+            scope.spawn(|| Caller::default().get(fleet.address(0), "/stock/1"));
+        }
+    });
+    await_that(Duration::from_secs(10), "cancelled", || stalled.load().in_flight == 0)
+        .expect("the stalled server is free again although it never answered");
+}
