--- a/crates/daemon/src/orders/driver.rs
+++ b/crates/daemon/src/orders/driver.rs
@@ -20,7 +20,10 @@
     sync::{Notify, oneshot},
 };
 
-use super::{Message, journal::Journal};
+use super::{
+    Message,
+    journal::{Journal, Wakeup},
+};
 use crate::{membership::Membership, state::lock};
 
 /// Bits of an incarnation that count how often a daemon's orders were revoked; the others say which
@@ -169,8 +172,8 @@
         renewed.or_else(|| engine.issue(journaled, nonce, now))
     }
 
-    pub(super) fn wake_reader(&self, stream: order::Stream) {
-        self.journal.wake(stream);
+    pub(super) fn wake_reader(&self, wakeup: Wakeup) {
+        self.journal.wake(wakeup);
     }
 
     pub(super) fn believes_log_up(&self) -> bool {
--- a/crates/daemon/src/orders/journal.rs
+++ b/crates/daemon/src/orders/journal.rs
@@ -20,12 +20,20 @@
     log: Arc<dyn Log>,
     runtime: Handle,
     streams: Streams,
-    wakeups: mpsc::Sender<Stream>,
+    wakeups: mpsc::Sender<Wakeup>,
+}
+
+/// A stream that is worth reading at once.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Wakeup {
+    pub(super) stream: Stream,
+    /// Offset up to which a record is known to be there; 0 if nothing is known.
+    pub(super) end: Offset,
 }
 
 impl Journal {
     /// A journal, and the streams that are worth reading at once.
-    pub(super) fn new(log: Arc<dyn Log>, runtime: Handle) -> (Self, mpsc::Receiver<Stream>) {
+    pub(super) fn new(log: Arc<dyn Log>, runtime: Handle) -> (Self, mpsc::Receiver<Wakeup>) {
         let (wakeups, receiver) = mpsc::channel();
         (Self { log, runtime, streams: Streams::default(), wakeups }, receiver)
     }
@@ -36,7 +44,7 @@
 
     pub(super) fn follow(&self, stream: Stream, from: Offset) {
         lock(&self.streams).insert(stream, from);
-        self.wake(stream);
+        self.wake(Wakeup { stream, end: 0 });
     }
 
     pub(super) fn unfollow(&self, stream: Stream) {
@@ -47,8 +55,12 @@
     pub(super) fn append(&self, driver: Arc<Driver>, batch: Batch, stream: Stream, record: Bytes) {
         let log = Arc::clone(&self.log);
         self.runtime.spawn_blocking(move || {
+            let mut end = 0;
             let event = match log.append(&stream.to_string(), &record) {
-                Ok(_) => Event::Appended(batch),
+                Ok(offset) => {
+                    end = offset + 1;
+                    Event::Appended(batch)
+                }
                 Err(Error::Refused(e)) => {
                     log::warn!("append to {stream} refused: {e}");
                     Event::AppendFailed(batch, Landing::Refused)
@@ -59,12 +71,12 @@
                 }
             };
             driver.handle(event);
-            driver.wake_reader(stream);
+            driver.wake_reader(Wakeup { stream, end });
         });
     }
 
     /// Has a stream read at once; a reader that has ended needs no call.
-    pub(super) fn wake(&self, stream: Stream) {
-        let _ended = self.wakeups.send(stream);
+    pub(super) fn wake(&self, wakeup: Wakeup) {
+        let _ended = self.wakeups.send(wakeup);
     }
 }
--- a/crates/daemon/src/orders/reader.rs
+++ b/crates/daemon/src/orders/reader.rs
@@ -13,7 +13,10 @@
 use platform::{Error, Log, Page};
 
 use crate::{
-    orders::{Driver, journal::Streams},
+    orders::{
+        Driver,
+        journal::{Streams, Wakeup},
+    },
     state::lock,
 };
 
@@ -27,7 +30,7 @@
     driver: Arc<Driver>,
     log: Box<dyn Log>,
     streams: Streams,
-    wakeups: Receiver<Stream>,
+    wakeups: Receiver<Wakeup>,
     is_up: bool,
 }
 
@@ -36,7 +39,7 @@
         driver: Arc<Driver>,
         log: Box<dyn Log>,
         streams: Streams,
-        wakeups: Receiver<Stream>,
+        wakeups: Receiver<Wakeup>,
     ) -> Self {
         Self { driver, log, streams, wakeups, is_up: false }
     }
@@ -45,7 +48,7 @@
     pub(super) fn run(mut self, stop: &AtomicBool) {
         while !stop.load(Ordering::Relaxed) {
             match self.wakeups.recv_timeout(POLL_INTERVAL) {
-                Ok(stream) => self.read(stream, stop),
+                Ok(it) => self.read(it, stop),
                 Err(RecvTimeoutError::Timeout) => self.read_all(stop),
                 Err(RecvTimeoutError::Disconnected) => return,
             }
@@ -55,14 +58,18 @@
     fn read_all(&mut self, stop: &AtomicBool) {
         let followed: Vec<Stream> = lock(&self.streams).keys().copied().collect();
         for it in followed {
-            self.read(it, stop);
+            self.read(Wakeup { stream: it, end: 0 }, stop);
         }
     }
 
-    /// Reads a stream to its end.
-    fn read(&mut self, stream: Stream, stop: &AtomicBool) {
+    /// Reads a stream to its end, or as far as it is known to reach.
+    fn read(&mut self, wakeup: Wakeup, stop: &AtomicBool) {
+        let Wakeup { stream, end } = wakeup;
         while !stop.load(Ordering::Relaxed) {
             let Some(from) = lock(&self.streams).get(&stream).copied() else { return };
+            if end > 0 && from >= end {
+                return;
+            }
             match self.log.read(&stream.to_string(), from, PAGE_LIMIT) {
                 Ok(page) if page.records.is_empty() => return self.note(true),
                 Ok(page) => {
--- a/crates/daemon/tests/order_sessions.rs
+++ b/crates/daemon/tests/order_sessions.rs
@@ -135,7 +135,7 @@
     let orders = Orders::start_with(1, service);
     let session = orders.session(0, "journaled");
     let key = format!("idempotency-key: {session}.1");
-    check(&orders.call(0, &[key.clone()], &"x".repeat(2_000)), "unknown", 413);
+    check(&orders.call(0, std::slice::from_ref(&key), &"x".repeat(2_000)), "unknown", 413);
     check(&orders.call(0, &[key], "bale"), "done", 200);
     assert_eq!(orders.runs(&format!("{session}.1")), 1);
 }
--- a/xtask/src/orders.rs
+++ b/xtask/src/orders.rs
@@ -4,6 +4,7 @@
 //! are plain data, so that every state can be copied, compared and continued in every way.
 
 mod apply;
+mod cost;
 mod enabled;
 mod guard;
 mod options;
@@ -41,12 +42,26 @@
             return ExitCode::from(2);
         }
     };
+    if options.cost {
+        return measure_cost();
+    }
     let started = Instant::now();
     let mut reports = explore(&options);
     reports.extend(wander(&options));
     summarize(&reports, started)
 }
 
+fn measure_cost() -> ExitCode {
+    match cost::run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(e) => {
+            eprintln!("orders: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 /// A report and what it is about.
 struct Row {
     name: String,
--- a/xtask/src/orders/options.rs
+++ b/xtask/src/orders/options.rs
@@ -9,6 +9,7 @@
 /// What the command prints for `--help`.
 pub(crate) const HELP: &str = "\
 usage: cargo xtask orders [OPTIONS]
+  --cost          measures what journaling costs on real daemons instead
   --small         the small part that tests run
   --scenario NAME only the exhaustive scenarios of this name
   --faults N      faults in each exhaustive scenario (default 2, small 1)
@@ -20,6 +21,7 @@
 /// Arguments of the command.
 #[derive(Clone, Debug)]
 pub(crate) struct Options {
+    pub(crate) cost: bool,
     pub(crate) small: bool,
     pub(crate) scenario: Option<String>,
     pub(crate) faults: u8,
@@ -32,6 +34,7 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
+            cost: false,
             small: false,
             scenario: None,
             faults: 2,
@@ -52,6 +55,7 @@
         let mut parser = Parser::from_args(args);
         while let Some(arg) = parser.next()? {
             match arg {
+                Arg::Long("cost") => res.cost = true,
                 Arg::Long("small") => {
                     res = Self { small: true, faults: 1, walks: 300, ..res };
                 }
