--- a/crates/daemon/src/orders/execution.rs
+++ b/crates/daemon/src/orders/execution.rs
@@ -135,7 +135,7 @@
     match res {
         Ok(it) => Outcome::Done(order::Answer {
             status: it.status.as_u16(),
-            headers: message::list(&it.headers),
+            headers: message::list(&kept(&it.headers)),
             body: it.body.bytes.clone(),
         }),
         Err(it) if it.outcome == Told::NotRun => Outcome::NotRun(Reason::Refused),
@@ -143,6 +143,15 @@
     }
 }
 
+/// Headers worth keeping for a repeat: not those that tell of one moment or of the body's framing.
+fn kept(headers: &HeaderMap) -> HeaderMap {
+    let mut res = headers.clone();
+    for it in [header::LOAD, hyper::header::CONTENT_LENGTH, hyper::header::DATE] {
+        res.remove(it);
+    }
+    res
+}
+
 /// Reads the number up to which a caller has received all outcomes of its session.
 ///
 /// # Errors
--- a/crates/order/src/record.rs
+++ b/crates/order/src/record.rs
@@ -53,11 +53,12 @@
     },
 }
 
-/// An order of a journaled session that may be dispatched.
+/// An order of a journaled session that may be dispatched. In JSON it is one short text, because
+/// it makes up most of the journal.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, serde::Deserialize, serde::Serialize)]
+#[serde(into = "String", try_from = "String")]
 pub struct Started {
     /// Random part of the session.
-    #[serde(with = "hex")]
     pub nonce: u64,
     /// Number in the session.
     pub number: Number,
@@ -77,11 +78,37 @@
     }
 }
 
+impl From<Started> for String {
+    fn from(it: Started) -> Self {
+        format!("{:x}.{}.{}", it.nonce, it.number, it.fingerprint)
+    }
+}
+
+impl TryFrom<String> for Started {
+    type Error = &'static str;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        let mut parts = text.split('.');
+        let (Some(nonce), Some(number), Some(fingerprint), None) =
+            (parts.next(), parts.next(), parts.next(), parts.next())
+        else {
+            return Err("an order has three parts");
+        };
+        let malformed = |_| "an order has a part that is no number";
+        Ok(Self {
+            nonce: u64::from_str_radix(nonce, 16).map_err(malformed)?,
+            number: number.parse().map_err(malformed)?,
+            fingerprint: u128::from_str_radix(fingerprint, 16)
+                .map(Fingerprint)
+                .map_err(malformed)?,
+        })
+    }
+}
+
 /// The outcome of an order of a journaled session.
 #[derive(Clone, Debug, Eq, Hash, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Finished {
     /// The order.
-    #[serde(flatten)]
     pub order: Started,
     /// Its outcome.
     pub outcome: Outcome,
--- a/xtask/src/orders.rs
+++ b/xtask/src/orders.rs
@@ -86,7 +86,7 @@
 
 fn search_one(rules: &Rules, options: &Options) -> Row {
     let report = search::search(rules, options.limit);
-    let name = format!("all {}", rules.name);
+    let name = format!("all {} copies={} faults={}", rules.name, rules.copies, rules.faults);
     print_row(&name, &report);
     Row { name, report }
 }
@@ -117,7 +117,7 @@
 fn print_row(name: &str, report: &Report) {
     let Report { states, ends, is_partial, .. } = report;
     let extent = if *is_partial { "partial" } else { "whole" };
-    println!("{name:<28} states={states:<10} ends={ends:<8} {extent}");
+    println!("{name:<42} states={states:<10} ends={ends:<8} {extent}");
 }
 
 fn summarize(rows: &[Row], started: Instant) -> ExitCode {
