--- a/xtask/src/matrix.rs
+++ b/xtask/src/matrix.rs
@@ -12,6 +12,7 @@
 mod message;
 mod net;
 mod promise;
+mod real;
 mod step;
 mod world;
 
@@ -26,12 +27,13 @@
 
 use self::{
     cell::Cell,
+    fault::Fault,
     guard::{GUARDS, Guard},
     promise::{PROMISES, Verdict},
 };
 
 const HELP: &str = "\
-usage: cargo xtask matrix [--alone | --brief] [--seed N] [--only TEXT] [--without GUARD] [--threads N] [--verbose]
+usage: cargo xtask matrix [--alone | --brief] [--seed N] [--only TEXT] [--without GUARD] [--threads N] [--real] [--verbose]
 
   --alone          every fault alone at every step
   --brief          the same, and a part of the pairs
@@ -39,10 +41,13 @@
   --only TEXT      cells whose name holds TEXT
   --without GUARD  removes a guard; the command must then fail
   --guards         lists the guards
+  --real           real daemons on loopback too, as in a run of everything
   --verbose        a line for each cell
 ";
 /// Of the pairs, a brief run plays one in this many.
 const BRIEF_SHARE: usize = 40;
+/// Cells with real daemons that run at once.
+const REAL_THREADS: usize = 3;
 /// Violations that are printed at most.
 const PRINTED: usize = 40;
 
@@ -54,12 +59,19 @@
     Whole,
 }
 
+/// A cell that was played.
+struct Row {
+    name: String,
+    verdict: Verdict,
+}
+
 struct Options {
     part: Part,
     seed: u64,
     only: String,
     off: Option<Guard>,
     threads: usize,
+    is_real: bool,
     is_verbose: bool,
 }
 
@@ -83,6 +95,7 @@
         only: String::new(),
         off: None,
         threads: 4,
+        is_real: false,
         is_verbose: false,
     };
     while let Some(it) = parser.next()? {
@@ -92,6 +105,7 @@
             Long("seed") => options.seed = parser.value()?.parse()?,
             Long("only") => options.only = parser.value()?.string()?,
             Long("threads") => options.threads = parser.value()?.parse()?,
+            Long("real") => options.is_real = true,
             Long("verbose") => options.is_verbose = true,
             Long("without") => {
                 let name = parser.value()?.string()?;
@@ -124,57 +138,78 @@
         Part::Whole => pairs.collect(),
     };
     let all: Vec<Cell> = singles.iter().chain(&pairs).copied().collect();
-    let verdicts = play_all(&all, options);
-    report(&verdicts, options);
-    let violations: usize = verdicts.iter().map(|(_, it)| it.violations.len()).sum();
-    let unexercised = verdicts.iter().filter(|(_, it)| !it.is_exercised()).count();
+    let mut rows = play_all(&all, options.threads, |it| Row {
+        name: it.name(),
+        verdict: world::play(it, options.off),
+    });
+    let real = real_faults(options);
+    rows.extend(play_all(&real, REAL_THREADS, |it| Row {
+        name: format!("real daemons: {}", it.name()),
+        verdict: real::play(it),
+    }));
+    report(&rows, options);
+    let violations: usize = rows.iter().map(|it| it.verdict.violations.len()).sum();
+    let unexercised = rows.iter().filter(|it| !it.verdict.is_exercised()).count();
     println!(
-        "RESULT cells={} pairs={} real=0 violations={violations} unexercised={unexercised}",
+        "RESULT cells={} pairs={} real={} violations={violations} unexercised={unexercised}",
         singles.len(),
-        pairs.len()
+        pairs.len(),
+        real.len()
     );
-    let is_good = violations == 0 && unexercised == 0 && !all.is_empty();
+    let is_good = violations == 0 && unexercised == 0 && !rows.is_empty();
     if is_good { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
 
-fn play_all(cells: &[Cell], options: &Options) -> Vec<(Cell, Verdict)> {
+fn real_faults(options: &Options) -> Vec<Fault> {
+    let is_part = options.is_real || options.part == Part::Whole;
+    let is_wanted = |it: &Fault| format!("real daemons: {}", it.name()).contains(&options.only);
+    let wanted = real::FAULTS.into_iter().filter(is_wanted);
+    if is_part && options.off.is_none() { wanted.collect() } else { Vec::new() }
+}
+
+/// Plays all cells on some threads; the rows come in the order of the cells.
+fn play_all<T: Copy + Sync>(
+    cells: &[T],
+    threads: usize,
+    play: impl Fn(T) -> Row + Sync,
+) -> Vec<Row> {
     let next = AtomicUsize::new(0);
     let work = || {
         let mut res = Vec::new();
-        while let Some(&cell) = cells.get(next.fetch_add(1, Ordering::Relaxed)) {
-            res.push((cell, world::play(cell, options.off)));
+        loop {
+            let place = next.fetch_add(1, Ordering::Relaxed);
+            let Some(&cell) = cells.get(place) else { return res };
+            res.push((place, play(cell)));
         }
-        res
     };
     thread::scope(|scope| {
-        let threads: Vec<_> = (0..options.threads.max(1)).map(|_| scope.spawn(work)).collect();
+        let threads: Vec<_> = (0..threads.max(1)).map(|_| scope.spawn(work)).collect();
         let parts = threads.into_iter().map(|it| it.join().expect("a cell panicked"));
         let mut res: Vec<_> = parts.flatten().collect();
-        res.sort_by_key(|(it, _)| (it.step, it.first, it.second));
-        res
+        res.sort_by_key(|(place, _)| *place);
+        res.into_iter().map(|(_, row)| row).collect()
     })
 }
 
-fn report(verdicts: &[(Cell, Verdict)], options: &Options) {
-    let broken =
-        verdicts.iter().flat_map(|(cell, it)| it.violations.iter().map(move |v| (cell, v)));
-    for (cell, violation) in broken.take(PRINTED) {
+fn report(rows: &[Row], options: &Options) {
+    let broken = rows.iter().flat_map(|row| row.verdict.violations.iter().map(move |it| (row, it)));
+    for (row, violation) in broken.take(PRINTED) {
         let promise = PROMISES[violation.promise.index()].1;
-        println!("VIOLATION {promise} in {}: {}", cell.name(), violation.what);
+        println!("VIOLATION {promise} in {}: {}", row.name, violation.what);
     }
-    for (cell, _) in verdicts.iter().filter(|(_, it)| !it.is_exercised()).take(PRINTED) {
-        println!("UNEXERCISED {}", cell.name());
+    for row in rows.iter().filter(|it| !it.verdict.is_exercised()).take(PRINTED) {
+        println!("UNEXERCISED {}", row.name);
     }
     if options.is_verbose {
-        for (cell, verdict) in verdicts {
-            println!("{}: {}", cell.name(), exercised(verdict));
+        for row in rows {
+            println!("{}: {}", row.name, exercised(&row.verdict));
         }
     }
-    let red = verdicts.iter().filter(|(_, it)| !it.violations.is_empty()).count();
-    println!("cells with a violation: {red} of {}", verdicts.len());
-    println!("promise: cells that exercised it, of {}", verdicts.len());
+    let red = rows.iter().filter(|it| !it.verdict.violations.is_empty()).count();
+    println!("cells with a violation: {red} of {}", rows.len());
+    println!("promise: cells that exercised it, of {}", rows.len());
     for (promise, name) in PROMISES {
-        let cells = verdicts.iter().filter(|(_, it)| it.exercised[promise.index()] > 0).count();
+        let cells = rows.iter().filter(|it| it.verdict.exercised[promise.index()] > 0).count();
         println!("  {name}: {cells}");
     }
 }
--- a/xtask/src/matrix/host/orders.rs
+++ b/xtask/src/matrix/host/orders.rs
@@ -173,7 +173,7 @@
 pub(super) fn done(payload: &Payload) -> Outcome {
     let mut body = payload.job.to_le_bytes().to_vec();
     body.push(u8::from(payload.is_whole));
-    Outcome::Done(order::Answer { status: 200, content_type: String::new(), body: body.into() })
+    Outcome::Done(order::Answer { status: 200, headers: Vec::new(), body: body.into() })
 }
 
 /// The answer that [`done`] wrote down.
