--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -5,6 +5,7 @@
 mod matrix;
 mod orders;
 mod policy;
+mod standins;
 mod tour;
 
 use std::process::ExitCode;
@@ -17,6 +18,7 @@
   matrix    plays every fault at every step and checks every promise
   orders    explores the order protocol's core under faults
   policy    compares the choice of upstreams with baselines and an oracle
+  standins  runs the stand-ins, for daemons and command line started by hand
   tour      shows the whole path on loopback, in one process
   help      prints this page
 
@@ -32,6 +34,7 @@
         "matrix" => matrix::run(args),
         "orders" => orders::run(args),
         "policy" => policy::run(&mut lexopt::Parser::from_args(args)),
+        "standins" => standins::run(args),
         "tour" => tour::run(),
         "help" | "--help" | "-h" => {
             print!("{HELP}");
