--- a/crates/document/src/replica.rs
+++ b/crates/document/src/replica.rs
@@ -55,6 +55,7 @@
 
 /// What came of one answer of the log.
 #[derive(Clone, Debug, Default, PartialEq)]
+#[expect(clippy::struct_excessive_bools, reason = "four independent facts about one answer")]
 pub struct Progress {
     /// Records that were judged, in order.
     pub judged: Vec<Judged>,
@@ -64,6 +65,8 @@
     pub should_wait: bool,
     /// Whether the fold was replaced by that of a snapshot.
     pub is_restarted: bool,
+    /// Whether [`Replica::in_force`] has another version than before.
+    pub has_news: bool,
     /// Why snapshots were passed over.
     pub warnings: Vec<String>,
 }
@@ -74,6 +77,8 @@
     fold: Fold,
     phase: Phase,
     state: State,
+    /// Whether the fold has been up to date once.
+    is_ready: bool,
     /// Records to ask for; fewer after a read that failed, since its answer may have been too large.
     limit: usize,
 }
@@ -108,6 +113,7 @@
             fold: Fold::default(),
             phase: Phase::Locate,
             state: State::Starting,
+            is_ready: false,
             limit: PAGE_LIMIT,
         }
     }
@@ -120,6 +126,16 @@
         &self.fold
     }
 
+    /// The document that a host may serve by; none before the replica has once read all that the log
+    /// held, or taken a peer's snapshot.
+    ///
+    /// A host that served by what it reads on its way there would go through versions that are in
+    /// force nowhere any more.
+    #[must_use]
+    pub fn in_force(&self) -> Option<&Fold> {
+        Some(&self.fold).filter(|_| self.is_ready)
+    }
+
     /// How far the replica has come.
     #[must_use]
     pub fn state(&self) -> State {
@@ -149,6 +165,18 @@
         first: Offset,
         next: Offset,
         records: &[(Offset, R)],
+    ) -> Progress {
+        let before = self.in_force().and_then(Fold::version);
+        let mut progress = self.advance(first, next, records);
+        progress.has_news = self.in_force().and_then(Fold::version) != before;
+        progress
+    }
+
+    fn advance<R: AsRef<[u8]>>(
+        &mut self,
+        first: Offset,
+        next: Offset,
+        records: &[(Offset, R)],
     ) -> Progress {
         match std::mem::replace(&mut self.phase, Phase::Follow) {
             Phase::Locate => {
@@ -213,6 +241,7 @@
         }
         self.fold = fold;
         self.phase = Phase::Follow;
+        self.is_ready = true;
         Ok(true)
     }
 
@@ -235,6 +264,7 @@
         self.fold.skip_to(next);
         self.limit = (self.limit * 2).min(PAGE_LIMIT);
         progress.is_current = next == end;
+        self.is_ready |= progress.is_current;
         progress.should_wait = progress.is_current;
         progress
     }
--- a/crates/document/tests/replica_start.rs
+++ b/crates/document/tests/replica_start.rs
@@ -204,6 +204,24 @@
     assert_ne!(snapshot::digest(&fold), snapshot::digest(&first()));
 }
 
+/// No version that others have left behind is in force while a replica reads on to the log's end.
+#[test]
+fn in_force_late() {
+    let (log, fold) = Log::new(10);
+    let mut replica = Replica::default();
+    let mut versions = Vec::new();
+    while let Some(progress) = log.answer(&mut replica) {
+        let version = replica.in_force().and_then(Fold::version);
+        if progress.has_news {
+            versions.push(version);
+        }
+        if progress.should_wait {
+            break;
+        }
+    }
+    assert_eq!(versions, [fold.version()]);
+}
+
 /// Reads that fail because their answer is too large are asked for in smaller parts.
 #[test]
 fn failed_reads() {
--- a/xtask/src/config/host.rs
+++ b/xtask/src/config/host.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use cli::reader;
 use document::{
-    Offset, Replica, Version,
+    Fold, Offset, Replica, Version,
     replica::{Progress, State},
     snapshot::{self, Duty},
 };
@@ -88,7 +88,9 @@
             step.from_peer = self.ask(peer);
             step.has_changed |= step.from_peer;
         }
-        if progress.is_current || self.in_force.is_some() || options.lacks(Guard::Current) {
+        if options.lacks(Guard::Current) {
+            self.in_force = self.replica.fold().version();
+        } else {
             self.put_in_force();
         }
         step.has_written = self.write_snapshot(&progress, store, now, options);
@@ -107,7 +109,7 @@
     }
 
     fn put_in_force(&mut self) {
-        self.in_force = self.replica.fold().version();
+        self.in_force = self.replica.in_force().and_then(Fold::version);
     }
 
     fn write_snapshot(
