--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,6 +3,7 @@
 mod load;
 mod orders;
 mod policy;
+mod slopes;
 mod tour;
 
 use std::process::ExitCode;
@@ -13,6 +14,7 @@
   load      measures what the daemon adds to a call, on loopback
   orders    explores the order protocol's core under faults
   policy    compares the choice of upstreams with baselines and an oracle
+  slopes    measures a daemon's cost against the size of the system
   tour      shows the whole path on loopback, in one process
   help      prints this page
 
@@ -26,6 +28,7 @@
         "load" => load::run(),
         "orders" => orders::run(args),
         "policy" => policy::run(&mut lexopt::Parser::from_args(args)),
+        "slopes" => slopes::run(args),
         "tour" => tour::run(),
         "help" | "--help" | "-h" => {
             print!("{HELP}");
