--- a/crates/daemon/src/configuration/follower.rs
+++ b/crates/daemon/src/configuration/follower.rs
@@ -102,15 +102,18 @@
         for it in &progress.judged {
             log_verdict(it.offset, &it.verdict);
         }
-        let changed = |it: &replica::Judged| matches!(it.verdict, Verdict::Accepted { .. });
-        if progress.is_restarted || progress.judged.iter().any(changed) {
+        if progress.has_news {
             self.put_in_force();
         }
+        if self.replica.state() == replica::State::Gap {
+            self.ask_peers();
+        }
         self.state.note_replica(self.replica.state(), self.replica.fold().end());
     }
 
     fn put_in_force(&self) {
-        let fold = self.replica.fold();
+        // On the way to the log's end the replica goes through versions that are in force nowhere.
+        let Some(fold) = self.replica.in_force() else { return };
         let Some(version) = fold.version() else { return };
         self.state.put_in_force(fold.document(), version);
         self.state.keep_snapshot(fold.end(), encode(fold, &self.state));
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -5,6 +5,7 @@
 mod matrix;
 mod orders;
 mod policy;
+mod slopes;
 mod standins;
 mod tour;
 
@@ -18,6 +19,7 @@
   matrix    plays every fault at every step and checks every promise
   orders    explores the order protocol's core under faults
   policy    compares the choice of upstreams with baselines and an oracle
+  slopes    measures a daemon's cost against the size of the system
   standins  runs the stand-ins, for daemons and command line started by hand
   tour      shows the whole path on loopback, in one process
   help      prints this page
@@ -34,6 +36,7 @@
         "matrix" => matrix::run(args),
         "orders" => orders::run(args),
         "policy" => policy::run(&mut lexopt::Parser::from_args(args)),
+        "slopes" => slopes::run(args),
         "standins" => standins::run(args),
         "tour" => tour::run(),
         "help" | "--help" | "-h" => {
