--- a/xtask/src/tour.rs
+++ b/xtask/src/tour.rs
@@ -3,7 +3,7 @@
 use std::{process::ExitCode, time::Instant};
 
 use bytes::Bytes;
-use fleet::{Answer, Caller, Fleet, Service, Settings};
+use fleet::{Caller, Fleet, Service, Settings};
 
 /// Calls made for each rank.
 const CALLS: usize = 200;
@@ -51,6 +51,8 @@
     show_traffic(&fleet, &caller, &mut steps);
     show_order(&fleet, &caller, &mut steps);
     show_change(&mut fleet, &caller, &mut steps)?;
+    show_explanation(&fleet, &caller, &mut steps);
+    show_drain(&mut fleet, &caller, &mut steps)?;
     Ok(steps)
 }
 
@@ -58,7 +60,6 @@
     let service = |name: &str, rank: &str| Service {
         name: name.into(),
         rank: rank.into(),
-        allow_unkeyed: name == "booking",
         ..Service::default()
     };
     let services = vec![
@@ -91,14 +92,29 @@
     }
 }
 
+/// Places an order, repeats it through another entry host and counts how often it ran.
 fn show_order(fleet: &Fleet, caller: &Caller, steps: &mut Steps) {
+    let directions = caller.get(fleet.address(0), "/fireflydrum/entry?session=journaled");
+    let page: serde_json::Value = serde_json::from_slice(&directions.body).unwrap_or_default();
+    let session = page["session"]["id"].as_str().unwrap_or_default();
+    steps.note(&format!("the caller gets a session: {session}"), !session.is_empty());
+
+    let key = format!("{session}.1");
     let body = Bytes::from_static(b"40 bales of loft 7");
-    let answer: Answer = caller.post(fleet.address(0), "/booking/orders", "", body.clone());
-    let is_done = answer.outcome == "done" && answer.body == body;
-    steps.note(
-        &format!("an order is answered: status {}, {}", answer.status, answer.outcome),
-        is_done,
-    );
+    let first = caller.post(fleet.address(0), "/booking/orders", &key, body.clone());
+    let text = format!("order {key} is answered: status {}, {}", first.status, first.outcome);
+    steps.note(&text, first.outcome == "done" && first.body == body);
+
+    let repeat = caller.post(fleet.address(1), "/booking/orders", &key, body.clone());
+    let text = format!("repeated through another entry host: {}", repeat.outcome);
+    steps.note(&text, repeat.outcome == "done" && repeat.body == body);
+    let ran: u64 = fleet.backends[1].iter().map(|it| it.execution(&key).started).sum();
+    steps.note(&format!("the order ran {ran} time"), ran == 1);
+
+    let other = Bytes::from_static(b"80 bales of loft 7");
+    let mixed_up = caller.post(fleet.address(1), "/booking/orders", &key, other);
+    let text = format!("another order under the same key is refused: status {}", mixed_up.status);
+    steps.note(&text, mixed_up.status == 422);
 }
 
 fn show_change(fleet: &mut Fleet, caller: &Caller, steps: &mut Steps) -> fleet::Result<()> {
@@ -112,3 +128,36 @@
     steps.note(&text, answer.outcome == "done");
     Ok(())
 }
+
+fn show_explanation(fleet: &Fleet, caller: &Caller, steps: &mut Steps) {
+    let answer = caller.get(fleet.address(0), "/stock/7");
+    let page = format!("/explain/{}", answer.request);
+    let explanation = caller.get(fleet.daemons[0].admin_address(), &page);
+    let text = String::from_utf8_lossy(&explanation.body).into_owned();
+    steps.note(&format!("a decision is explained: {text}"), explanation.status == 200);
+}
+
+/// Lets a daemon leave while callers that follow their directions go on.
+fn show_drain(fleet: &mut Fleet, caller: &Caller, steps: &mut Steps) -> fleet::Result<()> {
+    fleet.await_hosts(3)?;
+    let leaving = fleet.daemons.remove(2);
+    let address = leaving.caller_address();
+    let started = Instant::now();
+    let stop = std::thread::spawn(move || leaving.stop());
+    let mut calls = 0;
+    let mut failed = 0;
+    while !stop.is_finished() {
+        let hosts = fleet.daemons[0].state().entry_hosts("tour");
+        let answer = caller.get(hosts[0], "/stock/1");
+        calls += 1;
+        failed += usize::from(answer.outcome != "done");
+    }
+    let seconds = started.elapsed().as_secs_f64();
+    let text =
+        format!("a drained host is gone after {seconds:.1} s; {failed} of {calls} calls failed");
+    steps.note(&text, failed == 0);
+    let is_out =
+        || fleet.daemons.iter().all(|it| !it.state().entry_hosts("tour").contains(&address));
+    steps.note("no directions name it any more", is_out());
+    Ok(())
+}
