--- a/crates/order/tests/session_orders.rs
+++ b/crates/order/tests/session_orders.rs
@@ -37,6 +37,8 @@
     assert!(bench.engine.permit(&key, bench.now).is_ok());
     bench.feed(Event::Finished(key, Outcome::Unknown(Reason::Interrupted)));
     assert!(bench.engine.permit(&key, bench.now).is_err());
+    bench.feed(Event::Unsent(key));
+    assert!(bench.engine.permit(&key, bench.now).is_err(), "what has ended is not taken back");
 }
 
 #[test]
