balance: use a subset of the upstreams sized from the own demand

With 40 entry hosts each upstream reports to each host every 8 service times, so reports say little. Each host now prefers a part of the upstreams, in an order of its own (rendezvous hashing), of two upstreams for each own request in flight and at least 8; the others are used when none of these has room.

The test of distrust uses 8 upstreams in place of 10: a quiet host no longer uses more than 8. It still demands that each of those in use gets its part.

--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -15,6 +15,7 @@
     ranking::{Place, Ranking},
     service::Service,
     state::{Flight, State},
+    subset::Subset,
 };
 
 /// Windows of a sample that are searched for room before a choice is refused.
@@ -29,11 +30,14 @@
     home: Domain,
     hosts: u32,
     origin: Instant,
+    seed: u64,
     rng: fastrand::Rng,
     states: Vec<State>,
     places: HashMap<UpstreamId, usize>,
     serial: u64,
     service: Service,
+    subset: Subset,
+    in_flight: usize,
     failing: usize,
     peers: Peers,
     bucket: Bucket,
@@ -45,6 +49,8 @@
 impl Balancer {
     /// A balancer for `upstreams` on a host in the failure domain `home`.
     ///
+    /// Hosts need different seeds, or all of them prefer the same upstreams.
+    ///
     /// The upstreams given here are taken to be at work already; those that
     /// [`update`](Self::update) adds are brought up over the settings' ramp.
     #[must_use]
@@ -67,6 +73,9 @@
             places: HashMap::new(),
             serial: 0,
             service: Service::default(),
+            subset: Subset::new(upstreams.len()),
+            in_flight: 0,
+            seed,
             failing: 0,
             peers: Peers::default(),
             bucket,
@@ -93,10 +102,15 @@
                     state.upstream = upstream;
                     state
                 }
-                None => State { ramp_from: Some(at), ..State::new(upstream, home, self.hosts) },
+                None => State {
+                    ramp_from: Some(at),
+                    ..State::new(upstream, home, self.hosts, self.seed)
+                },
             };
             self.states.push(state);
         }
+        self.states.sort_by_key(|it| it.order);
+        self.in_flight = self.states.iter().map(|it| it.flights.len()).sum();
         self.places =
             self.states.iter().enumerate().map(|(i, it)| (it.upstream.id.clone(), i)).collect();
         self.count_failing();
@@ -106,8 +120,8 @@
     /// Sets the number of entry hosts that may be at work, among which the probe budget is shared
     /// evenly.
     ///
-    /// A host that may only have been cut off counts, or
-    /// the hosts on the two sides of a cut would together spend more than the budget.
+    /// A host that may only have been cut off counts, or the hosts on the two sides of a cut would
+    /// together spend more than the budget.
     pub fn set_hosts(&mut self, now: Instant, hosts: u32) {
         let at = self.moment(now);
         self.hosts = hosts.max(1);
@@ -144,6 +158,8 @@
         self.serial += 1;
         let flight = Flight { serial: self.serial, at, stretch: best.view.stretch };
         self.states[best.index].flights.push(flight);
+        self.in_flight += 1;
+        self.subset.observe(at, self.in_flight);
         let dispatch = Dispatch { upstream: chosen.upstream.clone(), serial: self.serial, at: now };
         Ok(Choice { dispatch, chosen, runner_up, weighed: self.ranking.weighed })
     }
@@ -157,6 +173,8 @@
         let state = &mut self.states[place];
         let Some(found) = state.flights.iter().position(|it| it.serial == serial) else { return };
         let flight = state.flights.remove(found);
+        self.in_flight -= 1;
+        self.subset.observe(at, self.in_flight);
         let time = answer.latency.as_secs_f64() / flight.stretch;
         let memory = self.settings.speed_memory.as_secs_f64();
         match answer.outcome {
@@ -256,6 +274,18 @@
         self.places.get(upstream).map_or(0, |&place| self.states[place].own())
     }
 
+    /// Changes of the size of the subset that is weighed first.
+    #[must_use]
+    pub fn subset_changes(&self) -> u64 {
+        self.subset.changes()
+    }
+
+    /// Upstreams that are weighed first; the others are when none of these has room.
+    #[must_use]
+    pub fn subset(&self) -> usize {
+        self.subset.size(self.states.len())
+    }
+
     /// Upstreams that are ejected at `now`.
     #[must_use]
     pub fn ejected(&self, now: Instant) -> usize {
@@ -267,15 +297,17 @@
         let means = self.service.means(at, &self.settings);
         let trusted = self.trusts_failures();
         let len = self.states.len();
-        let start = if len == 0 { 0 } else { self.rng.usize(..len) };
+        let subset = self.subset.size(len);
         let sample = self.settings.sample.max(1);
+        let start = if subset > sample { self.rng.usize(..subset) } else { 0 };
         self.ranking.clear();
         let mut reason = Reason::NoUpstream;
         for step in 0..len.min(sample.saturating_mul(WINDOWS)) {
-            if step >= sample && !self.ranking.is_empty() {
+            let is_enough = self.ranking.weighed as usize >= sample.min(subset);
+            if is_enough && !self.ranking.is_empty() {
                 break;
             }
-            let index = (start + step) % len;
+            let index = if step < subset { (start + step) % subset } else { step };
             let state = &self.states[index];
             if !state.may_work(at, trusted) {
                 continue;
@@ -353,6 +385,7 @@
         self.states
             .iter()
             .enumerate()
+            .take(self.subset.size(self.states.len()))
             .filter(|(_, it)| !it.leaving)
             .map(|(place, it)| (place, age(it)))
             .filter(|&(_, age)| age >= least)
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -26,6 +26,7 @@
 mod settings;
 mod speed;
 mod state;
+mod subset;
 mod upstream;
 
 pub use answer::{Answer, Outcome};
--- a/crates/balance/src/state.rs
+++ b/crates/balance/src/state.rs
@@ -9,6 +9,7 @@
     peers::Told,
     service::Means,
     speed::Speed,
+    subset,
 };
 
 /// Least share of its limit that an upstream has while it is brought up.
@@ -29,6 +30,8 @@
 #[derive(Debug)]
 pub(crate) struct State {
     pub(crate) upstream: Upstream,
+    /// Place in the order in which this host takes upstreams into its subset.
+    pub(crate) order: u64,
     pub(crate) home: bool,
     pub(crate) leaving: bool,
     pub(crate) flights: Vec<Flight>,
@@ -52,10 +55,12 @@
 
 impl State {
     /// An upstream of which nothing is known yet.
-    pub(crate) fn new(upstream: Upstream, home: bool, hosts: u32) -> Self {
+    pub(crate) fn new(upstream: Upstream, home: bool, hosts: u32, host_seed: u64) -> Self {
+        let order = subset::order(host_seed, &upstream.id);
         let limit = Limit::new(upstream.slots, hosts);
         Self {
             upstream,
+            order,
             home,
             leaving: false,
             flights: Vec::new(),
--- a/crates/balance/tests/fail_fast.rs
+++ b/crates/balance/tests/fail_fast.rs
@@ -58,10 +58,10 @@
 fn most_failing_trusts_none() {
     let mut now = Instant::now();
     let settings = Settings { eject_for: ms(60_000), ..Settings::default() };
-    let mut it = balancer(settings, 10, 4, now);
-    one_by_one(&mut it, &mut now, 2000, 10, |_| (Outcome::Failure, ms(1)));
-    assert_eq!(it.ejected(now), 3);
-    let chosen = one_by_one(&mut it, &mut now, 2000, 10, |_| (Outcome::Failure, ms(1)));
+    let mut it = balancer(settings, 8, 4, now);
+    one_by_one(&mut it, &mut now, 2000, 8, |_| (Outcome::Failure, ms(1)));
+    assert_eq!(it.ejected(now), 2);
+    let chosen = one_by_one(&mut it, &mut now, 2000, 8, |_| (Outcome::Failure, ms(1)));
     assert!(chosen.iter().all(|&it| it > 100), "{chosen:?}");
 }
 
