--- a/xtask/src/orders.rs
+++ b/xtask/src/orders.rs
@@ -4,6 +4,7 @@
 //! are plain data, so that every state can be copied, compared and continued in every way.
 
 mod apply;
+mod cost;
 mod enabled;
 mod guard;
 mod options;
@@ -41,12 +42,26 @@
             return ExitCode::from(2);
         }
     };
+    if options.cost {
+        return measure_cost();
+    }
     let started = Instant::now();
     let mut reports = explore(&options);
     reports.extend(wander(&options));
     summarize(&reports, started)
 }
 
+fn measure_cost() -> ExitCode {
+    match cost::run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(e) => {
+            eprintln!("orders: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 /// A report and what it is about.
 struct Row {
     name: String,
@@ -71,7 +86,7 @@
 
 fn search_one(rules: &Rules, options: &Options) -> Row {
     let report = search::search(rules, options.limit);
-    let name = format!("all {}", rules.name);
+    let name = format!("all {} copies={} faults={}", rules.name, rules.copies, rules.faults);
     print_row(&name, &report);
     Row { name, report }
 }
@@ -102,7 +117,7 @@
 fn print_row(name: &str, report: &Report) {
     let Report { states, ends, is_partial, .. } = report;
     let extent = if *is_partial { "partial" } else { "whole" };
-    println!("{name:<28} states={states:<10} ends={ends:<8} {extent}");
+    println!("{name:<42} states={states:<10} ends={ends:<8} {extent}");
 }
 
 fn summarize(rows: &[Row], started: Instant) -> ExitCode {
