--- a/crates/cli/tests/real_daemons.rs
+++ b/crates/cli/tests/real_daemons.rs
@@ -37,3 +37,19 @@
     let hosts = run(&fleet, &["hosts"]);
     assert_eq!(hosts.text.matches("  live\n").count(), 3, "{}", hosts.text);
 }
+
+#[test]
+fn explain_and_drain() {
+    let settings = fleet::Settings { daemons: 2, ..fleet::Settings::default() };
+    let fleet = Fleet::start(settings).expect("a fleet");
+    fleet.await_hosts(2).expect("daemons that know one another");
+    let answer = fleet::Caller::default().get(fleet.address(1), "/stock");
+    let outcome = run(&fleet, &["explain", &answer.request]);
+    assert_eq!(outcome.code, Code::Done, "{}", outcome.text);
+    let host = fleet.daemons[1].admin_address();
+    assert!(outcome.text.starts_with(&format!("decided on {host}\n")), "{}", outcome.text);
+    let outcome = run(&fleet, &["drain", &host.to_string(), "--wait", "0"]);
+    assert_eq!(outcome.text, format!("{host} is leaving, and still runs\n"));
+    let hosts = run(&fleet, &["hosts"]).text;
+    assert!(hosts.contains(&format!("{host}  leaving\n")), "{hosts}");
+}
