--- a/xtask/src/slopes/changes.rs
+++ b/xtask/src/slopes/changes.rs
@@ -15,7 +15,7 @@
 
 use super::{
     Options, Result,
-    fixture::{self, SIZES, SLOTS, Size, TARGET},
+    fixture::{self, SLOTS, Size, TARGET},
     meter::{Meter, Reserved},
     peers::ratio,
     usage,
@@ -23,6 +23,16 @@
 
 /// Time in which a change must be in force.
 pub(super) const IN_FORCE_LIMIT_S: f64 = 17.0;
+/// Sizes besides that of the target.
+const SMALLER: [Size; 3] = [
+    Size { upstreams: 1_800, services: 65 },
+    Size { upstreams: 900, services: 33 },
+    Size { upstreams: 31, services: 3 },
+];
+/// Longest time until a daemon that finds no snapshot has written one.
+const SNAPSHOT_LIMIT: Duration = Duration::from_mins(1);
+/// Longest time until the threads of a stopped daemon have ended.
+const END_LIMIT: Duration = Duration::from_secs(10);
 /// Changes that are published, one after the other.
 const CHANGES: u32 = 12;
 /// Time between two changes.
@@ -74,7 +84,7 @@
         .build()?;
     // The target comes first: its memory then doesn't hide in what smaller ones have freed.
     let cost = measure_size(TARGET, options, &runtime)?;
-    for it in SIZES.into_iter().filter(|it| *it != TARGET).rev() {
+    for it in SMALLER {
         measure_size(it, options, &runtime)?;
     }
     runtime.shutdown_background();
@@ -91,6 +101,8 @@
     let metered = start(&fleet, settings.daemon, runtime)?;
     let daemon = &metered.daemon;
     await_that(Duration::from_mins(1), "first version", || daemon.version() >= Some(first))?;
+    await_that(SNAPSHOT_LIMIT, "first snapshot", || snapshot_bytes(&fleet) > 0)?;
+    thread::sleep(CHANGE_INTERVAL);
 
     let window = Instant::now();
     let cpu = usage::cpu(&THREADS)?;
@@ -128,6 +140,10 @@
     };
     print(size, cost);
     metered.daemon.stop();
+    // Processor time is a sum over living threads.
+    await_that(END_LIMIT, "end of the threads", || {
+        usage::threads(&THREADS).is_ok_and(|it| it == 0)
+    })?;
     Ok(cost)
 }
 
--- a/xtask/src/slopes/usage.rs
+++ b/xtask/src/slopes/usage.rs
@@ -10,7 +10,17 @@
 /// Processor time that threads with one of `names` have used so far; threads that have ended don't
 /// count.
 pub(super) fn cpu(names: &[&str]) -> io::Result<Duration> {
-    let mut sum = Duration::ZERO;
+    Ok(used(names)?.into_iter().sum())
+}
+
+/// Threads with one of `names`.
+pub(super) fn threads(names: &[&str]) -> io::Result<usize> {
+    Ok(used(names)?.len())
+}
+
+/// Processor time of each thread with one of `names`.
+fn used(names: &[&str]) -> io::Result<Vec<Duration>> {
+    let mut res = Vec::new();
     for it in fs::read_dir("/proc/self/task")? {
         let path = it?.path();
         let Ok(name) = fs::read_to_string(path.join("comm")) else { continue };
@@ -19,9 +29,9 @@
         }
         let Ok(stat) = fs::read_to_string(path.join("schedstat")) else { continue };
         let used_ns = stat.split_whitespace().next().and_then(|it| it.parse().ok());
-        sum += Duration::from_nanos(used_ns.unwrap_or(0));
+        res.push(Duration::from_nanos(used_ns.unwrap_or(0)));
     }
-    Ok(sum)
+    Ok(res)
 }
 
 /// Memory of this process that is in use, in MiB.
