--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -1,6 +1,10 @@
 //! What a daemon holds for one service: admission, choice of upstreams, connections.
 
+pub mod flight;
 pub mod leaving;
+pub mod parts;
+pub mod permit;
+pub mod waiting;
 
 use std::{
     collections::{HashMap, HashSet},
@@ -14,7 +18,12 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::upstream::pool::Pool;
+
+pub use flight::Flight;
 use leaving::Leaving;
+pub use parts::Parts;
+pub use permit::Permit;
+use waiting::Admission;
 
 type Pools = HashMap<UpstreamId, Arc<Pool>>;
 
@@ -30,46 +39,6 @@
     finished: Notify,
 }
 
-struct Admission {
-    gate: Gate,
-    waiting: HashMap<RequestId, oneshot::Sender<Event>>,
-}
-
-/// What a service is made of, in one version of the configuration.
-#[derive(Clone, Debug)]
-pub struct Parts {
-    /// Limits of the service.
-    pub service: Arc<document::Service>,
-    /// Ranks of work.
-    pub ranks: Vec<admission::Rank>,
-    /// Upstreams of the service.
-    pub upstreams: Vec<document::Upstream>,
-    /// Failure domain of this host.
-    pub domain: balance::Domain,
-    /// Entry hosts that may be at work.
-    pub hosts: u32,
-    /// Seed of the balancer's random numbers.
-    pub seed: u64,
-}
-
-impl Parts {
-    fn balanced(&self) -> Vec<balance::Upstream> {
-        let convert = |it: &document::Upstream| balance::Upstream {
-            id: Arc::clone(&it.id),
-            domain: Arc::clone(&it.domain),
-            slots: it.slots,
-        };
-        self.upstreams.iter().map(convert).collect()
-    }
-
-    fn gate_settings(&self) -> admission::Settings {
-        admission::Settings {
-            queue_limit: self.service.queue_limit as usize,
-            ..admission::Settings::default()
-        }
-    }
-}
-
 impl Service {
     /// A service without any traffic yet.
     #[must_use]
@@ -207,14 +176,14 @@
         match verdict {
             Verdict::Refused(it) => return Err(it),
             Verdict::Admitted => {
-                return Ok(Permit { service: Arc::clone(self), id, waits: false, served: None });
+                return Ok(Permit::holding(Arc::clone(self), id));
             }
             Verdict::Queued { .. } => {}
         }
-        let mut permit = Permit { service: Arc::clone(self), id, waits: true, served: None };
+        let mut permit = Permit::waiting(Arc::clone(self), id);
         match delivered.await {
             Ok(Event::Admit(_)) => {
-                permit.waits = false;
+                permit.admitted();
                 Ok(permit)
             }
             Ok(Event::Expire(_)) => Err(refusal(admission::Reason::Deadline)),
@@ -234,7 +203,7 @@
     ) -> balance::Result<Flight> {
         loop {
             let refusal = match self.balancer().choose(self.clock.now(), tried) {
-                Ok(choice) => return Ok(self.fly(choice)),
+                Ok(choice) => return Ok(Flight::new(Arc::clone(self), choice)),
                 Err(it) => it,
             };
             let waited = self.clock.now() + refusal.retry_after;
@@ -252,7 +221,7 @@
     #[must_use]
     pub fn choose_now(self: &Arc<Self>, tried: &[UpstreamId]) -> Option<Flight> {
         let choice = self.balancer().choose(self.clock.now(), tried).ok()?;
-        Some(self.fly(choice))
+        Some(Flight::new(Arc::clone(self), choice))
     }
 
     /// Moves time on for requests that wait.
@@ -275,11 +244,6 @@
         lock(&self.admission).gate.snapshot()
     }
 
-    fn fly(self: &Arc<Self>, choice: balance::Choice) -> Flight {
-        let balance::Choice { dispatch, chosen, runner_up, weighed } = choice;
-        Flight { service: Arc::clone(self), dispatch: Some(dispatch), chosen, runner_up, weighed }
-    }
-
     fn land(&self, dispatch: Dispatch, answer: balance::Answer) {
         self.balancer().finished(self.clock.now(), dispatch, answer);
         self.finished.notify_one();
@@ -320,96 +284,6 @@
     }
 }
 
-impl Admission {
-    fn set_capacity(&mut self, now: Instant, capacity: u32) {
-        let events = self.gate.set_capacity(now, capacity);
-        self.deliver(events);
-    }
-
-    fn deliver(&mut self, events: Vec<Event>) {
-        for it in events {
-            let (Event::Admit(id) | Event::Expire(id)) = it;
-            if let Some(waiting) = self.waiting.remove(&id) {
-                // A receiver that is gone gives its slot back by itself.
-                let _gone = waiting.send(it);
-            }
-        }
-    }
-}
-
-/// A slot held by a request; given back when dropped.
-#[must_use = "the slot is given back when the permit is dropped"]
-pub struct Permit {
-    service: Arc<Service>,
-    id: RequestId,
-    waits: bool,
-    served: Option<Duration>,
-}
-
-impl Permit {
-    /// Notes the time that a backend server took for the whole answer.
-    pub fn served(&mut self, took: Duration) {
-        self.served = Some(took);
-    }
-}
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        self.service.release(self.id, self.waits, self.served);
-    }
-}
-
-/// An attempt in flight; counts as cancelled if it is dropped before it lands.
-#[must_use = "the attempt is cancelled when the flight is dropped"]
-pub struct Flight {
-    service: Arc<Service>,
-    dispatch: Option<Dispatch>,
-    /// Figures of the chosen upstream.
-    pub chosen: balance::Candidate,
-    runner_up: Option<balance::Candidate>,
-    weighed: u32,
-}
-
-impl Flight {
-    /// Upstream that was chosen.
-    #[must_use]
-    pub fn upstream(&self) -> &UpstreamId {
-        &self.chosen.upstream
-    }
-
-    /// Tells the balancer how the attempt ended.
-    pub fn land(mut self, answer: balance::Answer) {
-        if let Some(it) = self.dispatch.take() {
-            self.service.land(it, answer);
-        }
-    }
-
-    /// The candidates and their figures, for the log.
-    #[must_use]
-    pub fn reason(&self) -> String {
-        let mut res = format!("{} weighed; {}", self.weighed, figures(&self.chosen));
-        if let Some(it) = &self.runner_up {
-            res.push_str("; before ");
-            res.push_str(&figures(it));
-        }
-        res
-    }
-}
-
-impl Drop for Flight {
-    fn drop(&mut self) {
-        let Some(it) = self.dispatch.take() else { return };
-        let latency = self.service.clock.now().saturating_duration_since(it.at());
-        let outcome = balance::Outcome::Cancelled;
-        self.service.land(it, balance::Answer { outcome, latency, report: None });
-    }
-}
-
-fn figures(it: &balance::Candidate) -> String {
-    let expected = it.expected.as_micros();
-    format!("{} expected {expected} us, own {}, others {:.1}", it.upstream, it.own, it.others)
-}
-
 fn refusal(reason: admission::Reason) -> admission::Refusal {
     let retry_after = admission::Settings::default().max_retry_after;
     admission::Refusal { reason, retry_after }
