Count orders of peers as in progress, and keep reading the log until they are done

A planned stop counted only requests of its own callers, and stopped the thread that reads the log before the calls of peers had ended. The new test (a planned stop while a peer's order runs) passed before too, as the peers' server waits for its calls; the change makes the drain limit and the status page count them, and lets journaled ones start until the end.

--- a/crates/daemon/src/orders/execution.rs
+++ b/crates/daemon/src/orders/execution.rs
@@ -11,7 +11,7 @@
         header,
         reply::{Outcome as Told, Refusal},
     },
-    path::{Draft, Plan, Result, attempts, plan},
+    path::{Busy, Draft, Plan, Result, attempts, plan},
     state::State,
     upstream::attempt::{self, Answer},
 };
@@ -62,6 +62,7 @@
     let unreadable = Outcome::Unknown(Reason::Refused);
     let Some(driver) = state.orders() else { return Outcome::Unknown(Reason::IssuerGone) };
     let Some((head, body)) = order.request() else { return unreadable };
+    let _busy = Busy::new(state);
     let id = state.ids.next();
     let nobody = SocketAddr::from(([0, 0, 0, 0], 0));
     let Ok(plan) = plan::make(state, &head, nobody, id, driver.now()) else { return unreadable };
--- a/crates/daemon/src/path.rs
+++ b/crates/daemon/src/path.rs
@@ -77,10 +77,10 @@
 }
 
 /// Counts a request as in progress until it is dropped.
-struct Busy(Arc<State>);
+pub(crate) struct Busy(Arc<State>);
 
 impl Busy {
-    fn new(state: &Arc<State>) -> Self {
+    pub(crate) fn new(state: &Arc<State>) -> Self {
         state.in_progress.fetch_add(1, Ordering::AcqRel);
         Self(Arc::clone(state))
     }
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -226,8 +226,9 @@
         if self.callers.block_on(closing).is_err() {
             log::error!("replies were still being sent after {limit:?}");
         }
-        self.stop_threads.store(true, Ordering::Relaxed);
+        // Orders that peers passed on need the threads that read the log.
         self.control.block_on(self.peers.stop());
+        self.stop_threads.store(true, Ordering::Relaxed);
         self.callers.shutdown_background();
         self.control.shutdown_background();
         log::info!("stopped");
--- a/crates/daemon/tests/order_recovery.rs
+++ b/crates/daemon/tests/order_recovery.rs
@@ -92,3 +92,21 @@
     assert_ne!(stream_of(&fresh), stream_of(&session));
     check(&orders.place(1, &format!("{fresh}.1"), "bale"), "done", 200);
 }
+
+#[test]
+fn planned_stop_finishes_an_order_of_a_peer() {
+    let mut orders = Orders::start(2, QUICK, DEADLINE_MS);
+    let key = format!("{}.1", orders.session(0, "journaled"));
+    orders.stall(true);
+    let (caller, other, sent) = (orders.caller.clone(), orders.fleet.address(1), key.clone());
+    let first = thread::spawn(move || caller.post(other, orders::PATH, &sent, "bale".into()));
+    orders.await_runs(&key, 1);
+    let issuer = orders.fleet.daemons.remove(0);
+    let stopping = thread::spawn(move || issuer.stop());
+    thread::sleep(Duration::from_secs(2));
+    assert!(!stopping.is_finished(), "the order is still in progress");
+    orders.stall(false);
+    check(&first.join().expect("caller"), "done", 200);
+    stopping.join().expect("the daemon stops");
+    assert_eq!(orders.runs(&key), 1);
+}
--- a/crates/daemon/tests/orders/mod.rs
+++ b/crates/daemon/tests/orders/mod.rs
@@ -28,7 +28,8 @@
 
     /// Starts daemons for a service of its own kind.
     pub(crate) fn start_with(daemons: usize, service: Service) -> Self {
-        let settings = Settings { daemons, services: vec![service], ..Settings::default() };
+        let mut settings = Settings { daemons, services: vec![service], ..Settings::default() };
+        settings.daemon.directions_keep = Duration::from_secs(1);
         let fleet = Fleet::start(settings).expect("fleet starts");
         fleet.await_hosts(daemons).expect("the daemons know each other");
         let res = Self { fleet, caller: Caller::default() };
--- a/xtask/src/orders/options.rs
+++ b/xtask/src/orders/options.rs
@@ -38,7 +38,7 @@
             small: false,
             scenario: None,
             faults: 2,
-            limit: 5_000_000,
+            limit: 20_000_000,
             walks: 20_000,
             seed: 1,
             guard: None,
