Keep made-up sessions from starving true orders of appends

Whoever sends keys of sessions that nobody issued makes entry hosts revoke incarnations that never were, and revocations went before all other appends. Kinds of appends now take turns, and at most eight revocations are under way at a host; further such orders are answered unknown.

--- a/crates/order/src/batcher.rs
+++ b/crates/order/src/batcher.rs
@@ -17,6 +17,25 @@
     pub(crate) fingerprint: Fingerprint,
 }
 
+/// What appends are made of; kinds take turns, so that none keeps the others waiting.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+enum Kind {
+    #[default]
+    Revocation,
+    Claims,
+    Orders,
+}
+
+impl Kind {
+    fn next(self) -> Self {
+        match self {
+            Self::Revocation => Self::Claims,
+            Self::Claims => Self::Orders,
+            Self::Orders => Self::Revocation,
+        }
+    }
+}
+
 /// What an append carries that somebody waits for.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub(crate) enum Content {
@@ -37,7 +56,8 @@
     in_flight: BTreeMap<Batch, Content>,
     next_batch: Batch,
     next_append: Option<Instant>,
-    claims_first: bool,
+    /// Kind whose turn it is.
+    turn: Kind,
 }
 
 impl Batcher {
@@ -119,14 +139,37 @@
         Some((Action::Append { batch, stream, record }, keys))
     }
 
-    /// Revocations go first, because a caller waits for each; claims and orders take turns.
     fn next_content(&mut self, own: Incarnation, limit: usize) -> (Stream, Body, Content) {
-        if let Some(it) = self.revocations.pop_front() {
-            return (Stream::Orders(it), Body::Revoked { by: own }, Content::Revocation(it));
+        let kind = self.next_kind();
+        self.turn = kind.next();
+        match kind {
+            Kind::Revocation => self.next_revocation(own, limit),
+            Kind::Claims => self.next_claims(own, limit),
+            Kind::Orders => self.next_orders(own, limit),
+        }
+    }
+
+    /// The first kind from the one whose turn it is that has something to append; outcomes alone
+    /// count for nothing here.
+    fn next_kind(&self) -> Kind {
+        let mut kind = self.turn;
+        while !self.has(kind) && kind.next() != self.turn {
+            kind = kind.next();
         }
-        let claims = !self.claimed.is_empty() && (self.claims_first || self.started.is_empty());
-        self.claims_first = !claims;
-        if claims { self.next_claims(own, limit) } else { self.next_orders(own, limit) }
+        if self.has(kind) { kind } else { Kind::Orders }
+    }
+
+    fn has(&self, kind: Kind) -> bool {
+        match kind {
+            Kind::Revocation => !self.revocations.is_empty(),
+            Kind::Claims => !self.claimed.is_empty(),
+            Kind::Orders => !self.started.is_empty(),
+        }
+    }
+
+    fn next_revocation(&mut self, own: Incarnation, limit: usize) -> (Stream, Body, Content) {
+        let Some(it) = self.revocations.pop_front() else { return self.next_orders(own, limit) };
+        (Stream::Orders(it), Body::Revoked { by: own }, Content::Revocation(it))
     }
 
     fn next_claims(&mut self, own: Incarnation, limit: usize) -> (Stream, Body, Content) {
--- a/crates/order/src/engine/forwarding.rs
+++ b/crates/order/src/engine/forwarding.rs
@@ -81,13 +81,20 @@
         let to = forward.to;
         if self.recoveries.get(&to).is_some_and(|it| it.covers(base)) {
             self.conclude_recovery(to, acts);
-        } else if self.log_up {
+        } else if self.log_up && self.may_revoke() {
             self.start_recovery(to, base, acts);
         } else {
             self.drop_forward(ticket, acts);
         }
     }
 
+    /// Whether another revocation may be under way. Sessions can be made up, and must not take the
+    /// log's appends away from true ones.
+    fn may_revoke(&self) -> bool {
+        let under_way = self.recoveries.values().filter(|it| !it.is_sealed()).count();
+        under_way < self.settings.revocation_limit
+    }
+
     fn start_recovery(&mut self, of: Incarnation, from: u64, acts: &mut Vec<Action>) {
         let stream = Stream::Orders(of);
         let was_sealed = self.recoveries.get(&of).is_some_and(Recovery::is_sealed);
--- a/crates/order/src/settings.rs
+++ b/crates/order/src/settings.rs
@@ -38,6 +38,8 @@
     pub forward_interval: Duration,
     /// Time without an answer after which an issuer is revoked.
     pub suspect_after: Duration,
+    /// Revocations under way at once; requests of further incarnations are answered `unknown`.
+    pub revocation_limit: usize,
     /// Dead incarnations whose journal is kept in memory.
     pub recovery_limit: usize,
 }
@@ -61,6 +63,7 @@
             journaled_answer_limit: 512,
             forward_interval: Duration::from_millis(100),
             suspect_after: Duration::from_millis(1_500),
+            revocation_limit: 8,
             recovery_limit: 32,
         }
     }
--- a/crates/order/tests/journal_recovery.rs
+++ b/crates/order/tests/journal_recovery.rs
@@ -214,3 +214,25 @@
         .submit_with(numbered(session, 1), 1, |it| order::Submission { forwarded: true, ..it });
     bench.expect(ticket, &Unknown(Reason::IssuerGone));
 }
+
+#[test]
+fn made_up_sessions_do_not_keep_true_orders_from_the_log() {
+    let settings = Settings::default();
+    let mut bench = Bench::new(settings.clone());
+    let own = bench.session(true);
+    let mut unknown = 0;
+    for incarnation in 100..120 {
+        let session = Session { incarnation, nonce: 7, journal: Journal::From(0) };
+        let ticket = bench.submit(numbered(session, 1), 1);
+        bench.feed(Event::ForwardFailed { ticket, gone: true });
+        unknown += usize::from(bench.outcome(ticket).is_some());
+    }
+    assert_eq!(unknown, 20 - settings.revocation_limit);
+    let ticket = bench.submit(numbered(own, 1), 1);
+    for _ in 0..2 {
+        bench.advance(settings.append_interval);
+        bench.land();
+    }
+    bench.read(OWN_STREAM, 0);
+    assert!(bench.started(ticket), "two appends later at the latest");
+}
