--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -14,7 +14,7 @@
     peers::Peers,
     ranking::{Place, Ranking},
     service::Service,
-    state::{Flight, State},
+    state::{self, Flight, State},
     subset::Subset,
 };
 
@@ -176,7 +176,7 @@
         self.in_flight -= 1;
         self.subset.observe(at, self.in_flight);
         let time = answer.latency.as_secs_f64() / flight.stretch;
-        let memory = self.settings.speed_memory.as_secs_f64();
+        let memory = state::speed_memory(&self.settings, means);
         match answer.outcome {
             Outcome::Success => {
                 state.speed.answered(at, memory, time);
@@ -258,8 +258,9 @@
         let trusted = self.trusts_failures();
         let open = |it: &&State| it.may_work(at, trusted);
         let room = |it: &State| it.room(at, &self.settings, means);
-        let own: u32 = self.states.iter().map(State::own).sum();
-        own + self.states.iter().filter(open).map(room).sum::<u32>()
+        let own = u32::try_from(self.in_flight).unwrap_or(u32::MAX);
+        let within = self.settings.sample.saturating_mul(WINDOWS);
+        own + self.states.iter().take(within).filter(open).map(room).sum::<u32>()
     }
 
     /// Mean time that the service's upstreams work on a request, without waiting.
--- a/crates/balance/src/health.rs
+++ b/crates/balance/src/health.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Settings,
-    moment::{Moment, fade},
+    moment::{Moment, blend, fade},
 };
 
 /// Weight of the newest attempt in the failure share.
@@ -37,6 +37,9 @@
 
     /// Share of attempts that is expected to fail.
     pub(crate) fn failure_share(&self, now: Moment, settings: &Settings) -> f64 {
+        if self.share == 0.0 {
+            return 0.0;
+        }
         self.share * fade(now - self.at, settings.failure_memory.as_secs_f64())
     }
 
@@ -65,7 +68,7 @@
 
     fn observe(&mut self, now: Moment, settings: &Settings, failure: f64) {
         let past = self.failure_share(now, settings);
-        self.share = NEWEST_WEIGHT.mul_add(failure - past, past);
+        self.share = blend(past, failure, NEWEST_WEIGHT);
         self.at = self.at.max(now);
     }
 }
--- a/crates/balance/src/limit.rs
+++ b/crates/balance/src/limit.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Report,
-    moment::{Moment, fade},
+    moment::{Moment, blend, fade},
 };
 
 /// Time constant of the mean of reported queues, in seconds: a flood lasts, a noisy neighbour's
@@ -57,7 +57,7 @@
     pub(crate) fn reported(&mut self, now: Moment, report: Report, queue_percent: u32) {
         let kept = fade(now - self.reported_at, QUEUE_MEMORY_S);
         let queued = f64::from(report.queued);
-        self.queue = (self.queue - queued).mul_add(kept, queued);
+        self.queue = blend(queued, self.queue, kept);
         self.reported_at = now;
         if self.queue > self.slots * f64::from(queue_percent) / 100.0 {
             self.scale(QUEUE_BACKOFF);
--- a/crates/balance/src/service.rs
+++ b/crates/balance/src/service.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Settings,
-    moment::{Moment, fade},
+    moment::{Moment, blend, fade},
     speed::Speed,
 };
 
@@ -41,7 +41,7 @@
     /// Takes in a report of others' requests for each slot of one upstream.
     pub(crate) fn reported(&mut self, now: Moment, others_per_slot: f64) {
         let mean = self.others_per_slot(now);
-        self.others_per_slot = REPORT_WEIGHT.mul_add(others_per_slot - mean, mean);
+        self.others_per_slot = blend(mean, others_per_slot, REPORT_WEIGHT);
         self.reported_at = now;
     }
 
--- a/crates/balance/src/settings.rs
+++ b/crates/balance/src/settings.rs
@@ -15,7 +15,7 @@
     pub tie_percent: u32,
     /// Service time assumed before any answer.
     pub initial_service_time: Duration,
-    /// Time constant with which an upstream's own service time returns to the service's mean.
+    /// Least time constant with which an upstream's own service time returns to the service's mean.
     pub speed_memory: Duration,
     /// Answers' worth of weight that the service's mean has in an upstream's service time.
     pub speed_prior: f64,
--- a/crates/balance/src/speed.rs
+++ b/crates/balance/src/speed.rs
@@ -24,7 +24,7 @@
     /// Takes in `time` seconds that ended without an answer.
     pub(crate) fn spent(&mut self, now: Moment, memory: f64, time: f64) {
         let kept = fade(now - self.at, memory);
-        self.spent = self.spent.mul_add(kept, time);
+        self.spent = self.spent * kept + time;
         self.answers *= kept;
         self.at = self.at.max(now);
     }
@@ -40,8 +40,8 @@
         pending: f64,
     ) -> f64 {
         let kept = fade(now - self.at, memory);
-        let spent = prior.mul_add(mean, self.spent.mul_add(kept, pending));
-        let answers = self.answers.mul_add(kept, prior);
+        let spent = prior * mean + self.spent * kept + pending;
+        let answers = self.answers * kept + prior;
         if answers <= f64::EPSILON { mean } else { spent / answers }
     }
 }
--- a/crates/balance/src/state.rs
+++ b/crates/balance/src/state.rs
@@ -5,7 +5,7 @@
     health::Health,
     limit::Limit,
     load::Load,
-    moment::{Moment, fade},
+    moment::{Moment, blend, fade},
     peers::Told,
     service::Means,
     speed::Speed,
@@ -14,6 +14,8 @@
 
 /// Least share of its limit that an upstream has while it is brought up.
 const LEAST_RAMP: f64 = 0.2;
+/// Least time constant of an upstream's service time, in service times.
+const SPEED_MEMORY_ANSWERS: f64 = 10.0;
 /// Requests by which a report without age may be wrong.
 const REPORT_ERROR: f64 = 2.0;
 
@@ -98,7 +100,7 @@
 
     /// Service time in seconds, from answers and own requests still in flight.
     pub(crate) fn service_time(&self, now: Moment, settings: &Settings, means: Means) -> f64 {
-        let memory = settings.speed_memory.as_secs_f64();
+        let memory = speed_memory(settings, means);
         let pending: f64 = self.flights.iter().map(|it| (now - it.at) / it.stretch).sum();
         let mean = means.service_time;
         self.speed.estimate(now, memory, settings.speed_prior, mean, pending.max(0.0))
@@ -156,7 +158,7 @@
         let memory = settings.report_memory * means.service_time;
         let weight = self.load.freshness(now, memory);
         let usual = self.peers_in_flight(now, memory, means);
-        let others = (self.load.others() - usual).mul_add(weight, usual);
+        let others = blend(usual, self.load.others(), weight);
         let error = (usual * (1.0 - weight)).sqrt() + REPORT_ERROR;
         (others, error)
     }
@@ -164,14 +166,20 @@
     fn peers_in_flight(&self, now: Moment, memory: f64, means: Means) -> f64 {
         let mean = means.others_per_slot * self.slots();
         let weight = self.told.at.map_or(0.0, |at| fade(now - at, memory));
-        (self.told.in_flight - mean).mul_add(weight, mean)
+        blend(mean, self.told.in_flight, weight)
     }
 }
 
+/// Time constant in seconds with which a service time returns to the service's mean: where answers
+/// take long, it must span several of them.
+pub(crate) fn speed_memory(settings: &Settings, means: Means) -> f64 {
+    settings.speed_memory.as_secs_f64().max(SPEED_MEMORY_ANSWERS * means.service_time)
+}
+
 /// The part of `excess` above 0, smoothed over `error`, so that a doubtful slot is worth less than
 /// a certain one.
 fn smooth_excess(excess: f64, error: f64) -> f64 {
-    0.5 * (excess + excess.hypot(error))
+    0.5 * (excess + (excess * excess + error * error).sqrt())
 }
 
 /// The whole part of a number, 0 if it is negative.
--- a/crates/balance/src/subset.rs
+++ b/crates/balance/src/subset.rs
@@ -5,7 +5,7 @@
     hash::{Hash, Hasher},
 };
 
-use crate::moment::{Moment, fade};
+use crate::moment::{Moment, blend, fade};
 
 /// Upstreams for each request in flight: with fewer, entry hosts load the upstreams unevenly; with
 /// more, each upstream reports to each entry host too rarely.
@@ -38,7 +38,7 @@
     pub(crate) fn observe(&mut self, now: Moment, in_flight: usize) {
         let kept = fade(now - self.at, DEMAND_MEMORY_S);
         let in_flight = as_f64(in_flight);
-        self.demand = (self.demand - in_flight).mul_add(kept, in_flight);
+        self.demand = blend(in_flight, self.demand, kept);
         self.at = self.at.max(now);
         let size = as_f64(self.size);
         if size < self.demand * KEPT.start() || size > self.demand * KEPT.end() {
--- a/xtask/src/policy.rs
+++ b/xtask/src/policy.rs
@@ -4,6 +4,7 @@
 
 mod agenda;
 mod baseline;
+mod cost;
 mod disturbance;
 mod entry;
 mod ini;
@@ -40,6 +41,8 @@
     scenarios: Vec<Scenario>,
     seed: u64,
     seeds: Option<u64>,
+    /// Whether to measure the balancer's own time in place of the scenarios.
+    cost: bool,
 }
 
 /// Runs the scenarios and prints their outcome; fails if a bound is missed.
@@ -51,6 +54,10 @@
             return ExitCode::from(2);
         }
     };
+    if options.cost {
+        cost::print();
+        return ExitCode::SUCCESS;
+    }
     let outcomes: Vec<Outcome> =
         options.scenarios.iter().map(|it| simulate(it, &options)).collect();
     outcomes.iter().for_each(Outcome::print);
@@ -63,7 +70,7 @@
 }
 
 fn options(parser: &mut lexopt::Parser) -> Result<Options, String> {
-    let mut res = Options { scenarios: Vec::new(), seed: DEFAULT_SEED, seeds: None };
+    let mut res = Options { scenarios: Vec::new(), seed: DEFAULT_SEED, seeds: None, cost: false };
     while let Some(arg) = parser.next().map_err(|it| it.to_string())? {
         match arg {
             lexopt::Arg::Long("scenario") => {
@@ -72,6 +79,7 @@
             }
             lexopt::Arg::Long("seed") => res.seed = number(parser)?,
             lexopt::Arg::Long("seeds") => res.seeds = Some(number(parser)?.max(1)),
+            lexopt::Arg::Long("cost") => res.cost = true,
             other => return Err(other.unexpected().to_string()),
         }
     }
--- a/xtask/src/policy/parse.rs
+++ b/xtask/src/policy/parse.rs
@@ -14,6 +14,8 @@
 const SINGLE_SECTIONS: [&str; 8] =
     ["scenario", "network", "service", "reports", "probes", "peers", "noise", "bounds"];
 
+const NAMED_SECTIONS: [&str; 3] = ["rank", "fault", "flood"];
+
 /// A flood whose rank is not yet looked up.
 struct NamedFlood {
     rank: String,
@@ -26,17 +28,20 @@
     let mut findings = Vec::new();
     let mut res = Scenario::default();
     let mut floods = Vec::new();
+    let mut fault_lines = Vec::new();
     let mut seen: Vec<String> = Vec::new();
     for mut section in sections(text, &mut findings) {
         let is_single = SINGLE_SECTIONS.contains(&section.kind.as_str());
-        if is_single && seen.contains(&section.kind) {
-            findings.push(finding(section.line, format!("[{}] stands twice", section.kind)));
+        let header = format!("{} {}", section.kind, section.name);
+        if seen.contains(&header) {
+            findings.push(finding(section.line, format!("[{}] stands twice", header.trim())));
         }
-        if is_single != section.name.is_empty() {
+        let is_known = is_single || NAMED_SECTIONS.contains(&section.kind.as_str());
+        if is_known && is_single != section.name.is_empty() {
             let message = format!("[{}] must{} have a name", section.kind, not(is_single));
             findings.push(finding(section.line, message));
         }
-        seen.push(section.kind.clone());
+        seen.push(header);
         match section.kind.as_str() {
             "scenario" => scenario(&mut section, &mut res, &mut findings),
             "network" => network(&mut section, &mut res, &mut findings),
@@ -49,7 +54,10 @@
             "noise" => noise(&mut section, &mut res.noise, &mut findings),
             "bounds" => bounds(&mut section, &mut res.bounds, &mut findings),
             "rank" => res.ranks.push(rank(&mut section, &mut findings)),
-            "fault" => res.faults.push(fault(&mut section, &mut findings)),
+            "fault" => {
+                fault_lines.push(section.line);
+                res.faults.push(fault(&mut section, &mut findings));
+            }
             "flood" => floods.push(flood(&mut section, &mut findings)),
             other => {
                 findings.push(finding(section.line, format!("[{other}] is not a section")));
@@ -58,6 +66,7 @@
         }
         section.finish(&mut findings);
     }
+    check_faults(&res, &fault_lines, &mut findings);
     resolve(&mut res, floods, &mut findings);
     findings.sort();
     if findings.is_empty() { Ok(res) } else { Err(findings) }
@@ -177,6 +186,17 @@
     NamedFlood { rank: rank.unwrap_or_default(), line: it.line, flood }
 }
 
+/// Checks that faults name upstreams that there are.
+fn check_faults(res: &Scenario, lines: &[u32], findings: &mut Vec<Finding>) {
+    for (fault, line) in res.faults.iter().zip(lines) {
+        if fault.upstream >= res.upstreams {
+            let message =
+                format!("upstream {} must be less than {}", fault.upstream, res.upstreams);
+            findings.push(finding(*line, message));
+        }
+    }
+}
+
 /// Checks what concerns several sections, and looks up the ranks of floods.
 fn resolve(res: &mut Scenario, floods: Vec<NamedFlood>, findings: &mut Vec<Finding>) {
     if res.ranks.is_empty() {
@@ -186,10 +206,6 @@
     if sum > 100 {
         findings.push(finding(0, format!("the floors add up to {sum} percent, over 100")));
     }
-    if let Some(it) = res.faults.iter().find(|it| it.upstream >= res.upstreams) {
-        let message = format!("a fault names upstream {}, numbers end before that", it.upstream);
-        findings.push(finding(0, message));
-    }
     if res.warm_up_s >= res.duration_s {
         findings.push(finding(0, "warm_up_s must be less than duration_s".to_owned()));
     }
