--- a/crates/balance/src/balancer.rs
+++ b/crates/balance/src/balancer.rs
@@ -1,14 +1,12 @@
 //! The balancer of one service.
 
-use std::{
-    collections::HashMap,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use crate::{
     Answer, Candidate, Choice, Digest, Dispatch, Domain, Entry, HostId, Outcome, Reason, Refusal,
     Report, Result, Settings, Upstream, UpstreamId,
     bucket::Bucket,
+    fleet::Fleet,
     limit::Limit,
     moment::{self, Moment, duration},
     peers::Peers,
@@ -27,18 +25,14 @@
 #[derive(Debug)]
 pub struct Balancer {
     settings: Settings,
-    home: Domain,
     hosts: u32,
     origin: Instant,
-    seed: u64,
     rng: fastrand::Rng,
-    states: Vec<State>,
-    places: HashMap<UpstreamId, usize>,
+    fleet: Fleet,
     serial: u64,
     service: Service,
     subset: Subset,
     in_flight: usize,
-    failing: usize,
     peers: Peers,
     bucket: Bucket,
     /// Kept between choices for its memory.
@@ -65,25 +59,21 @@
         let bucket = Bucket::new(settings.probe_burst);
         let mut res = Self {
             settings,
-            home,
             hosts,
             origin: now,
             rng: fastrand::Rng::with_seed(seed),
-            states: Vec::new(),
-            places: HashMap::new(),
+            fleet: Fleet::new(home, seed),
             serial: 0,
             service: Service::default(),
             subset: Subset::new(upstreams.len()),
             in_flight: 0,
-            seed,
-            failing: 0,
             peers: Peers::default(),
             bucket,
             ranking: Ranking::default(),
             probes: 0,
         };
         res.update(now, upstreams);
-        res.states.iter_mut().for_each(|it| it.ramp_from = None);
+        res.fleet.iter_mut().for_each(|it| it.ramp_from = None);
         res.set_hosts(now, hosts);
         res
     }
@@ -91,30 +81,9 @@
     /// Takes in a new list of upstreams and keeps what is known of those that stay.
     pub fn update(&mut self, now: Instant, upstreams: Vec<Upstream>) {
         let at = self.moment(now);
-        let mut known: HashMap<UpstreamId, State> =
-            self.states.drain(..).map(|it| (it.upstream.id.clone(), it)).collect();
-        for upstream in upstreams {
-            let home = upstream.domain == self.home;
-            let state = match known.remove(&upstream.id) {
-                Some(mut state) => {
-                    state.home = home;
-                    state.limit.set_slots(upstream.slots);
-                    state.upstream = upstream;
-                    state
-                }
-                None => State {
-                    ramp_from: Some(at),
-                    ..State::new(upstream, home, self.hosts, self.seed)
-                },
-            };
-            self.states.push(state);
-        }
-        self.states.sort_by_key(|it| it.order);
-        self.in_flight = self.states.iter().map(|it| it.flights.len()).sum();
-        self.places =
-            self.states.iter().enumerate().map(|(i, it)| (it.upstream.id.clone(), i)).collect();
-        self.count_failing();
-        self.spread_digests();
+        self.fleet.update(at, &self.settings, self.hosts, upstreams);
+        self.in_flight = self.fleet.in_flight();
+        self.fleet.spread_digests(&self.peers);
     }
 
     /// Sets the number of entry hosts that may be at work, among which the probe budget is shared
@@ -127,7 +96,7 @@
         self.hosts = hosts.max(1);
         self.bucket.set_rate(self.settings.probe_budget_per_s / f64::from(self.hosts), at);
         if self.serial == 0 {
-            self.states.iter_mut().for_each(|it| it.limit = Limit::new(it.upstream.slots, hosts));
+            self.fleet.iter_mut().for_each(|it| it.limit = Limit::new(it.upstream.slots, hosts));
         }
     }
 
@@ -139,8 +108,8 @@
 
     /// Marks an upstream as leaving, which gets no new work, or as staying.
     pub fn set_leaving(&mut self, upstream: &str, leaving: bool) {
-        if let Some(state) = self.state(upstream) {
-            state.leaving = leaving;
+        if let Some(place) = self.fleet.place(upstream) {
+            self.fleet[place].leaving = leaving;
         }
     }
 
@@ -157,7 +126,7 @@
         let runner_up = runner_up.map(|it| self.candidate(it));
         self.serial += 1;
         let flight = Flight { serial: self.serial, at, stretch: best.view.stretch };
-        self.states[best.index].flights.push(flight);
+        self.fleet[best.index].flights.push(flight);
         self.in_flight += 1;
         self.subset.observe(at, self.in_flight);
         let dispatch = Dispatch { upstream: chosen.upstream.clone(), serial: self.serial, at: now };
@@ -169,8 +138,8 @@
         let at = self.moment(now);
         let means = self.service.means(at, &self.settings);
         let Dispatch { upstream, serial, .. } = dispatch;
-        let Some(&place) = self.places.get(&upstream) else { return };
-        let state = &mut self.states[place];
+        let Some(place) = self.fleet.place(&upstream) else { return };
+        let state = &mut self.fleet[place];
         let Some(found) = state.flights.iter().position(|it| it.serial == serial) else { return };
         let flight = state.flights.remove(found);
         self.in_flight -= 1;
@@ -181,11 +150,11 @@
             Outcome::Success => {
                 state.speed.answered(at, memory, time);
                 self.service.answered(at, time);
-                self.succeeded(place, at);
+                self.fleet.succeeded(at, &self.settings, place);
             }
             Outcome::Failure | Outcome::NotSent => {
                 state.speed.spent(at, memory, time);
-                self.failed(place, at);
+                self.fleet.failed(at, &self.settings, place);
             }
             Outcome::Overload => state.limit.overloaded(),
             Outcome::Cancelled => state.speed.spent(at, memory, time),
@@ -193,7 +162,7 @@
         match answer.report {
             Some(report) => self.take_report(place, at, report),
             None if answer.outcome == Outcome::Success => {
-                self.states[place].limit.answered(time / means.service_time);
+                self.fleet[place].limit.answered(time / means.service_time);
             }
             None => {}
         }
@@ -202,7 +171,7 @@
     /// Takes in a load report that came by other ways than an answer.
     pub fn report(&mut self, now: Instant, upstream: &str, report: Report) {
         let at = self.moment(now);
-        if let Some(&place) = self.places.get(upstream) {
+        if let Some(place) = self.fleet.place(upstream) {
             self.take_report(place, at, report);
         }
     }
@@ -212,12 +181,12 @@
     /// Each name given spends a probe of the budget, whether the probe is sent or not.
     pub fn probe(&mut self, now: Instant) -> Option<UpstreamId> {
         let at = self.moment(now);
-        let place = self.stalest(at)?;
+        let place = self.fleet.stalest(at, &self.settings, self.subset())?;
         if !self.bucket.take(at) {
             return None;
         }
         self.probes += 1;
-        let state = &mut self.states[place];
+        let state = &mut self.fleet[place];
         state.probed_at = Some(at);
         Some(state.upstream.id.clone())
     }
@@ -231,7 +200,7 @@
     /// Own requests in flight, for the peers.
     #[must_use]
     pub fn digest(&self) -> Digest {
-        let busy = self.states.iter().filter(|it| it.own() > 0);
+        let busy = self.fleet.iter().filter(|it| it.own() > 0);
         let entry = |it: &State| Entry { upstream: it.upstream.id.clone(), in_flight: it.own() };
         Digest { entries: busy.map(entry).collect() }
     }
@@ -241,13 +210,13 @@
         let at = self.moment(now);
         let life = self.settings.digest_life.as_secs_f64();
         self.peers.insert(at, life, host, digest);
-        self.spread_digests();
+        self.fleet.spread_digests(&self.peers);
     }
 
     /// Forgets what a peer said, because it has left.
     pub fn forget_peer(&mut self, host: &str) {
         self.peers.remove(host);
-        self.spread_digests();
+        self.fleet.spread_digests(&self.peers);
     }
 
     /// Requests that may be in flight to all upstreams together at `now`, those that are included.
@@ -255,12 +224,12 @@
     pub fn capacity(&self, now: Instant) -> u32 {
         let at = self.moment(now);
         let means = self.service.means(at, &self.settings);
-        let trusted = self.trusts_failures();
+        let trusted = self.fleet.trusts_failures(&self.settings);
         let open = |it: &&State| it.may_work(at, trusted);
         let room = |it: &State| it.room(at, &self.settings, means);
         let own = u32::try_from(self.in_flight).unwrap_or(u32::MAX);
         let within = self.settings.sample.saturating_mul(WINDOWS);
-        own + self.states.iter().take(within).filter(open).map(room).sum::<u32>()
+        own + self.fleet.iter().take(within).filter(open).map(room).sum::<u32>()
     }
 
     /// Mean time that the service's upstreams work on a request, without waiting.
@@ -272,7 +241,7 @@
     /// Own requests in flight to an upstream.
     #[must_use]
     pub fn in_flight(&self, upstream: &str) -> u32 {
-        self.places.get(upstream).map_or(0, |&place| self.states[place].own())
+        self.fleet.place(upstream).map_or(0, |place| self.fleet[place].own())
     }
 
     /// Changes of the size of the subset that is weighed first.
@@ -284,20 +253,20 @@
     /// Upstreams that are weighed first; the others are when none of these has room.
     #[must_use]
     pub fn subset(&self) -> usize {
-        self.subset.size(self.states.len())
+        self.subset.size(self.fleet.len())
     }
 
     /// Upstreams that are ejected at `now`.
     #[must_use]
     pub fn ejected(&self, now: Instant) -> usize {
         let at = self.moment(now);
-        self.states.iter().filter(|it| it.health.is_ejected(at)).count()
+        self.fleet.ejected(at)
     }
 
     fn weigh(&mut self, at: Moment, tried: &[UpstreamId]) -> Result<(Place, Option<Place>)> {
         let means = self.service.means(at, &self.settings);
-        let trusted = self.trusts_failures();
-        let len = self.states.len();
+        let trusted = self.fleet.trusts_failures(&self.settings);
+        let len = self.fleet.len();
         let subset = self.subset.size(len);
         let sample = self.settings.sample.max(1);
         let start = if subset > sample { self.rng.usize(..subset) } else { 0 };
@@ -309,7 +278,7 @@
                 break;
             }
             let index = if step < subset { (start + step) % subset } else { step };
-            let state = &self.states[index];
+            let state = &self.fleet[index];
             if !state.may_work(at, trusted) {
                 continue;
             }
@@ -331,7 +300,7 @@
     }
 
     fn candidate(&self, place: Place) -> Candidate {
-        let state = &self.states[place.index];
+        let state = &self.fleet[place.index];
         Candidate {
             upstream: state.upstream.id.clone(),
             expected: duration(place.view.expected),
@@ -340,35 +309,8 @@
         }
     }
 
-    fn succeeded(&mut self, place: usize, at: Moment) {
-        let state = &mut self.states[place];
-        let was_failing = state.health.is_failing(&self.settings);
-        if state.health.is_on_trial(at) {
-            state.ramp_from = Some(at);
-        }
-        state.health.succeeded(at, &self.settings);
-        if was_failing {
-            self.count_failing();
-        }
-    }
-
-    fn failed(&mut self, place: usize, at: Moment) {
-        let state = &mut self.states[place];
-        state.health.failed(at, &self.settings);
-        if !state.health.is_failing(&self.settings) {
-            return;
-        }
-        self.count_failing();
-        let ejected = self.states.iter().filter(|it| it.health.is_ejected(at)).count();
-        let most = self.states.len() * self.settings.ejected_percent as usize / 100;
-        let state = &mut self.states[place];
-        if !state.health.is_ejected(at) && ejected < most {
-            state.health.eject(at, &self.settings);
-        }
-    }
-
     fn take_report(&mut self, place: usize, at: Moment, report: Report) {
-        let state = &mut self.states[place];
+        let state = &mut self.fleet[place];
         let own = state.own_in_report(at, &self.settings);
         state.load.reported(at, report.total(), own);
         state.limit.reported(at, report, self.settings.queue_percent);
@@ -376,46 +318,6 @@
         self.service.reported(at, per_slot);
     }
 
-    /// The upstream whose last report or probe is oldest, if it is old enough for a probe.
-    fn stalest(&self, at: Moment) -> Option<usize> {
-        let age = |it: &State| {
-            let probed = it.probed_at.map_or(f64::INFINITY, |probed| at - probed);
-            it.load.age(at).unwrap_or(f64::INFINITY).min(probed)
-        };
-        let least = self.settings.probe_age.as_secs_f64();
-        self.states
-            .iter()
-            .enumerate()
-            .take(self.subset.size(self.states.len()))
-            .filter(|(_, it)| !it.leaving)
-            .map(|(place, it)| (place, age(it)))
-            .filter(|&(_, age)| age >= least)
-            .max_by(|a, b| a.1.total_cmp(&b.1))
-            .map(|(place, _)| place)
-    }
-
-    /// Failures say nothing of one upstream when most upstreams fail.
-    fn trusts_failures(&self) -> bool {
-        self.failing * 100 <= self.states.len() * self.settings.distrust_percent as usize
-    }
-
-    fn count_failing(&mut self) {
-        self.failing = self.states.iter().filter(|it| it.health.is_failing(&self.settings)).count();
-    }
-
-    fn spread_digests(&mut self) {
-        let ids: Vec<_> = self.states.iter().map(|it| it.upstream.id.clone()).collect();
-        let told = self.peers.told(ids.iter());
-        for state in &mut self.states {
-            state.told = told.get(&state.upstream.id).copied().unwrap_or_default();
-        }
-    }
-
-    fn state(&mut self, upstream: &str) -> Option<&mut State> {
-        let place = *self.places.get(upstream)?;
-        Some(&mut self.states[place])
-    }
-
     fn moment(&self, now: Instant) -> Moment {
         moment::since(self.origin, now)
     }
--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -14,6 +14,7 @@
 mod candidate;
 mod choice;
 mod digest;
+mod fleet;
 mod health;
 mod limit;
 mod load;
