--- a/crates/daemon/src/caller/header.rs
+++ b/crates/daemon/src/caller/header.rs
@@ -14,8 +14,12 @@
 pub const LOAD: HeaderName = HeaderName::from_static("fireflydrum-load");
 /// Key by which repeats of an order are recognised.
 pub const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Number up to which a caller has received all outcomes of its session.
+pub const ACKNOWLEDGED: HeaderName = HeaderName::from_static("fireflydrum-acknowledged");
 /// Why a backend server did not run a request; its presence makes the attempt safe to repeat.
 pub const SHED: HeaderName = HeaderName::from_static("fireflydrum-shed");
+/// Value of [`SHED`] from a backend server that is leaving.
+pub const SHED_DRAIN: &str = "drain";
 /// Name of the caller, for fairness between callers; its IP address stands in when absent.
 pub const CALLER: HeaderName = HeaderName::from_static("fireflydrum-caller");
 /// Entry hosts to use instead, from a host that is leaving.
--- a/crates/daemon/src/upstream/attempt.rs
+++ b/crates/daemon/src/upstream/attempt.rs
@@ -12,6 +12,7 @@
         body::{self, Budget, Held},
         header,
     },
+    orders::Gate,
     upstream::{
         connection,
         pool::{Pool, Reuse},
@@ -24,6 +25,9 @@
     /// No byte of the request was written.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// The backend server declared that it did not run the request because it is leaving.
+    #[error("the backend server is leaving")]
+    Draining,
     /// The backend server declared that it did not run the request.
     #[error("the backend server shed the request")]
     Shed,
@@ -45,7 +49,7 @@
     /// Whether the request provably never reached the backend server's handler.
     #[must_use]
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::NotSent(_) | Self::Shed)
+        matches!(self, Self::NotSent(_) | Self::Draining | Self::Shed)
     }
 }
 
@@ -98,6 +102,8 @@
     pub budget: &'a Budget,
     /// When the attempt is given up.
     pub deadline: Instant,
+    /// Last look before an order with a key is sent.
+    pub gate: Option<Gate>,
 }
 
 impl Attempt<'_> {
@@ -107,6 +113,16 @@
     ///
     /// [`Error::is_not_run`] tells whether the request can have run.
     pub async fn run(&self, message: &Message) -> Result<Answer> {
+        let res = self.try_once(message).await;
+        if let (Some(gate), Err(e)) = (&self.gate, &res)
+            && e.is_not_run()
+        {
+            gate.unsent();
+        }
+        res
+    }
+
+    async fn try_once(&self, message: &Message) -> Result<Answer> {
         let now = self.clock.now();
         if now >= self.deadline {
             return Err(Error::NotSent("the deadline has passed".into()));
@@ -116,6 +132,13 @@
         let mut connection = connecting
             .await
             .map_err(|_elapsed| Error::NotSent("no connection before the deadline".into()))??;
+        // A pause may have lasted from before the connection was there until now.
+        if self.clock.now() >= self.deadline {
+            return Err(Error::NotSent("the deadline has passed".into()));
+        }
+        if self.gate.as_ref().is_some_and(|it| !it.opens()) {
+            return Err(Error::NotSent("the order must not be sent any more".into()));
+        }
         let req = self.request(message);
         let sending = tokio::time::timeout_at(self.deadline.into(), connection.send(req));
         let sent = sending.await.map_err(|_elapsed| Error::Late)?;
@@ -156,8 +179,8 @@
                     body::Error::Late => Error::Late,
                 },
             )?;
-        if head.headers.contains_key(header::SHED) {
-            return Err(Error::Shed);
+        if let Some(reason) = head.headers.get(header::SHED) {
+            return Err(if reason == header::SHED_DRAIN { Error::Draining } else { Error::Shed });
         }
         header::strip_hop_by_hop(&mut head.headers);
         head.headers.remove(header::ATTEMPT);
--- a/crates/document/src/replica.rs
+++ b/crates/document/src/replica.rs
@@ -4,11 +4,13 @@
 //! usable snapshot, or from the beginning if the log still keeps it, and never goes back to an older
 //! version than it had.
 
+use std::fmt;
+
 use crate::{Fold, Offset, Verdict, publication, snapshot};
 
 /// Snapshots that a replica tries before it gives up.
 const MAX_TRIES: u32 = 16;
-/// Records asked for at once.
+/// Most records asked for at once.
 const PAGE_LIMIT: usize = 256;
 
 /// What to read next.
@@ -23,7 +25,7 @@
 }
 
 /// How far a replica has come.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 #[serde(rename_all = "lowercase", tag = "state")]
 pub enum State {
     /// It looks for a place to start, or for one to go on after it fell behind.
@@ -53,6 +55,7 @@
 
 /// What came of one answer of the log.
 #[derive(Clone, Debug, Default, PartialEq)]
+#[expect(clippy::struct_excessive_bools, reason = "four independent facts about one answer")]
 pub struct Progress {
     /// Records that were judged, in order.
     pub judged: Vec<Judged>,
@@ -62,6 +65,8 @@
     pub should_wait: bool,
     /// Whether the fold was replaced by that of a snapshot.
     pub is_restarted: bool,
+    /// Whether [`Replica::in_force`] has another version than before.
+    pub has_news: bool,
     /// Why snapshots were passed over.
     pub warnings: Vec<String>,
 }
@@ -72,6 +77,10 @@
     fold: Fold,
     phase: Phase,
     state: State,
+    /// Whether the fold has been up to date once.
+    is_ready: bool,
+    /// Records to ask for; fewer after a read that failed, since its answer may have been too large.
+    limit: usize,
 }
 
 #[derive(Clone, Debug)]
@@ -100,7 +109,13 @@
 
 impl Default for Replica {
     fn default() -> Self {
-        Self { fold: Fold::default(), phase: Phase::Locate, state: State::Starting }
+        Self {
+            fold: Fold::default(),
+            phase: Phase::Locate,
+            state: State::Starting,
+            is_ready: false,
+            limit: PAGE_LIMIT,
+        }
     }
 }
 
@@ -111,6 +126,16 @@
         &self.fold
     }
 
+    /// The document that a host may serve by; none before the replica has once read all that the log
+    /// held, or taken a peer's snapshot.
+    ///
+    /// A host that served by what it reads on its way there would go through versions that are in
+    /// force nowhere any more.
+    #[must_use]
+    pub fn in_force(&self) -> Option<&Fold> {
+        Some(&self.fold).filter(|_| self.is_ready)
+    }
+
     /// How far the replica has come.
     #[must_use]
     pub fn state(&self) -> State {
@@ -124,7 +149,7 @@
             return None;
         }
         let snapshot = |from| Request { stream: snapshot::STREAM, from, limit: 1 };
-        let records = |from| Request { stream: publication::STREAM, from, limit: PAGE_LIMIT };
+        let records = |from| Request { stream: publication::STREAM, from, limit: self.limit };
         Some(match &self.phase {
             Phase::Locate => snapshot(Offset::MAX),
             Phase::Load(cursor) => snapshot(cursor.at),
@@ -140,6 +165,18 @@
         first: Offset,
         next: Offset,
         records: &[(Offset, R)],
+    ) -> Progress {
+        let before = self.in_force().and_then(Fold::version);
+        let mut progress = self.advance(first, next, records);
+        progress.has_news = self.in_force().and_then(Fold::version) != before;
+        progress
+    }
+
+    fn advance<R: AsRef<[u8]>>(
+        &mut self,
+        first: Offset,
+        next: Offset,
+        records: &[(Offset, R)],
     ) -> Progress {
         match std::mem::replace(&mut self.phase, Phase::Follow) {
             Phase::Locate => {
@@ -187,6 +224,11 @@
         Progress::default()
     }
 
+    /// Takes note that [`Replica::request`] got no answer; the next one asks for less.
+    pub fn failed(&mut self) {
+        self.limit = (self.limit / 4).max(1);
+    }
+
     /// Takes a snapshot from a peer, if it is ahead of what was folded here; tells whether it was.
     ///
     /// # Errors
@@ -199,6 +241,7 @@
         }
         self.fold = fold;
         self.phase = Phase::Follow;
+        self.is_ready = true;
         Ok(true)
     }
 
@@ -219,7 +262,9 @@
             }
         }
         self.fold.skip_to(next);
+        self.limit = (self.limit * 2).min(PAGE_LIMIT);
         progress.is_current = next == end;
+        self.is_ready |= progress.is_current;
         progress.should_wait = progress.is_current;
         progress
     }
@@ -250,3 +295,15 @@
         Progress { warnings: vec![warning], ..Progress::default() }
     }
 }
+
+impl fmt::Display for State {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Starting => f.write_str("starting"),
+            Self::Following => f.write_str("following"),
+            Self::Gap => f.write_str("behind a gap in the log"),
+            Self::Ahead => f.write_str("ahead of a log that lost records"),
+            Self::Halted { rules } => write!(f, "halted before fold rules {rules}"),
+        }
+    }
+}
--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -2,20 +2,24 @@
 
 mod candidates;
 mod former;
+mod marks;
 mod outgoing;
 mod own;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     time::Instant,
 };
 
 use crate::{
     Address, Digest, Domain, Error, Estimate, Exchange, Identity, Incarnation, Issuer, Load,
     Member, Phase, Result, Rumor, ServiceIndex, Settings, Standing, Version, directions,
+    rumor::tag,
 };
 use candidates::Candidates;
 use former::Former;
+use marks::Marks;
 use outgoing::Outgoing;
 use own::Own;
 
@@ -28,6 +32,7 @@
     candidates: Candidates,
     former: Former,
     marked: BTreeSet<Address>,
+    servers: Marks,
     outgoing: Outgoing,
     last_tick: Instant,
 }
@@ -69,6 +74,7 @@
             candidates: Candidates::new(own_address, seeds),
             former: Former::default(),
             marked: BTreeSet::new(),
+            servers: Marks::default(),
             outgoing: Outgoing::new(rng, now),
             last_tick: now,
         }
@@ -132,6 +138,7 @@
             _ => self.candidates.add(from),
         }
         self.take_rumors(&exchange.rumors, now);
+        self.servers.hear(&exchange.marks, now);
         Ok(self.message(from, &exchange.rumors, now))
     }
 
@@ -153,6 +160,7 @@
         let version = exchange.digest.version;
         self.admit(exchange.digest, now).take_loads(version, &exchange.loads, now);
         self.take_rumors(&exchange.rumors, now);
+        self.servers.hear(&exchange.marks, now);
         Ok(())
     }
 
@@ -180,6 +188,16 @@
         self.candidates.set_listed(list.iter().map(|it| it.address));
     }
 
+    /// Takes over which backend servers the platform's list marks as leaving.
+    pub fn listed_servers(&mut self, marked: BTreeSet<SocketAddr>) {
+        self.servers.set_read(marked);
+    }
+
+    /// Backend servers that this host or a peer has read to be leaving.
+    pub fn leaving_servers(&mut self, now: Instant) -> BTreeSet<SocketAddr> {
+        self.servers.all(now)
+    }
+
     /// Whether the host list marks this daemon's own host as leaving.
     #[must_use]
     pub fn is_marked(&self) -> bool {
@@ -304,7 +322,7 @@
         let own = self.own.address();
         for it in rumors.iter().filter(|it| it.address != own) {
             match self.members.get_mut(&it.address) {
-                Some(member) if member.identity.incarnation == it.incarnation => {
+                Some(member) if tag(member.identity.incarnation) == it.tag => {
                     member.refresh(it, now);
                 }
                 _ => self.consider(it),
@@ -315,7 +333,7 @@
     /// A rumor of an unknown incarnation makes its address a candidate, if it can be alive.
     fn consider(&mut self, rumor: &Rumor) {
         let fresh = u128::from(rumor.age_ms) < self.settings.suspect_after.as_millis();
-        let known_former = self.former.address(rumor.incarnation).is_some();
+        let known_former = self.former.has_tag(rumor.tag);
         if fresh && !known_former && rumor.phase != Phase::Leaving {
             self.candidates.add(rumor.address);
         }
@@ -330,6 +348,7 @@
             digest: self.own.next_digest(),
             loads: self.own.next_loads(self.settings.loads),
             rumors: self.outgoing.rumors(&self.members, to, asked, &self.settings, now),
+            marks: self.servers.told(),
         }
     }
 }
@@ -337,7 +356,7 @@
 fn rumor_of(digest: &Digest) -> Rumor {
     Rumor {
         address: digest.identity.address,
-        incarnation: digest.identity.incarnation,
+        tag: tag(digest.identity.incarnation),
         phase: digest.phase,
         sequence: digest.sequence,
         version: digest.version,
--- a/crates/order/src/engine/timers.rs
+++ b/crates/order/src/engine/timers.rs
@@ -14,7 +14,7 @@
     /// When the engine next wants an event, [`Event::Tick`](crate::Event::Tick) if no other comes.
     #[must_use]
     pub fn next_wakeup(&self, now: Instant) -> Option<Instant> {
-        let orders = self.store.active().flat_map(|(_, entry)| {
+        let orders = self.store.waiting().flat_map(|(_, entry)| {
             let runner = entry.is_waiting_for_log().then_some(entry.runner.deadline);
             entry.waiters.iter().map(|it| it.deadline).chain(runner)
         });
@@ -35,12 +35,22 @@
         for digest in self.claims.expire(self.settings.claim_life, now) {
             self.store.remove(&Key::Own(digest));
         }
+        for digest in self.claims.expire_abandoned(self.settings.claim_life, now) {
+            self.forget_undecided(Key::Own(digest));
+        }
+    }
+
+    fn forget_undecided(&mut self, key: Key) {
+        let undecided = Phase::Finished(Outcome::Unknown(Reason::Undecided));
+        if self.store.get(&key).is_some_and(|it| it.phase == undecided) {
+            self.store.remove(&key);
+        }
     }
 
     fn expire_orders(&mut self, now: Instant, acts: &mut Vec<Action>) {
         let late: Vec<Key> = self
             .store
-            .active()
+            .waiting()
             .filter(|(_, it)| it.is_waiting_for_log() && it.runner.deadline <= now)
             .map(|(key, _)| *key)
             .collect();
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,8 +1,12 @@
 //! Chores and measurements for developers: `cargo xtask COMMAND`.
 
+mod config;
 mod load;
+mod matrix;
 mod orders;
 mod policy;
+mod slopes;
+mod standins;
 mod tour;
 
 use std::process::ExitCode;
@@ -10,9 +14,13 @@
 const HELP: &str = "\
 usage: cargo xtask COMMAND [OPTIONS]
 
+  config    runs editors and daemons on a virtual clock under faults of the log
   load      measures what the daemon adds to a call, on loopback
+  matrix    plays every fault at every step and checks every promise
   orders    explores the order protocol's core under faults
   policy    compares the choice of upstreams with baselines and an oracle
+  slopes    measures a daemon's cost against the size of the system
+  standins  runs the stand-ins, for daemons and command line started by hand
   tour      shows the whole path on loopback, in one process
   help      prints this page
 
@@ -23,9 +31,13 @@
     let mut args = std::env::args_os().skip(1);
     let command = args.next().unwrap_or_default();
     match command.to_str().unwrap_or_default() {
+        "config" => config::run(args),
         "load" => load::run(),
+        "matrix" => matrix::run(args),
         "orders" => orders::run(args),
         "policy" => policy::run(&mut lexopt::Parser::from_args(args)),
+        "slopes" => slopes::run(args),
+        "standins" => standins::run(args),
         "tour" => tour::run(),
         "help" | "--help" | "-h" => {
             print!("{HELP}");
