--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,7 @@
 //! Chores and measurements for developers: `cargo xtask COMMAND`.
 
 mod config;
+mod lines;
 mod load;
 mod matrix;
 mod orders;
@@ -14,6 +15,7 @@
 usage: cargo xtask COMMAND [OPTIONS]
 
   config    runs editors and daemons on a virtual clock under faults of the log
+  lines     counts lines of code and tests
   load      measures what the daemon adds to a call, on loopback
   matrix    plays every fault at every step and checks every promise
   orders    explores the order protocol's core under faults
@@ -30,6 +32,7 @@
     let command = args.next().unwrap_or_default();
     match command.to_str().unwrap_or_default() {
         "config" => config::run(args),
+        "lines" => lines::run(),
         "load" => load::run(),
         "matrix" => matrix::run(args),
         "orders" => orders::run(args),
--- a/xtask/src/matrix/host.rs
+++ b/xtask/src/matrix/host.rs
@@ -152,7 +152,10 @@
                 self.event(Event::ForwardFailed { ticket, gone: false }, net);
             }
             Message::SnapshotRequest { from } => self.send_snapshot(from, net),
-            Message::Snapshot(record) => self.offer_snapshot(&record, net),
+            Message::Snapshot { record, leaving } => {
+                self.shedding.extend(leaving);
+                self.offer_snapshot(&record, net);
+            }
             Message::Leave => self.leave(net),
             _ => {}
         }
--- a/xtask/src/matrix/host/configuration.rs
+++ b/xtask/src/matrix/host/configuration.rs
@@ -75,7 +75,8 @@
     pub(super) fn send_snapshot(&self, to: Node, net: &mut Net) {
         if self.version.is_some() {
             let record = document::snapshot::encode(self.replica.fold(), 0);
-            net.send_peer(self.number, to, Message::Snapshot(record));
+            let leaving = self.shedding.clone();
+            net.send_peer(self.number, to, Message::Snapshot { record, leaving });
         }
     }
 
--- a/xtask/src/matrix/message.rs
+++ b/xtask/src/matrix/message.rs
@@ -182,7 +182,10 @@
     SnapshotRequest {
         from: Node,
     },
-    Snapshot(Vec<u8>),
+    Snapshot {
+        record: Vec<u8>,
+        leaving: BTreeSet<usize>,
+    },
     Leave,
     // To a backend server.
     Work(Work),
