--- a/crates/daemon/tests/cold_start.rs
+++ b/crates/daemon/tests/cold_start.rs
@@ -50,3 +50,15 @@
     await_that(LIMIT, "ready", || fleet.daemons[0].version().is_some()).expect("becomes ready");
     assert_eq!(caller.get(fleet.address(0), "/stock/1").outcome, "done");
 }
+
+#[test]
+fn log_without_beginning() {
+    let mut fleet = Fleet::start(Settings { daemons: 1, ..Settings::default() }).expect("starts");
+    let version = fleet.daemons[0].version().expect("a version");
+    // The log keeps neither the publication nor a snapshot any more.
+    fleet.log.truncate(document::publication::STREAM, version + 1);
+    fleet.log.truncate(document::snapshot::STREAM, u64::MAX);
+    let daemon = fleet.start_daemon(1).expect("starts");
+    fleet.daemons.push(daemon);
+    fleet.await_version(version).expect("taken from the peer");
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -6,6 +6,7 @@
 mod matrix;
 mod orders;
 mod policy;
+mod slopes;
 mod standins;
 mod tour;
 
@@ -20,6 +21,7 @@
   matrix    plays every fault at every step and checks every promise
   orders    explores the order protocol's core under faults
   policy    compares the choice of upstreams with baselines and an oracle
+  slopes    measures a daemon's cost against the size of the system
   standins  runs the stand-ins, for daemons and command line started by hand
   tour      shows the whole path on loopback, in one process
   help      prints this page
@@ -37,6 +39,7 @@
         "matrix" => matrix::run(args),
         "orders" => orders::run(args),
         "policy" => policy::run(&mut lexopt::Parser::from_args(args)),
+        "slopes" => slopes::run(args),
         "standins" => standins::run(args),
         "tour" => tour::run(),
         "help" | "--help" | "-h" => {
