Ask the log for less after a failed read, and show the document's digest

A page of large records can be larger than the client takes; the daemon asked for the same page for ever.

--- a/crates/daemon/src/configuration/follower.rs
+++ b/crates/daemon/src/configuration/follower.rs
@@ -81,6 +81,8 @@
 
     fn wait_after(&mut self, e: &platform::Error) -> Duration {
         log::warn!("the log can't be read: {e}");
+        // A page may have been too large for one answer; the replica asks for a smaller one.
+        self.replica.failed();
         self.ask_peers();
         self.backoff.failed()
     }
@@ -116,7 +118,8 @@
         let Some(fold) = self.replica.in_force() else { return };
         let Some(version) = fold.version() else { return };
         self.state.put_in_force(fold.document(), version);
-        self.state.keep_snapshot(fold.end(), encode(fold, &self.state));
+        let snapshot = encode(fold, &self.state);
+        self.state.keep_snapshot(fold.end(), snapshot, snapshot::digest(fold));
     }
 
     fn write_snapshot_if_due(&mut self, progress: &replica::Progress) {
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -73,13 +73,15 @@
     state: replica::State,
     end: Offset,
     snapshot: Option<Bytes>,
+    digest: u64,
 }
 
 impl State {
     /// The state of a daemon that has no configuration yet.
     #[must_use]
     pub fn new(settings: Settings, clock: Arc<dyn Clock>, incarnation: id::Incarnation) -> Self {
-        let replica = Replica { state: replica::State::Starting, end: 0, snapshot: None };
+        let replica =
+            Replica { state: replica::State::Starting, end: 0, snapshot: None, digest: 0 };
         Self {
             clock,
             ids: id::Source::new(incarnation),
@@ -221,10 +223,11 @@
     }
 
     /// Keeps a snapshot for peers that start while the log is down.
-    pub fn keep_snapshot(&self, end: Offset, snapshot: Bytes) {
+    pub fn keep_snapshot(&self, end: Offset, snapshot: Bytes, digest: u64) {
         let mut replica = lock(&self.replica);
         replica.end = end;
         replica.snapshot = Some(snapshot);
+        replica.digest = digest;
     }
 
     /// The newest snapshot, if it reaches beyond `newer_than`.
@@ -272,6 +275,7 @@
             version: table.version,
             configuration: replica.state,
             read_to: replica.end,
+            document_digest: format!("{:016x}", replica.digest),
             in_progress: self.in_progress.load(Ordering::Relaxed),
             decisions_dropped: self.recorder.dropped(),
             peers: self.membership().map(|it| peers(it)).unwrap_or_default(),
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -19,6 +19,8 @@
     pub configuration: replica::State,
     /// First offset of the configuration's stream that was not read yet.
     pub read_to: Offset,
+    /// Digest of the document in force; hosts with the same version have the same.
+    pub document_digest: String,
     /// Requests of callers in progress.
     pub in_progress: usize,
     /// Decisions whose log lines were dropped because the log was slow.
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -173,19 +173,13 @@
     /// Fails if the document can't be divided into sections.
     pub fn publish(&mut self, document: &str) -> Result<Version> {
         let sections = document::split(document).map_err(Error::Document)?;
-        let is_known = |it: &&Section| self.published.iter().any(|known| known.text == it.text);
-        let set = sections.iter().filter(|it| !is_known(it));
-        let set = set.map(|it| Change::Set { text: it.text.to_string() });
-        let is_gone = |it: &&Section| sections.iter().all(|kept| kept.id != it.id);
-        let removed = self.published.iter().filter(is_gone);
-        let removed = removed.map(|it| Change::Remove { section: it.id.clone() });
         let publication = Publication {
             id: format!("fleet-{}", self.base).into(),
             author: "operations".into(),
             base: self.base,
             made_at_s: 0,
             note: String::new(),
-            changes: set.chain(removed).collect(),
+            changes: Change::between(&self.published, &sections),
         };
         let version = self.log.inject(publication::STREAM, publication.encode().into());
         self.base = version + 1;
