--- a/crates/daemon/src/caller/body.rs
+++ b/crates/daemon/src/caller/body.rs
@@ -7,8 +7,8 @@
     time::Instant,
 };
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
@@ -49,7 +49,7 @@
         Self { units: Arc::new(Semaphore::new(capacity as usize)), capacity }
     }
 
-    /// Reads a whole body of at most `limit` bytes before `deadline`.
+    /// Reads a whole body of at most `limit` bytes, and no more than the budget, before `deadline`.
     ///
     /// Memory for a body of unknown length is reserved up to the limit before the first byte is
     /// read, so that two half-read bodies can't wait for each other.
@@ -62,13 +62,14 @@
         B: Body<Data = Bytes>,
         B::Error: std::error::Error + Send + Sync + 'static,
     {
+        let limit = limit.min(u64::from(self.capacity) * BUDGET_UNIT_BYTES);
         let reserved = body.size_hint().exact().unwrap_or(limit);
         if reserved > limit {
             return Err(Error::TooLarge(limit));
         }
         let reading = async {
             let permit = self.reserve(reserved).await;
-            let bytes = collect(body, limit).await?;
+            let bytes = collect(body, reserved, limit).await?;
             Ok(Held { bytes, permit })
         };
         tokio::time::timeout_at(deadline.into(), reading).await.unwrap_or(Err(Error::Late))
@@ -78,8 +79,7 @@
         if bytes <= SMALL_BODY_BYTES {
             return None;
         }
-        let units = u32::try_from(bytes / BUDGET_UNIT_BYTES + 1).unwrap_or(u32::MAX);
-        let units = units.min(self.capacity);
+        let units = u32::try_from(bytes.div_ceil(BUDGET_UNIT_BYTES)).unwrap_or(self.capacity);
         Arc::clone(&self.units).acquire_many_owned(units).await.ok()
     }
 }
@@ -140,15 +140,21 @@
     }
 }
 
-async fn collect<B>(body: B, limit: u64) -> Result<Bytes>
+/// Reads a body into one piece of memory of the reserved size, so that it is held only once.
+async fn collect<B>(body: B, reserved: u64, limit: u64) -> Result<Bytes>
 where
     B: Body<Data = Bytes>,
     B::Error: std::error::Error + Send + Sync + 'static,
 {
-    let limited = Limited::new(body, usize::try_from(limit).unwrap_or(usize::MAX));
-    match limited.collect().await {
-        Ok(it) => Ok(it.to_bytes()),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => Err(Error::TooLarge(limit)),
-        Err(_) => Err(Error::Cut),
+    let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+    let mut body = std::pin::pin!(body);
+    let mut res = BytesMut::with_capacity(usize::try_from(reserved).unwrap_or(limit));
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_broken| Error::Cut)?.into_data() else { continue };
+        if res.len() + data.len() > limit {
+            return Err(Error::TooLarge(limit as u64));
+        }
+        res.extend_from_slice(&data);
     }
+    Ok(res.freeze())
 }
--- a/crates/daemon/src/caller/listener.rs
+++ b/crates/daemon/src/caller/listener.rs
@@ -11,8 +11,6 @@
 
 use crate::caller::reply::Reply;
 
-/// Time allowed for the head of a request, and for an idle connection to send its next one.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
 /// Largest head of a request in bytes.
 const HEAD_LIMIT_BYTES: usize = 32 * 1024;
 /// Most headers in a request.
@@ -35,18 +33,25 @@
 pub struct Listener {
     socket: TcpListener,
     connections: Arc<Semaphore>,
+    head_timeout: Duration,
 }
 
 impl Listener {
     /// A listener that serves at most `limit` connections at once; others wait in the kernel's
-    /// queue.
+    /// queue. A connection that sends no whole head within `head_timeout` is closed.
     #[must_use]
-    pub fn new(socket: TcpListener, limit: usize) -> Self {
-        Self { socket, connections: Arc::new(Semaphore::new(limit)) }
+    pub fn new(socket: TcpListener, limit: usize, head_timeout: Duration) -> Self {
+        Self { socket, connections: Arc::new(Semaphore::new(limit)), head_timeout }
     }
 
     /// Serves until `stop` turns true; then waits until every connection has sent its last reply.
     pub async fn run<H: Handler>(self, handler: Arc<H>, mut stop: watch::Receiver<bool>) {
+        let mut protocol = http1::Builder::new();
+        protocol
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.head_timeout)
+            .max_buf_size(HEAD_LIMIT_BYTES)
+            .max_headers(HEADER_LIMIT);
         let (busy, mut drained) = tokio::sync::mpsc::channel::<Infallible>(1);
         loop {
             let accepted = tokio::select! {
@@ -54,11 +59,11 @@
                 () = stopped(&mut stop) => break,
             };
             let Some((stream, caller, permit)) = accepted else { continue };
-            let connection =
-                serve(stream, caller, Arc::clone(&handler), stop.clone(), busy.clone());
+            let (protocol, handler) = (protocol.clone(), Arc::clone(&handler));
+            let (stop, busy) = (stop.clone(), busy.clone());
             tokio::spawn(async move {
-                connection.await;
-                drop(permit);
+                serve(protocol, stream, caller, handler, stop).await;
+                drop((busy, permit));
             });
         }
         drop(busy);
@@ -78,13 +83,13 @@
     }
 }
 
-/// Serves one connection; holds `_busy` until its last reply is sent.
+/// Serves one connection until its last reply is sent.
 async fn serve<H: Handler>(
+    protocol: http1::Builder,
     stream: TcpStream,
     caller: SocketAddr,
     handler: Arc<H>,
     mut stop: watch::Receiver<bool>,
-    _busy: tokio::sync::mpsc::Sender<Infallible>,
 ) {
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!("caller {caller}: {e}");
@@ -93,12 +98,7 @@
         let handler = Arc::clone(&handler);
         async move { Ok::<_, Infallible>(handler.handle(req, caller).await) }
     });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(HEAD_LIMIT_BYTES)
-        .max_headers(HEADER_LIMIT)
-        .serve_connection(TokioIo::new(stream), service);
+    let connection = protocol.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let served = tokio::select! {
         it = connection.as_mut() => it,
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -254,7 +254,8 @@
 ) -> Result<JoinHandle<()>> {
     let _context = callers.enter();
     let socket = tokio::net::TcpListener::from_std(socket)?;
-    let listener = Listener::new(socket, state.settings.connection_limit);
+    let listener =
+        Listener::new(socket, state.settings.connection_limit, state.settings.head_timeout);
     let path = Arc::new(Path::new(Arc::clone(state)));
     Ok(callers.spawn(listener.run(path, stop)))
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -35,6 +35,8 @@
     pub threads: usize,
     /// Connections from callers at most.
     pub connection_limit: usize,
+    /// Time for the head of a request, and for an idle connection to send its next one.
+    pub head_timeout: Duration,
     /// Memory for request bodies larger than 64 KiB, in bytes.
     pub request_memory_bytes: u64,
     /// Memory for answers larger than 64 KiB, in bytes.
@@ -63,6 +65,7 @@
             domain: String::new(),
             threads: 2,
             connection_limit: 1_024,
+            head_timeout: Duration::from_secs(15),
             request_memory_bytes: 256 << 20,
             answer_memory_bytes: 256 << 20,
             directions_keep: Duration::from_secs(3),
@@ -157,6 +160,9 @@
         if let Some(it) = keys.number("connection_limit", 1..=1_000_000, "connections") {
             self.connection_limit = it;
         }
+        if let Some(it) = keys.duration("head_timeout", second..=second * 300) {
+            self.head_timeout = it;
+        }
         if let Some(it) = keys.size("request_memory", MEMORY_BYTES) {
             self.request_memory_bytes = it;
         }
