Send no probe before a starting host can be known to the others

Cause: hosts that start together each spent the service's whole probe budget until they had met (63 probes in 5.4 s where 57 are allowed). A host now waits 5 s after its start, by which time the others count it in their shares.

--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -24,6 +24,9 @@
 
 /// Time between two looks for upstreams that are worth a probe.
 const INTERVAL: Duration = Duration::from_millis(20);
+/// Time after the start before the first probe. Until then other entry hosts may not know of this
+/// one and still spend the whole budget.
+const SETTLE: Duration = Duration::from_secs(5);
 /// Time after which a probe is given up.
 const TIMEOUT: Duration = Duration::from_millis(250);
 /// Largest answer to a probe in bytes.
@@ -31,6 +34,7 @@
 
 /// Sends probes until the runtime ends.
 pub async fn run(state: Arc<State>) {
+    tokio::time::sleep(SETTLE).await;
     let mut interval = tokio::time::interval(INTERVAL);
     loop {
         interval.tick().await;
