--- a/crates/balance/src/lib.rs
+++ b/crates/balance/src/lib.rs
@@ -14,6 +14,7 @@
 mod candidate;
 mod choice;
 mod digest;
+mod fleet;
 mod health;
 mod limit;
 mod load;
@@ -26,6 +27,7 @@
 mod settings;
 mod speed;
 mod state;
+mod subset;
 mod upstream;
 
 pub use answer::{Answer, Outcome};
--- a/crates/daemon/src/orders/execution.rs
+++ b/crates/daemon/src/orders/execution.rs
@@ -11,7 +11,7 @@
         header,
         reply::{Outcome as Told, Refusal},
     },
-    path::{Draft, Plan, Result, attempts, plan},
+    path::{Busy, Draft, Plan, Result, attempts, plan},
     state::State,
     upstream::attempt::{self, Answer},
 };
@@ -62,6 +62,7 @@
     let unreadable = Outcome::Unknown(Reason::Refused);
     let Some(driver) = state.orders() else { return Outcome::Unknown(Reason::IssuerGone) };
     let Some((head, body)) = order.request() else { return unreadable };
+    let _busy = Busy::new(state);
     let id = state.ids.next();
     let nobody = SocketAddr::from(([0, 0, 0, 0], 0));
     let Ok(plan) = plan::make(state, &head, nobody, id, driver.now()) else { return unreadable };
@@ -135,7 +136,7 @@
     match res {
         Ok(it) => Outcome::Done(order::Answer {
             status: it.status.as_u16(),
-            headers: message::list(&it.headers),
+            headers: message::list(&kept(&it.headers)),
             body: it.body.bytes.clone(),
         }),
         Err(it) if it.outcome == Told::NotRun => Outcome::NotRun(Reason::Refused),
@@ -143,6 +144,15 @@
     }
 }
 
+/// Headers worth keeping for a repeat: not those that tell of one moment or of the body's framing.
+fn kept(headers: &HeaderMap) -> HeaderMap {
+    let mut res = headers.clone();
+    for it in [header::LOAD, hyper::header::CONTENT_LENGTH, hyper::header::DATE] {
+        res.remove(it);
+    }
+    res
+}
+
 /// Reads the number up to which a caller has received all outcomes of its session.
 ///
 /// # Errors
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -226,8 +226,9 @@
         if self.callers.block_on(closing).is_err() {
             log::error!("replies were still being sent after {limit:?}");
         }
-        self.stop_threads.store(true, Ordering::Relaxed);
+        // Orders that peers passed on need the threads that read the log.
         self.control.block_on(self.peers.stop());
+        self.stop_threads.store(true, Ordering::Relaxed);
         self.callers.shutdown_background();
         self.control.shutdown_background();
         log::info!("stopped");
@@ -253,7 +254,8 @@
 ) -> Result<JoinHandle<()>> {
     let _context = callers.enter();
     let socket = tokio::net::TcpListener::from_std(socket)?;
-    let listener = Listener::new(socket, state.settings.connection_limit);
+    let listener =
+        Listener::new(socket, state.settings.connection_limit, state.settings.head_timeout);
     let path = Arc::new(Path::new(Arc::clone(state)));
     Ok(callers.spawn(listener.run(path, stop)))
 }
