peer: say what the server's timeout covers, and test it

The library's keep-alive timeout holds for HTTP/2 alone, so the setting promised more than it did: only the first request has a limit. Idle connections are bounded by their number.

--- a/crates/peer/src/settings.rs
+++ b/crates/peer/src/settings.rs
@@ -13,8 +13,8 @@
     pub connections: u32,
     /// Peers to which a client keeps connections; beyond it the one used longest ago is dropped.
     pub kept_peers: usize,
-    /// Time for a client to send its first request, and for a server to see the next one.
-    pub idle_timeout: Duration,
+    /// Time for a client to send its first request; a server keeps idle connections after that.
+    pub first_request_timeout: Duration,
     /// Time for a connection to be set up.
     pub connect_timeout: Duration,
     /// Time for a heartbeat and its answer.
@@ -30,7 +30,7 @@
             answer_limit_bytes: 48 << 20,
             connections: 1_024,
             kept_peers: 32,
-            idle_timeout: Duration::from_secs(30),
+            first_request_timeout: Duration::from_secs(30),
             connect_timeout: Duration::from_millis(250),
             heartbeat_timeout: Duration::from_millis(500),
             configuration_timeout: Duration::from_secs(10),
--- a/crates/peer/tests/bad_peers.rs
+++ b/crates/peer/tests/bad_peers.rs
@@ -55,6 +55,17 @@
     assert_eq!(status, 401);
 }
 
+/// A connection on which nothing comes is closed.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_stranger() {
+    let settings =
+        Settings { first_request_timeout: Duration::from_millis(50), ..Settings::default() };
+    let (server, _) = start(Daemon::default(), settings);
+    let mut stream = TcpStream::connect(server.address()).unwrap();
+    let read = tokio::task::block_in_place(|| stream.read(&mut [0; 8]));
+    assert!(!matches!(read, Ok(1..)), "{read:?}");
+}
+
 /// Each unreadable message gets an error that says why, and the server goes on.
 #[tokio::test(flavor = "multi_thread")]
 async fn unreadable_messages() {
