Look at idle services seldom, believe a leaving server's own word longer, tell peers of it

The look now comes every 100 ms, and every 5 ms only while requests wait. Cause 2: a server's own word was forgotten after 5 s and told to nobody, so that it was asked again while the host list was stale. Cause 3: before the first document, servers in the host list were taken for entry hosts; entries that may be neither member nor entry host are now left alone.

--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -126,11 +126,12 @@
         found.into_iter().map(|it| it.entry).collect()
     }
 
-    /// Entry hosts that may be at work, this one included. One that was only cut off counts.
+    /// Entry hosts that may be at work, this one included. One that is leaving or was only cut off
+    /// counts until it is forgotten, since it may still send probes.
     #[must_use]
     pub fn hosts(&self) -> u32 {
         let table = self.table();
-        let others = table.members().filter(|it| it.phase != Phase::Leaving).count();
+        let others = table.members().count();
         u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
     }
 
@@ -144,6 +145,14 @@
         table.members().map(describe).collect()
     }
 
+    /// Whether `address` is that of a member, or could be that of an entry host because it has the
+    /// same port for peers as this one.
+    #[must_use]
+    pub fn may_be_host(&self, address: SocketAddr) -> bool {
+        address.port() == self.identity.address.port()
+            || self.table().members().any(|it| it.identity.address == address)
+    }
+
     /// Address of a peer whose configuration is newer than this daemon's.
     #[must_use]
     pub fn newer(&self) -> Option<SocketAddr> {
--- a/crates/daemon/src/membership/host_list.rs
+++ b/crates/daemon/src/membership/host_list.rs
@@ -22,7 +22,8 @@
 const BACKOFF_LIMIT: Duration = Duration::from_secs(5);
 
 /// Follows the platform's host list, which names entry hosts by their addresses for peers and
-/// backend servers by those for requests.
+/// backend servers by those for requests. The entry hosts of a fleet share one port for peers, by
+/// which they are told from servers that the document doesn't name.
 pub struct HostList {
     state: Arc<State>,
     hosts: Box<dyn Hosts>,
@@ -61,6 +62,10 @@
 
     fn take(&self, list: &[Entry]) {
         let table = self.state.table();
+        if table.version.is_none() {
+            // Without a document backend servers can't be told from entry hosts.
+            return;
+        }
         let upstreams: BTreeSet<SocketAddr> =
             table.document.upstreams.iter().map(|it| it.address).collect();
         let (servers, hosts): (Vec<Entry>, Vec<Entry>) =
@@ -68,8 +73,10 @@
         let leaving = |it: &&Entry| it.state == Mark::Leaving;
         let marked = servers.iter().filter(leaving).map(|it| it.address).collect();
         self.state.take_listed_servers(marked);
+        let Some(membership) = self.state.membership() else { return };
         let listed: Vec<_> = hosts
             .iter()
+            .filter(|it| membership.may_be_host(it.address))
             .map(|it| Listed { address: it.address, leaving: it.state == Mark::Leaving })
             .collect();
         self.state.take_listed(&listed);
--- a/crates/daemon/src/probe.rs
+++ b/crates/daemon/src/probe.rs
@@ -24,6 +24,8 @@
 
 /// Time between two looks for upstreams that are worth a probe.
 const INTERVAL: Duration = Duration::from_millis(20);
+/// Time between two looks while no service has a budget.
+const IDLE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after the start before the first probe. Until then other entry hosts may not know of this
 /// one and still spend the whole budget.
 const SETTLE: Duration = Duration::from_secs(5);
@@ -35,11 +37,12 @@
 /// Sends probes until the runtime ends.
 pub async fn run(state: Arc<State>) {
     tokio::time::sleep(SETTLE).await;
-    let mut interval = tokio::time::interval(INTERVAL);
     loop {
-        interval.tick().await;
         let table = state.table();
-        let probed = table.services.values().filter(|it| it.config().probe_budget_per_s > 0.0);
+        let has_budget = |it: &&Arc<Service>| it.config().probe_budget_per_s > 0.0;
+        let probed: Vec<_> = table.services.values().filter(has_budget).collect();
+        let wait = if probed.is_empty() { IDLE_INTERVAL } else { INTERVAL };
+        tokio::time::sleep(wait).await;
         for service in probed {
             let now = state.clock.now();
             let Some(upstream) = service.balancer().probe(now) else { continue };
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -31,8 +31,10 @@
 pub const CALLER_THREAD: &str = "firefly-caller";
 /// Name of the threads that do all other work.
 pub const CONTROL_THREAD: &str = "firefly-control";
-/// Time between two looks at requests that wait.
-const TICK: Duration = Duration::from_millis(5);
+/// Time between two looks at services while requests wait.
+const BUSY_TICK: Duration = Duration::from_millis(5);
+/// Time between two looks at services while none waits.
+const IDLE_TICK: Duration = Duration::from_millis(100);
 /// Time between two looks whether a leaving daemon may end.
 const FINISH_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -285,12 +287,22 @@
     Ok(())
 }
 
+/// Moves time on for services, often only while requests wait: a look at each of many services
+/// every few milliseconds would use up the processor time that control may take.
 async fn tick(state: Arc<State>) {
-    let mut interval = tokio::time::interval(TICK);
     loop {
-        interval.tick().await;
-        for it in state.table().services.values() {
-            it.tick();
+        let table = state.table();
+        let mut is_busy = false;
+        for it in table.services.values() {
+            is_busy |= it.tick();
+        }
+        if is_busy {
+            tokio::time::sleep(BUSY_TICK).await;
+            continue;
+        }
+        tokio::select! {
+            () = state.queued.notified() => {}
+            () = tokio::time::sleep(IDLE_TICK) => {}
         }
     }
 }
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -8,6 +8,7 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
     time::{Duration, Instant},
 };
@@ -37,12 +38,13 @@
     pools: RwLock<Pools>,
     leaving: Mutex<Leaving>,
     finished: Notify,
+    queued: Arc<Notify>,
 }
 
 impl Service {
-    /// A service without any traffic yet.
+    /// A service without any traffic yet; it wakes `queued` when a request begins to wait.
     #[must_use]
-    pub fn new(parts: &Parts, clock: Arc<dyn Clock>) -> Self {
+    pub fn new(parts: &Parts, clock: Arc<dyn Clock>, queued: Arc<Notify>) -> Self {
         let now = clock.now();
         let settings = balance::Settings {
             probe_budget_per_s: parts.service.probe_budget_per_s,
@@ -63,6 +65,7 @@
             pools: RwLock::default(),
             leaving: Mutex::default(),
             finished: Notify::new(),
+            queued,
         };
         res.update_pools(parts);
         res
@@ -105,6 +108,14 @@
         self.apply_leaving();
     }
 
+    /// Addresses of upstreams that turned a request away because they are leaving.
+    #[must_use]
+    pub fn said_to_leave(&self) -> Vec<SocketAddr> {
+        let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
+        let leaving = lock(&self.leaving);
+        leaving.said_so().filter_map(|it| Some(pools.get(it)?.address())).collect()
+    }
+
     fn apply_leaving(&self) {
         let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
         let leaving = lock(&self.leaving);
@@ -180,6 +191,7 @@
             }
             Verdict::Queued { .. } => {}
         }
+        self.queued.notify_one();
         let mut permit = Permit::waiting(Arc::clone(self), id);
         match delivered.await {
             Ok(Event::Admit(_)) => {
@@ -224,18 +236,17 @@
         Some(Flight::new(Arc::clone(self), choice))
     }
 
-    /// Moves time on for requests that wait.
-    pub fn tick(&self) {
+    /// Moves time on for requests that wait; tells whether there are any.
+    pub fn tick(&self) -> bool {
         let has_expired = lock(&self.leaving).expire(self.clock.now());
         if has_expired {
             self.apply_leaving();
         }
-        let admission = lock(&self.admission);
-        if admission.waiting.is_empty() {
-            return;
+        if lock(&self.admission).waiting.is_empty() {
+            return false;
         }
-        drop(admission);
         self.refresh();
+        true
     }
 
     /// State of admission, for status pages and metrics.
--- a/crates/daemon/src/service/leaving.rs
+++ b/crates/daemon/src/service/leaving.rs
@@ -7,8 +7,9 @@
 
 use balance::UpstreamId;
 
-/// Time for which an upstream's own word counts; then it is asked again by a request.
-const OWN_WORD_LIFETIME: Duration = Duration::from_secs(5);
+/// Time for which an upstream's own word counts; the host list should have told by then. Afterwards
+/// a request asks again.
+const OWN_WORD_LIFETIME: Duration = Duration::from_secs(30);
 
 /// Upstreams of a service that are leaving.
 #[derive(Debug, Default)]
@@ -35,6 +36,11 @@
         self.own_word.len() < before
     }
 
+    /// Upstreams that said so themselves.
+    pub fn said_so(&self) -> impl Iterator<Item = &UpstreamId> {
+        self.own_word.keys()
+    }
+
     /// Whether an upstream is leaving.
     #[must_use]
     pub fn contains(&self, upstream: &UpstreamId) -> bool {
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -13,7 +13,7 @@
 use clock::Clock;
 use document::{Offset, Version, replica};
 use member::{Identity, Listed, Load, Phase, Standing};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     Settings,
@@ -46,6 +46,8 @@
     pub answer_memory: Budget,
     /// Requests of callers in progress.
     pub in_progress: AtomicUsize,
+    /// Wakes whoever moves time on for services when a request begins to wait.
+    pub queued: Arc<Notify>,
     /// Turns true when the daemon is to leave.
     pub leave: watch::Sender<bool>,
     membership: OnceLock<Arc<Membership>>,
@@ -90,6 +92,7 @@
             request_memory: Budget::new(settings.request_memory_bytes),
             answer_memory: Budget::new(settings.answer_memory_bytes),
             in_progress: AtomicUsize::new(0),
+            queued: Arc::new(Notify::new()),
             leave: watch::Sender::new(false),
             membership: OnceLock::new(),
             orders: OnceLock::new(),
@@ -151,6 +154,7 @@
             domain: self.settings.domain.as_str().into(),
             hosts: self.hosts.load(Ordering::Relaxed),
             clock: Arc::clone(&self.clock),
+            queued: Arc::clone(&self.queued),
             seed: self.ids.incarnation(),
         };
         let table = Arc::new(Table::build(&Arc::new(document), version, &old, &origin));
@@ -194,6 +198,12 @@
         }
     }
 
+    /// Addresses of backend servers that said themselves that they are leaving.
+    #[must_use]
+    pub fn said_to_leave(&self) -> BTreeSet<SocketAddr> {
+        self.table().services.values().flat_map(|it| it.said_to_leave()).collect()
+    }
+
     /// Takes in the platform's list of entry hosts, and leaves if it says so.
     pub fn take_listed(&self, listed: &[Listed]) {
         let Some(membership) = self.membership() else { return };
--- a/crates/daemon/src/table.rs
+++ b/crates/daemon/src/table.rs
@@ -11,6 +11,7 @@
 
 use clock::Clock;
 use document::{Document, ServiceId, Version};
+use tokio::sync::Notify;
 
 use crate::{
     decision::micros,
@@ -43,6 +44,8 @@
     pub hosts: u32,
     /// Clock of the daemon.
     pub clock: Arc<dyn Clock>,
+    /// Woken when a request begins to wait.
+    pub queued: Arc<Notify>,
     /// Seed of random numbers.
     pub seed: u64,
 }
@@ -98,7 +101,11 @@
                     service.update(&parts);
                     Arc::clone(service)
                 }
-                None => Arc::new(Service::new(&parts, Arc::clone(&origin.clock))),
+                None => Arc::new(Service::new(
+                    &parts,
+                    Arc::clone(&origin.clock),
+                    Arc::clone(&origin.queued),
+                )),
             };
             res.services.insert(Arc::clone(&it.id), service);
         }
--- a/crates/daemon/tests/leaving_server.rs
+++ b/crates/daemon/tests/leaving_server.rs
@@ -66,6 +66,27 @@
     check(&fleet, 1);
 }
 
+#[test]
+fn told_by_server() {
+    let mut settings = Settings { daemons: 2, ..Settings::default() };
+    settings.services[0].upstreams = 2;
+    let fleet = Fleet::start(settings).expect("starts");
+    fleet.await_hosts(2).expect("daemons meet");
+    let server = &fleet.backends[0][0];
+    server.update(|it| it.intake = Intake::Drain);
+    let asked = || {
+        calls(&fleet, 0);
+        server.total().shed > 0
+    };
+    await_that(LIMIT, "asked once", asked).expect("the server turns a request away");
+    // The host list says nothing; the other daemon has to hear of it from the first.
+    thread::sleep(Duration::from_secs(3));
+    let before = server.total().shed;
+    calls(&fleet, 1);
+    calls(&fleet, 0);
+    assert_eq!(server.total().shed, before, "the leaving server was asked again");
+}
+
 #[test]
 fn sheds_by_itself() {
     let fleet = Fleet::start(Settings::default()).expect("starts");
--- a/crates/member/src/exchange.rs
+++ b/crates/member/src/exchange.rs
@@ -22,7 +22,7 @@
     pub loads: Vec<Load>,
     /// Other daemons.
     pub rumors: Vec<Rumor>,
-    /// Backend servers that the sender has read to be leaving.
+    /// Backend servers that the sender knows at first hand to be leaving.
     #[serde(default)]
     pub marks: Vec<SocketAddr>,
 }
--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -193,7 +193,12 @@
         self.servers.set_read(marked);
     }
 
-    /// Backend servers that this host or a peer has read to be leaving.
+    /// Takes over which backend servers have told this host themselves that they are leaving.
+    pub fn heard_from_servers(&mut self, leaving: BTreeSet<SocketAddr>) {
+        self.servers.set_said(leaving);
+    }
+
+    /// Backend servers that are known to be leaving, here or at a peer.
     pub fn leaving_servers(&mut self, now: Instant) -> BTreeSet<SocketAddr> {
         self.servers.all(now)
     }
--- a/crates/member/src/table/marks.rs
+++ b/crates/member/src/table/marks.rs
@@ -1,8 +1,8 @@
 //! Backend servers that are marked as leaving, as this host and its peers read it.
 //!
 //! The platform's host list lags differently for each reader, so hosts tell each other what they
-//! read. Only what was read is told on, never what was heard; so a mark ends everywhere soon after
-//! the list no longer holds it.
+//! read, and which servers have said so themselves. Only such first-hand knowledge is told on, never
+//! what was heard from a peer; so a mark ends everywhere soon after its source has.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -19,6 +19,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Marks {
     read: BTreeSet<SocketAddr>,
+    said: BTreeSet<SocketAddr>,
     heard: BTreeMap<SocketAddr, Instant>,
 }
 
@@ -28,7 +29,12 @@
         self.read = read;
     }
 
-    /// Takes in what a peer has read.
+    /// Takes in which servers have said so themselves.
+    pub(super) fn set_said(&mut self, said: BTreeSet<SocketAddr>) {
+        self.said = said;
+    }
+
+    /// Takes in what a peer knows at first hand.
     pub(super) fn hear(&mut self, marks: &[SocketAddr], now: Instant) {
         for it in marks {
             self.heard.insert(*it, now);
@@ -37,12 +43,13 @@
 
     /// What to tell peers.
     pub(super) fn told(&self) -> Vec<SocketAddr> {
-        self.read.iter().take(MARK_LIMIT).copied().collect()
+        self.read.union(&self.said).take(MARK_LIMIT).copied().collect()
     }
 
     /// All servers that are marked now.
     pub(super) fn all(&mut self, now: Instant) -> BTreeSet<SocketAddr> {
         self.heard.retain(|_, at| now.saturating_duration_since(*at) < HEARD_LIFETIME);
-        self.read.iter().chain(self.heard.keys()).copied().collect()
+        let first_hand = self.read.union(&self.said);
+        first_hand.chain(self.heard.keys()).copied().collect()
     }
 }
--- a/xtask/src/slopes/configuration.rs
+++ b/xtask/src/slopes/configuration.rs
@@ -66,8 +66,13 @@
     let text = fixture::document(size, SLOTS);
     let changed = fixture::document(size, SLOTS + 1);
     let whole = publication(&text, &[], 0)?;
-    let origin =
-        Origin { domain: "domain-0".into(), hosts: 6, clock: Arc::new(clock::System), seed: 1 };
+    let origin = Origin {
+        domain: "domain-0".into(),
+        hosts: 6,
+        clock: Arc::new(clock::System),
+        queued: Arc::default(),
+        seed: 1,
+    };
     let before = usage::memory_mib()?;
     kept.extend((0..COPIES).map(|_| hold(&whole, &origin)));
     let memory_mib = (usage::memory_mib()? - before) / f64::from(COPIES);
