--- a/xtask/src/orders.rs
+++ b/xtask/src/orders.rs
@@ -43,7 +43,7 @@
         }
     };
     if options.cost {
-        return measure_cost();
+        return measure_cost(options.rate);
     }
     let started = Instant::now();
     let mut reports = explore(&options);
@@ -51,8 +51,8 @@
     summarize(&reports, started)
 }
 
-fn measure_cost() -> ExitCode {
-    match cost::run() {
+fn measure_cost(rate: u32) -> ExitCode {
+    match cost::run(rate) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(e) => {
--- a/xtask/src/orders/cost.rs
+++ b/xtask/src/orders/cost.rs
@@ -15,8 +15,6 @@
 const HOSTS: usize = 6;
 /// Callers; each has at most one order at a time.
 const CALLERS: usize = 96;
-/// Orders a second of all callers together.
-const RATE: u32 = 1_000;
 /// Duration of each run.
 const RUN: Duration = Duration::from_secs(10);
 /// Time within which the fleet must be ready.
@@ -58,7 +56,7 @@
 }
 
 /// Measures all kinds; returns whether the appends stayed within the log's limit.
-pub(crate) fn run() -> Result<bool> {
+pub(crate) fn run(rate: u32) -> Result<bool> {
     let backend = backend::Settings {
         slots: 60,
         service_time: Duration::from_millis(2),
@@ -77,7 +75,7 @@
     let is_ready = || (0..HOSTS).all(|it| session(&fleet, it, "journaled").contains("fd1j-"));
     await_that(READY_LIMIT, "journaled sessions", is_ready)?;
 
-    println!("{RATE} orders/s, {HOSTS} hosts, {CALLERS} callers, {} s", RUN.as_secs());
+    println!("{rate} orders/s, {HOSTS} hosts, {CALLERS} callers, {} s", RUN.as_secs());
     println!("orders        p50 us   p99 us  p999 us  failed  appends/s  reads/s");
     let kinds = [
         ("unkeyed", Kind::Unkeyed),
@@ -86,16 +84,19 @@
     ];
     let mut runs = Vec::new();
     for (name, kind) in kinds {
-        let run = measure(&fleet, name, kind)?;
+        let run = measure(&fleet, name, kind, rate)?;
         run.print();
         runs.push(run);
     }
+    let bytes = journal_bytes(&fleet);
+    let orders = runs.last().map_or(1, |it| it.latency_us.len().max(1));
+    println!("journal: {} bytes for each order", bytes / orders);
     Ok(summarize(&runs))
 }
 
 /// Offers orders at a fixed rate, whatever the answers take; latency counts from when an order was
 /// due.
-fn measure(fleet: &Fleet, name: &'static str, kind: Kind) -> Result<Run> {
+fn measure(fleet: &Fleet, name: &'static str, kind: Kind, rate: u32) -> Result<Run> {
     let sessions: Vec<String> = match kind {
         Kind::Unkeyed => vec![String::new(); CALLERS],
         Kind::Session(it) => {
@@ -103,6 +104,7 @@
         }
     };
     let failed = AtomicU64::new(0);
+    let interval = Duration::from_secs(1) / rate;
     let (appends, reads) = (fleet.log.appends(), fleet.log.reads());
     let started = Instant::now();
     let mut latency_us = Histogram::<u64>::new(3)?;
@@ -112,7 +114,7 @@
             .enumerate()
             .map(|(caller, it)| {
                 let failed = &failed;
-                scope.spawn(move || place(fleet, caller, it, started, failed))
+                scope.spawn(move || place(fleet, caller, it, started, interval, failed))
             })
             .collect();
         for it in callers {
@@ -138,10 +140,10 @@
     caller: usize,
     session: &str,
     started: Instant,
+    interval: Duration,
     failed: &AtomicU64,
 ) -> Vec<Duration> {
     let http = Caller::default();
-    let interval = Duration::from_secs(1) / RATE;
     let mut res = Vec::new();
     for number in 1_u32.. {
         let place = (number - 1) * u32::try_from(CALLERS).unwrap_or(u32::MAX)
@@ -168,6 +170,17 @@
     json["session"]["id"].as_str().unwrap_or_default().to_owned()
 }
 
+/// Bytes in the journals of all hosts.
+fn journal_bytes(fleet: &Fleet) -> u64 {
+    let incarnation = |host| {
+        let session = session(fleet, host, "journaled");
+        session.split('-').nth(1).unwrap_or_default().to_owned()
+    };
+    let streams = (0..HOSTS).map(|it| format!("orders-{}", incarnation(it)));
+    let records = streams.flat_map(|it| fleet.log.records(&it));
+    records.map(|it| it.len() as u64).sum()
+}
+
 fn per_s(count: u64, elapsed_s: f64) -> f64 {
     f64::from(u32::try_from(count).unwrap_or(u32::MAX)) / elapsed_s
 }
--- a/xtask/src/orders/options.rs
+++ b/xtask/src/orders/options.rs
@@ -10,6 +10,7 @@
 pub(crate) const HELP: &str = "\
 usage: cargo xtask orders [OPTIONS]
   --cost          measures what journaling costs on real daemons instead
+  --rate N        orders a second for --cost (default 1000)
   --small         the small part that tests run
   --scenario NAME only the exhaustive scenarios of this name
   --faults N      faults in each exhaustive scenario (default 2, small 1)
@@ -22,6 +23,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Options {
     pub(crate) cost: bool,
+    pub(crate) rate: u32,
     pub(crate) small: bool,
     pub(crate) scenario: Option<String>,
     pub(crate) faults: u8,
@@ -35,6 +37,7 @@
     fn default() -> Self {
         Self {
             cost: false,
+            rate: 1_000,
             small: false,
             scenario: None,
             faults: 2,
@@ -56,6 +59,7 @@
         while let Some(arg) = parser.next()? {
             match arg {
                 Arg::Long("cost") => res.cost = true,
+                Arg::Long("rate") => res.rate = parser.value()?.parse::<u32>()?.max(1),
                 Arg::Long("small") => {
                     res = Self { small: true, faults: 1, walks: 300, ..res };
                 }
