Test the reasons that callers of a session are told

The page for callers lists each reason word with outcome and status; until now the tests checked outcome and status alone. Covered are mismatch, acknowledged, window and session-ended, the window's edge at 256, and the new session that a renewal of an ended one gives.

--- /dev/null
+++ b/crates/daemon/tests/caller_protocol.rs
@@ -0,0 +1,52 @@
+//! The words that callers' programs act on: reason, outcome and status of an order's refusals.
+
+mod orders;
+
+use std::time::Duration;
+
+use orders::{Orders, check};
+
+const SERVICE_TIME: Duration = Duration::from_millis(2);
+/// Deadline of the routes, in milliseconds.
+const DEADLINE_MS: u64 = 4_000;
+
+fn start() -> Orders {
+    Orders::start(1, SERVICE_TIME, DEADLINE_MS)
+}
+
+/// Checks all that a program reads from a refusal.
+#[track_caller]
+fn check_refusal(answer: &fleet::Answer, outcome: &str, status: u16, reason: &str) {
+    check(answer, outcome, status);
+    let body: serde_json::Value = serde_json::from_slice(&answer.body).expect("JSON");
+    assert_eq!((&body["outcome"], &body["reason"]), (&outcome.into(), &reason.into()), "{body}");
+    assert_eq!(body["request"], answer.request.as_str(), "{body}");
+}
+
+#[test]
+fn reasons_of_a_session() {
+    let orders = start();
+    let session = orders.session(0, "journaled");
+    let key = |number: u64| format!("{session}.{number}");
+    check(&orders.place(0, &key(1), "bale"), "done", 200);
+    check_refusal(&orders.place(0, &key(1), "two bales"), "not-run", 422, "mismatch");
+    let headers = [format!("idempotency-key: {}", key(2)), "fireflydrum-acknowledged: 1".into()];
+    check(&orders.call(0, &headers, "bale"), "done", 200);
+    check_refusal(&orders.place(0, &key(1), "bale"), "unknown", 410, "acknowledged");
+    check(&orders.place(0, &key(257), "bale"), "done", 200);
+    check_refusal(&orders.place(0, &key(258), "bale"), "not-run", 429, "window");
+    check_refusal(&orders.place(0, &key(3), "bale"), "not-run", 410, "session-ended");
+    check(&orders.place(0, &key(2), "bale"), "done", 200);
+}
+
+#[test]
+fn renewal_of_an_ended_session() {
+    let orders = start();
+    let session = orders.session(0, "journaled");
+    assert_eq!(orders.session(0, &session), session);
+    let beyond = format!("{session}.900");
+    check_refusal(&orders.place(0, &beyond, "bale"), "not-run", 429, "window");
+    let (other, journaled) = orders.lease(0, &session);
+    assert!(journaled && other != session, "{other} after {session}");
+    check(&orders.place(0, &format!("{other}.1"), "bale"), "done", 200);
+}
