--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -42,8 +42,12 @@
 
 fn run(common: &mut Common) -> Result<Outcome> {
     let mut parser = lexopt::Parser::from_env();
-    let name = common.read_verb(&mut parser)?;
-    let Some(name) = name.filter(|it| it != "help") else {
+    let mut name = common.read_verb(&mut parser)?;
+    if name.as_deref() == Some("help") {
+        common.help = true;
+        name = common.read_verb(&mut parser)?;
+    }
+    let Some(name) = name else {
         return Ok(page(help(), if common.help { Code::Done } else { Code::Usage }));
     };
     let verb = verb::find(&name).ok_or_else(|| {
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -25,6 +25,7 @@
 pub use execution::{acknowledged, answer_peer, key, run, soften};
 pub use gate::Gate;
 pub use message::Message;
+pub use reply::KEY_REQUIRED;
 
 /// Starts what keeps the orders of a daemon going.
 ///
--- a/crates/daemon/src/orders/execution.rs
+++ b/crates/daemon/src/orders/execution.rs
@@ -28,11 +28,12 @@
 }
 
 /// Says no more than is certain of an order that was refused before the engine saw it: a copy of it
-/// may have run by way of another entry host, or a moment ago.
+/// may have run by way of another entry host, or a moment ago. Only a key that names no order leaves
+/// nothing that could have run.
 #[must_use]
 pub fn soften(refusal: Refusal, is_order: bool) -> Refusal {
-    let is_final = refusal.status == hyper::StatusCode::BAD_REQUEST;
-    if !is_order || is_final || refusal.outcome != Told::NotRun {
+    let names_no_order = [reply::BAD_KEY, reply::KEY_REQUIRED].contains(&refusal.reason);
+    if !is_order || names_no_order || refusal.outcome != Told::NotRun {
         return refusal;
     }
     Refusal { outcome: Told::Unknown, ..refusal }
--- a/crates/daemon/src/orders/reply.rs
+++ b/crates/daemon/src/orders/reply.rs
@@ -15,6 +15,10 @@
     upstream::attempt::Answer,
 };
 
+/// Reason of a refusal for a malformed key.
+pub(super) const BAD_KEY: &str = "bad-key";
+/// Reason of a refusal for a missing key.
+pub const KEY_REQUIRED: &str = "key-required";
 /// When to repeat an order whose outcome may be known then.
 const REPEAT_AFTER: Duration = Duration::from_secs(1);
 
@@ -55,7 +59,7 @@
 }
 
 pub(super) fn bad_key(error: &order::Error) -> Refusal {
-    bad_request("bad-key", error.to_string())
+    bad_request(BAD_KEY, error.to_string())
 }
 
 pub(super) fn bad_acknowledgement() -> Refusal {
--- a/crates/daemon/src/path.rs
+++ b/crates/daemon/src/path.rs
@@ -11,6 +11,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -37,6 +38,9 @@
 /// A value, or the refusal that the caller gets in its place.
 pub type Result<T, E = Refusal> = std::result::Result<T, E>;
 
+/// When to try another entry host, or this one again.
+const RETRY_ELSEWHERE: Duration = Duration::from_secs(1);
+
 /// Answers the requests of callers.
 pub struct Path {
     state: Arc<State>,
@@ -102,7 +106,13 @@
     };
     let others = state.entry_hosts(&caller.ip().to_string());
     let others: Vec<_> = others.iter().map(ToString::to_string).collect();
-    Some(Refusal { reason, message: message.into(), entry: others.join(","), ..Refusal::default() })
+    Some(Refusal {
+        reason,
+        message: message.into(),
+        retry_after: RETRY_ELSEWHERE,
+        entry: others.join(","),
+        ..Refusal::default()
+    })
 }
 
 async fn answer(
--- a/crates/daemon/src/path/plan.rs
+++ b/crates/daemon/src/path/plan.rs
@@ -8,7 +8,8 @@
 
 use crate::{
     caller::{header, reply::Refusal},
-    id, orders,
+    id,
+    orders::{self, KEY_REQUIRED},
     path::Result,
     state::State,
     table::Route,
@@ -126,7 +127,7 @@
     }
     Err(Refusal {
         status: StatusCode::BAD_REQUEST,
-        reason: "key-required",
+        reason: KEY_REQUIRED,
         message:
             "this route places orders: send Idempotency-Key: SESSION.NUMBER, with the session \
                   from /fireflydrum/entry"
--- a/crates/daemon/tests/caller_protocol.rs
+++ b/crates/daemon/tests/caller_protocol.rs
@@ -50,3 +50,15 @@
     assert!(journaled && other != session, "{other} after {session}");
     check(&orders.place(0, &format!("{other}.1"), "bale"), "done", 200);
 }
+
+/// The key names an order that ran, so nothing that is wrong beside it makes `not-run` true.
+#[test]
+fn malformed_repeat() {
+    let orders = start();
+    let key = format!("{}.1", orders.session(0, "journaled"));
+    check(&orders.place(0, &key, "bale"), "done", 200);
+    for malformed in ["fireflydrum-deadline-ms: -5", "fireflydrum-acknowledged: none"] {
+        let headers = [format!("idempotency-key: {key}"), malformed.into()];
+        check(&orders.call(0, &headers, "bale"), "unknown", 400);
+    }
+}
