--- a/xtask/src/load.rs
+++ b/xtask/src/load.rs
@@ -5,26 +5,35 @@
 //! daemon adds. Decision lines are formatted and written to the null device.
 
 mod connection;
-mod cpu;
 mod generator;
 mod report;
 
 use std::{process::ExitCode, time::Duration};
 
+use daemon::process::{CALLER_THREAD, CONTROL_THREAD};
 use fleet::{Fleet, Service, Settings};
 use standin::backend;
 
 use generator::{Generator, Run, Target};
-use report::Report;
+use report::{Report, Round};
 
+use crate::usage;
+
+/// Names of the daemon's threads.
+const DAEMON_THREADS: [&str; 2] = [CALLER_THREAD, CONTROL_THREAD];
 /// Longest 99th percentile that the daemon may add, in microseconds.
 const ADDED_P99_LIMIT_US: f64 = 340.0;
 /// Fewest calls a second for each core that the daemon's threads use.
 const CALLS_PER_CORE_FLOOR: f64 = 8_000.0;
 /// Connections of the callers.
 const CONNECTIONS: usize = 32;
-/// Duration of each run.
+/// Duration of the run that finds saturation.
 const RUN: Duration = Duration::from_secs(4);
+/// Rounds at half of saturation, each direct and through the daemon; the median round counts, so
+/// that a pause of the machine in one of them doesn't.
+const ROUNDS: usize = 7;
+/// Duration of each half of a round.
+const HALF_ROUND: Duration = Duration::from_secs(2);
 /// Duration of the run that warms connections and code up.
 const WARM_UP: Duration = Duration::from_secs(1);
 
@@ -79,11 +88,15 @@
     let closed_direct = generator.closed(&direct, RUN)?;
     let closed_through = generator.closed(&through, RUN)?;
     let rate = closed_through.calls_per_s() / 2.0;
-    let open_direct = generator.open(&direct, rate, RUN)?;
-    let before = cpu::of_daemon_threads()?;
-    let open_through = generator.open(&through, rate, RUN)?;
-    let spent = cpu::of_daemon_threads()?.saturating_sub(before);
-    Ok(Report { closed_direct, closed_through, open_direct, open_through, spent })
+    let mut rounds = Vec::new();
+    for _round in 0..ROUNDS {
+        let direct = generator.open(&direct, rate, HALF_ROUND)?;
+        let before = usage::cpu(&DAEMON_THREADS)?;
+        let through = generator.open(&through, rate, HALF_ROUND)?;
+        let spent = usage::cpu(&DAEMON_THREADS)?.saturating_sub(before);
+        rounds.push(Round { direct, through, spent });
+    }
+    Ok(Report { closed_direct, closed_through, rounds })
 }
 
 fn paths() -> Vec<String> {
--- a/xtask/src/load/report.rs
+++ b/xtask/src/load/report.rs
@@ -4,29 +4,45 @@
 
 use super::Run;
 
+/// Two open runs at half of saturation, one after the other.
+pub(crate) struct Round {
+    /// Straight to the backend servers.
+    pub(crate) direct: Run,
+    /// Through the daemon.
+    pub(crate) through: Run,
+    /// Processor time of the daemon's threads during `through`.
+    pub(crate) spent: Duration,
+}
+
+impl Round {
+    fn added_us(&self, quantile: f64) -> f64 {
+        us(&self.through, quantile) - us(&self.direct, quantile)
+    }
+
+    fn calls_per_core(&self) -> f64 {
+        self.through.all().len() as f64 / self.spent.as_secs_f64()
+    }
+}
+
 /// What the runs say together.
 pub(crate) struct Report {
     /// Closed loop, straight to the backend servers.
     pub(crate) closed_direct: Run,
     /// Closed loop through the daemon: saturation.
     pub(crate) closed_through: Run,
-    /// Open loop at half of saturation, straight to the backend servers.
-    pub(crate) open_direct: Run,
-    /// Open loop at half of saturation, through the daemon.
-    pub(crate) open_through: Run,
-    /// Processor time of the daemon's threads during `open_through`.
-    pub(crate) spent: Duration,
+    /// Rounds at half of saturation.
+    pub(crate) rounds: Vec<Round>,
 }
 
 impl Report {
     /// Added latency of 99 in 100 calls at half of saturation, in microseconds.
     pub(crate) fn added_p99_us(&self) -> f64 {
-        self.added_us(0.99)
+        self.median(|it| it.added_us(0.99))
     }
 
     /// Calls a second for each core that the daemon's threads used.
     pub(crate) fn calls_per_core(&self) -> f64 {
-        self.open_through.all().len() as f64 / self.spent.as_secs_f64()
+        self.median(Round::calls_per_core)
     }
 
     /// Prints the table and the result line.
@@ -37,24 +53,36 @@
         );
         line("closed, direct", &self.closed_direct);
         line("closed, through", &self.closed_through);
-        line("open, direct", &self.open_direct);
-        line("open, through", &self.open_through);
-        for (rank, it) in ["urgent", "normal", "bulk"].iter().zip(&self.open_through.by_path) {
-            let at = |quantile| it.value_at_quantile(quantile) as f64 / 1_000.0;
-            let name = format!("  of it {rank}");
-            println!("{name:<28} {:>9.0} {:>9.0} {:>9.0}", at(0.5), at(0.99), at(0.999));
+        for it in &self.rounds {
+            line("open, direct", &it.direct);
+            line("open, through", &it.through);
         }
+        self.print_ranks();
         println!(
             "RESULT added_p50_us={:.0} added_p99_us={:.0} added_p999_us={:.0} calls_per_core_s={:.0}",
-            self.added_us(0.5),
+            self.median(|it| it.added_us(0.5)),
             self.added_p99_us(),
-            self.added_us(0.999),
+            self.median(|it| it.added_us(0.999)),
             self.calls_per_core(),
         );
     }
 
-    fn added_us(&self, quantile: f64) -> f64 {
-        us(&self.open_through, quantile) - us(&self.open_direct, quantile)
+    fn print_ranks(&self) {
+        for (place, rank) in ["urgent", "normal", "bulk"].iter().enumerate() {
+            let at = |quantile| {
+                let value = |it: &Round| it.through.by_path[place].value_at_quantile(quantile);
+                self.median(|it| value(it) as f64 / 1_000.0)
+            };
+            let name = format!("through, {rank}, median");
+            println!("{name:<28} {:>9.0} {:>9.0} {:>9.0}", at(0.5), at(0.99), at(0.999));
+        }
+    }
+
+    /// The median of a figure over the rounds.
+    fn median(&self, figure: impl Fn(&Round) -> f64) -> f64 {
+        let mut figures: Vec<_> = self.rounds.iter().map(figure).collect();
+        figures.sort_by(f64::total_cmp);
+        figures[figures.len() / 2]
     }
 }
 
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -9,6 +9,7 @@
 mod slopes;
 mod standins;
 mod tour;
+mod usage;
 
 use std::process::ExitCode;
 
--- a/xtask/src/slopes.rs
+++ b/xtask/src/slopes.rs
@@ -7,7 +7,6 @@
 mod meter;
 mod node;
 mod peers;
-mod usage;
 
 use std::{process::ExitCode, time::Duration};
 
--- a/xtask/src/slopes/changes.rs
+++ b/xtask/src/slopes/changes.rs
@@ -13,12 +13,13 @@
 use fleet::{Fleet, await_that};
 use tokio::runtime::{Builder, Runtime};
 
+use crate::usage;
+
 use super::{
     Options, Result,
     fixture::{self, SLOTS, Size, TARGET},
     meter::{Meter, Reserved},
     peers::ratio,
-    usage,
 };
 
 /// Time in which a change must be in force.
--- a/xtask/src/slopes/configuration.rs
+++ b/xtask/src/slopes/configuration.rs
@@ -9,11 +9,12 @@
 use daemon::table::{Origin, Table};
 use document::{Document, Fold, Publication, publication::Change, snapshot};
 
+use crate::usage;
+
 use super::{
     Error, Result,
     fixture::{self, SIZES, SLOTS, Size},
     peers::ratio,
-    usage,
 };
 
 /// Repetitions of each step; the shortest time counts, which other work disturbs least.
--- a/xtask/src/slopes/peers.rs
+++ b/xtask/src/slopes/peers.rs
@@ -7,10 +7,11 @@
 
 use tokio::runtime::{Builder, Runtime};
 
+use crate::usage;
+
 use super::{
     Error, Options, Result,
     node::{Node, Place},
-    usage,
 };
 
 /// Sizes of fleets; today's is the first.
--- a/xtask/src/slopes/usage.rs
+++ b/xtask/src/usage.rs
@@ -9,12 +9,12 @@
 
 /// Processor time that threads with one of `names` have used so far; threads that have ended don't
 /// count.
-pub(super) fn cpu(names: &[&str]) -> io::Result<Duration> {
+pub(crate) fn cpu(names: &[&str]) -> io::Result<Duration> {
     Ok(used(names)?.into_iter().sum())
 }
 
 /// Threads with one of `names`.
-pub(super) fn threads(names: &[&str]) -> io::Result<usize> {
+pub(crate) fn threads(names: &[&str]) -> io::Result<usize> {
     Ok(used(names)?.len())
 }
 
@@ -35,7 +35,7 @@
 }
 
 /// Memory of this process that is in use, in MiB.
-pub(super) fn memory_mib() -> io::Result<f64> {
+pub(crate) fn memory_mib() -> io::Result<f64> {
     let statm = fs::read_to_string("/proc/self/statm")?;
     let resident = statm.split_whitespace().nth(1).and_then(|it| it.parse::<u32>().ok());
     let pages = resident.ok_or_else(|| io::Error::other("no resident size in statm"))?;
