--- a/crates/balance/tests/cold_start.rs
+++ b/crates/balance/tests/cold_start.rs
@@ -7,10 +7,17 @@
 use balance::{Balancer, Outcome, Settings};
 use common::{USUAL, answer, balancer, index, ms, upstreams};
 
+/// Requests after which a service that still has room bounds nothing.
+const FILL_LIMIT: usize = 10_000;
+
 /// Fills every free place at `now`; returns the requests in flight to `upstream`.
 fn fill(balancer: &mut Balancer, now: Instant, upstream: &str) -> u32 {
-    while balancer.choose(now, &[]).is_ok() {}
-    balancer.in_flight(upstream)
+    for _request in 0..FILL_LIMIT {
+        if balancer.choose(now, &[]).is_err() {
+            return balancer.in_flight(upstream);
+        }
+    }
+    panic!("{FILL_LIMIT} requests were let in and there is still room");
 }
 
 /// Lets requests to the first of `count` upstreams fail until it is ejected.
