--- a/crates/cli/tests/real_daemons.rs
+++ b/crates/cli/tests/real_daemons.rs
@@ -1,10 +1,15 @@
 //! The verbs against three real daemons on loopback.
 
-use cli::{Arguments, Code, Context, Outcome, Settings, admin, arguments::Common, verb};
+use cli::{Arguments, Code, Context, Error, Outcome, Settings, admin, arguments::Common, verb};
 use fleet::Fleet;
 
 /// Runs a verb against the fleet.
 fn run(fleet: &Fleet, arguments: &[&str]) -> Outcome {
+    try_run(fleet, 1, arguments).unwrap_or_else(|err| panic!("{err}"))
+}
+
+/// Runs a verb against the fleet with a seed, which names its publications.
+fn try_run(fleet: &Fleet, seed: u64, arguments: &[&str]) -> Result<Outcome, Error> {
     let mut parser = lexopt::Parser::from_args(arguments);
     let mut common = Common::default();
     let name = common.read_verb(&mut parser).expect("arguments").expect("a verb");
@@ -20,9 +25,9 @@
         admin: &admin::Http::default(),
         clock: &clock::System,
         sleep: &std::thread::sleep,
-        seed: 1,
+        seed,
     };
-    (verb.run)(&cx, &arguments).unwrap_or_else(|err| panic!("{err}"))
+    (verb.run)(&cx, &arguments)
 }
 
 #[test]
@@ -53,3 +58,41 @@
     let hosts = run(&fleet, &["hosts"]).text;
     assert!(hosts.contains(&format!("{host}  leaving\n")), "{hosts}");
 }
+
+/// Rounds in which two editors change one section at the same moment.
+const ROUNDS: u64 = 6;
+
+/// What an accepted editor wrote is in force everywhere until a later one is accepted; the other is
+/// told what stood in its way.
+#[test]
+fn racing_editors() {
+    let settings = fleet::Settings { daemons: 3, ..fleet::Settings::default() };
+    let fleet = Fleet::start(settings).expect("a fleet");
+    for round in 0..ROUNDS {
+        let values = [10 + 2 * round, 11 + 2 * round];
+        let codes: Vec<Code> = std::thread::scope(|scope| {
+            let editors = values.map(|value| {
+                let fleet = &fleet;
+                scope.spawn(move || {
+                    let set = format!("retry_budget_percent={value}");
+                    let arguments = ["edit", "service stock", "--set", &set];
+                    try_run(fleet, value, &arguments).unwrap_or_else(|err| err.outcome()).code
+                })
+            });
+            editors.into_iter().map(|it| it.join().expect("an editor")).collect()
+        });
+        assert!(codes.contains(&Code::Done), "{codes:?}");
+        assert!(codes.iter().all(|it| [Code::Done, Code::Conflict].contains(it)), "{codes:?}");
+        let text = run(&fleet, &["show"]).text;
+        let in_force: Vec<_> = values
+            .iter()
+            .filter(|it| text.contains(&format!("retry_budget_percent = {it}\n")))
+            .collect();
+        assert_eq!(in_force.len(), 1, "exactly one editor's value: {text}");
+        let accepted = values.iter().zip(&codes).filter(|(_, code)| **code == Code::Done);
+        assert!(accepted.map(|(it, _)| it).any(|it| in_force.contains(&it)), "{codes:?}");
+    }
+    let documents: std::collections::BTreeSet<_> =
+        fleet.daemons.iter().map(|it| it.state().status().document_digest).collect();
+    assert_eq!(documents.len(), 1, "the daemons agree");
+}
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -278,6 +278,7 @@
         let mut services: Vec<_> =
             table.services.iter().map(|(id, it)| self.service_status(id, it)).collect();
         services.sort_by(|a, b| a.id.cmp(&b.id));
+        self.add_elsewhere(&mut services);
         let replica = lock(&self.replica).clone();
         Status {
             incarnation: format!("{:016x}", self.ids.incarnation()),
@@ -301,10 +302,26 @@
             capacity: snapshot.capacity,
             ejected: balancer.ejected(self.clock.now()),
             probes: balancer.probes(),
+            elsewhere: status::Elsewhere::default(),
             ranks: snapshot.lanes.iter().map(status::Rank::from).collect(),
         }
     }
 
+    /// Adds what the peers told of their loads; they name services by their place in order of names.
+    fn add_elsewhere(&self, services: &mut [status::Service]) {
+        let Some(membership) = self.membership() else { return };
+        let table = membership.table();
+        for (index, it) in services.iter_mut().enumerate() {
+            let index = u16::try_from(index).unwrap_or(u16::MAX);
+            let estimate = table.estimate(index, None, self.clock.now());
+            it.elsewhere = status::Elsewhere {
+                hosts: estimate.daemons,
+                in_flight: estimate.in_flight,
+                queued: estimate.queued,
+            };
+        }
+    }
+
     fn apply_marks(&self) {
         let marked = lock(&self.marked).clone();
         let table = self.table();
--- a/crates/daemon/src/status.rs
+++ b/crates/daemon/src/status.rs
@@ -70,10 +70,23 @@
     pub ejected: usize,
     /// Load probes sent since the start.
     pub probes: u64,
+    /// Load of the service on another entry host, as a mean of those that told theirs of late.
+    pub elsewhere: Elsewhere,
     /// Ranks, first served first.
     pub ranks: Vec<Rank>,
 }
 
+/// Load of one service on another host.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub struct Elsewhere {
+    /// Hosts that the means rest on.
+    pub hosts: u32,
+    /// Mean of the requests that hold a slot.
+    pub in_flight: f64,
+    /// Mean of the requests that wait for one.
+    pub queued: f64,
+}
+
 /// Load of one rank of a service on one host.
 #[derive(Clone, Debug, Serialize)]
 pub struct Rank {
--- a/crates/daemon/tests/admin_pages.rs
+++ b/crates/daemon/tests/admin_pages.rs
@@ -51,3 +51,16 @@
 fn unknown_page() {
     assert!(check("/admin", 404).contains("/metrics"));
 }
+
+/// A host shows what its peers told of their load.
+#[test]
+fn load_elsewhere() {
+    let fleet = Fleet::start(Settings { daemons: 2, ..Settings::default() }).expect("starts");
+    fleet.await_hosts(2).expect("daemons meet");
+    let told = || {
+        let page = Caller::default().get(fleet.daemons[0].admin_address(), "/status").body;
+        let page: Value = serde_json::from_slice(&page).expect("JSON");
+        page["services"][0]["elsewhere"]["hosts"] == 1
+    };
+    fleet::await_that(std::time::Duration::from_secs(20), "told", told).expect("the peer tells");
+}
