--- a/crates/fleet/src/service.rs
+++ b/crates/fleet/src/service.rs
@@ -38,6 +38,18 @@
 }
 
 impl Service {
+    /// A service for each of three ranks, with backend servers of one kind.
+    #[must_use]
+    pub fn of_each_rank(backend: backend::Settings) -> Vec<Self> {
+        let service = |(name, rank): (&str, &str)| Self {
+            name: name.into(),
+            rank: rank.into(),
+            backend,
+            ..Self::default()
+        };
+        [("stock", "urgent"), ("booking", "normal"), ("documents", "bulk")].map(service).into()
+    }
+
     /// The service's sections of a document.
     #[must_use]
     pub fn sections(&self, addresses: &[SocketAddr]) -> String {
--- a/xtask/src/load.rs
+++ b/xtask/src/load.rs
@@ -109,17 +109,7 @@
         service_time: Duration::ZERO,
         ..backend::Settings::default()
     };
-    let service = |name: &str, rank: &str| Service {
-        name: name.into(),
-        rank: rank.into(),
-        backend,
-        ..Service::default()
-    };
-    let services = vec![
-        service("stock", "urgent"),
-        service("booking", "normal"),
-        service("documents", "bulk"),
-    ];
+    let services = Service::of_each_rank(backend);
     let mut settings = Settings { services, ..Settings::default() };
     settings.daemon.log_decisions = true;
     settings
--- a/xtask/src/standins.rs
+++ b/xtask/src/standins.rs
@@ -3,6 +3,7 @@
 use std::{ffi::OsString, fs, io, net::SocketAddr, path::Path, process::ExitCode};
 
 use fleet::{Fleet, Service, Settings};
+use standin::backend;
 
 /// Daemons that settings are written for.
 const DAEMONS: u16 = 3;
@@ -39,16 +40,7 @@
 }
 
 fn serve(folder: &Path) -> Result<(), Box<dyn std::error::Error>> {
-    let service = |name: &str, rank: &str| Service {
-        name: name.into(),
-        rank: rank.into(),
-        ..Service::default()
-    };
-    let services = vec![
-        service("stock", "urgent"),
-        service("booking", "normal"),
-        service("documents", "bulk"),
-    ];
+    let services = Service::of_each_rank(backend::Settings::default());
     let fleet = Fleet::idle(Settings { daemons: 0, services, ..Settings::default() })?;
     write_files(folder, &fleet)?;
     print_steps(folder);
--- a/xtask/src/tour.rs
+++ b/xtask/src/tour.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use fleet::{Caller, Fleet, Service, Settings};
+use standin::backend;
 
 /// Calls made for each rank.
 const CALLS: usize = 200;
@@ -57,16 +58,7 @@
 }
 
 fn settings() -> Settings {
-    let service = |name: &str, rank: &str| Service {
-        name: name.into(),
-        rank: rank.into(),
-        ..Service::default()
-    };
-    let services = vec![
-        service("stock", "urgent"),
-        service("booking", "normal"),
-        service("documents", "bulk"),
-    ];
+    let services = Service::of_each_rank(backend::Settings::default());
     Settings { daemons: 3, services, ..Settings::default() }
 }
 
