--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -4,7 +4,7 @@
 pub mod leaving;
 pub mod parts;
 pub mod permit;
-pub mod waiting;
+pub mod queue;
 
 use std::{
     collections::{HashMap, HashSet},
@@ -24,7 +24,7 @@
 use leaving::Leaving;
 pub use parts::Parts;
 pub use permit::Permit;
-use waiting::Admission;
+use queue::Queue;
 
 type Pools = HashMap<UpstreamId, Arc<Pool>>;
 
@@ -32,7 +32,7 @@
 pub struct Service {
     clock: Arc<dyn Clock>,
     config: RwLock<Arc<document::Service>>,
-    admission: Mutex<Admission>,
+    queue: Mutex<Queue>,
     balancer: Mutex<Balancer>,
     retries: Mutex<admission::Budget>,
     pools: RwLock<Pools>,
@@ -59,7 +59,7 @@
         let res = Self {
             clock,
             config: RwLock::new(Arc::clone(&parts.service)),
-            admission: Mutex::new(Admission { gate, waiting: HashMap::new() }),
+            queue: Mutex::new(Queue { gate, waiting: HashMap::new() }),
             balancer: Mutex::new(balancer),
             retries: Mutex::new(retries),
             pools: RwLock::default(),
@@ -82,11 +82,11 @@
         }
         lock(&self.retries).set_percent(parts.service.retry_budget_percent);
         *self.config.write().unwrap_or_else(PoisonError::into_inner) = Arc::clone(&parts.service);
-        let mut admission = lock(&self.admission);
-        admission.gate.set_settings(parts.gate_settings());
-        let events = admission.gate.set_ranks(now, &parts.ranks);
-        admission.deliver(events);
-        drop(admission);
+        let mut queue = lock(&self.queue);
+        queue.gate.set_settings(parts.gate_settings());
+        let events = queue.gate.set_ranks(now, &parts.ranks);
+        queue.deliver(events);
+        drop(queue);
         self.refresh();
     }
 
@@ -172,13 +172,13 @@
         let verdict = {
             let now = self.clock.now();
             let capacity = self.balancer().capacity(now);
-            let mut admission = lock(&self.admission);
-            admission.set_capacity(now, capacity);
-            let verdict = admission.gate.offer(now, request);
+            let mut queue = lock(&self.queue);
+            queue.set_capacity(now, capacity);
+            let verdict = queue.gate.offer(now, request);
             if let Verdict::Queued { displaced } = verdict {
-                admission.waiting.insert(id, deliver);
+                queue.waiting.insert(id, deliver);
                 if let Some(it) = displaced {
-                    admission.waiting.remove(&it.id);
+                    queue.waiting.remove(&it.id);
                 }
             }
             verdict
@@ -242,7 +242,7 @@
         if has_expired {
             self.apply_leaving();
         }
-        if lock(&self.admission).waiting.is_empty() {
+        if lock(&self.queue).waiting.is_empty() {
             return false;
         }
         self.refresh();
@@ -252,7 +252,7 @@
     /// State of admission, for status pages and metrics.
     #[must_use]
     pub fn snapshot(&self) -> admission::Snapshot {
-        lock(&self.admission).gate.snapshot()
+        lock(&self.queue).gate.snapshot()
     }
 
     fn land(&self, dispatch: Dispatch, answer: balance::Answer) {
@@ -264,10 +264,10 @@
     fn refresh(&self) {
         let now = self.clock.now();
         let capacity = self.balancer().capacity(now);
-        let mut admission = lock(&self.admission);
-        admission.set_capacity(now, capacity);
-        let events = admission.gate.tick(now);
-        admission.deliver(events);
+        let mut queue = lock(&self.queue);
+        queue.set_capacity(now, capacity);
+        let events = queue.gate.tick(now);
+        queue.deliver(events);
     }
 
     fn update_pools(&self, parts: &Parts) {
@@ -283,15 +283,12 @@
     fn release(&self, id: RequestId, waits: bool, served: Option<Duration>) {
         let now = self.clock.now();
         let capacity = self.balancer().capacity(now);
-        let mut admission = lock(&self.admission);
-        admission.set_capacity(now, capacity);
-        admission.waiting.remove(&id);
-        let events = if waits {
-            admission.gate.cancel(now, id)
-        } else {
-            admission.gate.release(now, id, served)
-        };
-        admission.deliver(events);
+        let mut queue = lock(&self.queue);
+        queue.set_capacity(now, capacity);
+        queue.waiting.remove(&id);
+        let events =
+            if waits { queue.gate.cancel(now, id) } else { queue.gate.release(now, id, served) };
+        queue.deliver(events);
     }
 }
 
--- a/crates/daemon/src/service/waiting.rs
+++ b/crates/daemon/src/service/queue.rs
@@ -6,14 +6,14 @@
 use tokio::sync::oneshot;
 
 /// The gate of a service with the requests that wait for it.
-pub struct Admission {
+pub struct Queue {
     /// Decides who may go.
     pub gate: Gate,
     /// Requests that wait, by their ids.
     pub waiting: HashMap<RequestId, oneshot::Sender<Event>>,
 }
 
-impl Admission {
+impl Queue {
     /// Lets the gate give out another number of slots.
     pub fn set_capacity(&mut self, now: Instant, capacity: u32) {
         let events = self.gate.set_capacity(now, capacity);
