Lock in one way, and drop the document's own route search

The daemon had three copies of the lock that survives a panic; state::lock now serves all. The search for a route in Document was dead since Table indexes routes by path prefix.

--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -9,13 +9,15 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
 use clock::Clock;
 use member::{Domain, Heartbeat, Identity, Life, Listed, Phase, Standing, Table};
 
+use crate::state::lock;
+
 pub use answers::Answers;
 pub use heartbeats::Heartbeats;
 pub use host_list::HostList;
@@ -172,7 +174,3 @@
         lock(&self.table)
     }
 }
-
-fn lock<T>(it: &Mutex<T>) -> MutexGuard<'_, T> {
-    it.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/daemon/src/service.rs
+++ b/crates/daemon/src/service.rs
@@ -18,7 +18,7 @@
 use clock::Clock;
 use tokio::sync::{Notify, oneshot};
 
-use crate::upstream::pool::Pool;
+use crate::{state::lock, upstream::pool::Pool};
 
 pub use flight::Flight;
 use leaving::Leaving;
@@ -296,9 +296,3 @@
     let retry_after = admission::Settings::default().max_retry_after;
     admission::Refusal { reason, retry_after }
 }
-
-/// Locks even if another thread panicked while it held the lock: the states that are kept here are
-/// consistent between any two calls.
-fn lock<T>(it: &Mutex<T>) -> MutexGuard<'_, T> {
-    it.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/document/src/document.rs
+++ b/crates/document/src/document.rs
@@ -37,17 +37,6 @@
         parsed.sort_by(|(a, _), (b, _)| a.id.cmp(&b.id));
         Ok(parsed.iter().filter_map(|(_, item)| item.as_ref()).collect())
     }
-
-    /// The route for a request, if any: the longest matching path prefix of the method.
-    #[must_use]
-    pub fn route(&self, method: &str, path: &str) -> Option<&Route> {
-        let wanted = if method == "HEAD" { "GET" } else { method };
-        self.routes
-            .iter()
-            .filter(|it| it.method == wanted || it.method == method)
-            .filter(|it| path_matches(&it.path, path))
-            .max_by_key(|it| it.path.len())
-    }
 }
 
 impl<'a> FromIterator<&'a Item> for Document {
@@ -66,9 +55,3 @@
         document
     }
 }
-
-/// Whether `prefix` covers `path` up to a boundary between path segments.
-fn path_matches(prefix: &str, path: &str) -> bool {
-    let Some(rest) = path.strip_prefix(prefix) else { return false };
-    rest.is_empty() || prefix.ends_with('/') || rest.starts_with(['/', '?'])
-}
