--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -10,7 +10,8 @@
 
 usage: fireflydrumd [--check] SETTINGS
 
-  SETTINGS   INI file with the section [daemon]
+  SETTINGS   INI file with the section [daemon], or [gateway] for upstreams that register
+             themselves and a configuration that the platform keeps
   --check    report every finding in SETTINGS and exit
   --help     print this page
   --version  print the version
@@ -43,11 +44,18 @@
         println!("{}: no findings", arguments.settings.display());
         return ExitCode::SUCCESS;
     }
-    if let Err(e) = daemon::logs::dispatch(settings.log_level).chain(std::io::stderr()).apply() {
-        eprintln!("fireflydrumd: log: {e}");
-        return ExitCode::FAILURE;
+    match settings {
+        Role::Daemon(it) => run(*it),
+        Role::Gateway(it) => run_gateway(*it, &arguments.settings),
     }
-    run(settings)
+}
+
+/// What the settings ask for.
+enum Role {
+    /// A daemon that reads its document and its hosts from the project's own formats.
+    Daemon(Box<Settings>),
+    /// A daemon whose configuration and upstreams are kept by the platform.
+    Gateway(Box<gateway::Settings>),
 }
 
 fn parse_arguments() -> Result<Option<Arguments>, lexopt::Error> {
@@ -73,16 +81,38 @@
     Ok(Some(Arguments { settings, check_only }))
 }
 
-fn read_settings(path: &std::path::Path) -> Result<Settings, String> {
+fn read_settings(path: &std::path::Path) -> Result<Role, String> {
     let name = path.display();
     let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}\n"))?;
-    Settings::parse(&text).map_err(|findings| {
+    let res = if gateway::Settings::stand_in(&text) {
+        gateway::Settings::parse(&text).map(|it| Role::Gateway(Box::new(it)))
+    } else {
+        Settings::parse(&text).map(|it| Role::Daemon(Box::new(it)))
+    };
+    res.map_err(|findings| {
         let lines: Vec<_> = findings.iter().map(|it| format!("{name}: {it}\n")).collect();
         lines.concat()
     })
 }
 
+fn run_gateway(settings: gateway::Settings, path: &std::path::Path) -> ExitCode {
+    if let Err(e) = gateway::logs::start(log::LevelFilter::Info, std::io::stdout()) {
+        eprintln!("fireflydrumd: log: {e}");
+        return ExitCode::FAILURE;
+    }
+    let store = adapter::Store::new(settings.store_address);
+    if let Err(e) = gateway::run(settings, path, store) {
+        eprintln!("fireflydrumd: {e}");
+        return ExitCode::FAILURE;
+    }
+    ExitCode::SUCCESS
+}
+
 fn run(settings: Settings) -> ExitCode {
+    if let Err(e) = daemon::logs::dispatch(settings.log_level).chain(std::io::stderr()).apply() {
+        eprintln!("fireflydrumd: log: {e}");
+        return ExitCode::FAILURE;
+    }
     let process = match Process::start(settings) {
         Ok(it) => it,
         Err(e) => {
--- /dev/null
+++ b/crates/gateway/src/caller/listener.rs
@@ -0,0 +1,89 @@
+//! Accepts connections.
+
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
+
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::net::TcpListener;
+
+use super::{Port, serve};
+use crate::{gateway::Gateway, socket};
+
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 1_024;
+/// Pause after an accept that failed for want of descriptors or memory.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Share of the descriptors that callers' connections may use; the rest serves upstreams and peers.
+const DESCRIPTOR_SHARE: usize = 2;
+
+/// Opens a listening socket.
+///
+/// # Errors
+///
+/// Fails if the address can't be used.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// Serves connections to `address` until the task is dropped.
+///
+/// # Errors
+///
+/// Fails if the address can't be used.
+pub fn listen(gateway: &Rc<Gateway>, port: Port, address: SocketAddr) -> io::Result<()> {
+    let listener = bind(address)?;
+    tokio::task::spawn_local(accept(Rc::clone(gateway), port, listener));
+    Ok(())
+}
+
+async fn accept(gateway: Rc<Gateway>, port: Port, listener: TcpListener) {
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        let stream = match listener.accept().await {
+            Ok((it, _caller)) => it,
+            Err(e) => {
+                log::warn!("event=accept-failed port={port:?} error={e}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if open.get() >= gateway.settings().descriptor_limit / DESCRIPTOR_SHARE {
+            log::warn!("event=connection-refused port={port:?} open={}", open.get());
+            continue;
+        }
+        if let Err(e) = socket::prepare(&stream) {
+            log::warn!("event=socket-options-failed port={port:?} error={e}");
+        }
+        let count = Count::new(&gateway, &open);
+        let gateway = Rc::clone(&gateway);
+        tokio::task::spawn_local(async move {
+            serve(gateway, port, stream).await;
+            drop(count);
+        });
+    }
+}
+
+/// Counts a connection until it is dropped.
+struct Count {
+    gateway: Rc<Gateway>,
+    open: Rc<Cell<usize>>,
+}
+
+impl Count {
+    fn new(gateway: &Rc<Gateway>, open: &Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        gateway.metrics.connections.inc();
+        Self { gateway: Rc::clone(gateway), open: Rc::clone(open) }
+    }
+}
+
+impl Drop for Count {
+    fn drop(&mut self) {
+        self.open.set(self.open.get() - 1);
+        self.gateway.metrics.connections.dec();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/caller/port.rs
@@ -0,0 +1,61 @@
+//! What a listening socket serves.
+
+use std::{rc::Rc, time::Instant};
+
+use crate::{
+    directory,
+    gateway::Gateway,
+    http::Message,
+    peer::Phase,
+    request::{self, Refusal, Reply},
+};
+
+/// What a listening socket serves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Port {
+    /// Requests of callers.
+    Callers,
+    /// Whether the daemon is ready.
+    Ready,
+    /// Addresses of entry hosts.
+    Directory,
+    /// Metrics.
+    Metrics,
+}
+
+impl Port {
+    /// Answers a request that came to this port.
+    pub(super) async fn answer(
+        self,
+        gateway: Rc<Gateway>,
+        message: Message,
+        received: Instant,
+    ) -> Reply {
+        let names = gateway.dialect.names;
+        let target = message.head.target.clone();
+        let path = target.split(|it| *it == b'?').next().unwrap_or_default();
+        match self {
+            Self::Callers => request::answer(gateway, message, received).await,
+            Self::Ready if path == names.ready_path.as_bytes() => ready(&gateway),
+            Self::Directory if path == names.directory_path.as_bytes() => {
+                directory::answer(&gateway, &target)
+            }
+            Self::Metrics if path == b"/metrics" => {
+                Reply::text(200, "text/plain; version=0.0.4", gateway.metrics.text())
+            }
+            _ => Reply::refuse(Refusal::no_route(), None),
+        }
+    }
+}
+
+fn ready(gateway: &Gateway) -> Reply {
+    match gateway.phase.get() {
+        Phase::Ready => Reply::text(200, "text/plain", "ready\n".to_owned()),
+        Phase::Starting => Reply::refuse(Refusal::not_ready(), None),
+        Phase::Leaving => {
+            let message = "this entry host is leaving".to_owned();
+            let retry_after = std::time::Duration::from_secs(1);
+            Reply::refuse(Refusal::not_run("leaving", message, retry_after), None)
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/config/limits.rs
@@ -0,0 +1,27 @@
+//! Limits on what callers may send.
+
+use std::time::Duration;
+
+/// Limits on the requests and connections of callers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Largest head of a request, in bytes.
+    pub head_bytes: usize,
+    /// Largest body of a request, in bytes.
+    pub body_bytes: usize,
+    /// Time from the first byte of a head to its last.
+    pub head_timeout: Duration,
+    /// Time that a connection may stay idle between requests.
+    pub idle_timeout: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 << 10,
+            body_bytes: 64 << 20,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/config/route.rs
@@ -0,0 +1,53 @@
+//! A route from a host name and a path to services.
+
+use std::time::Duration;
+
+use super::{DEFAULT_TIMEOUT, Kind, RouteId, ServiceId};
+
+/// A service that gets a share of a route's requests.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Part {
+    /// The service.
+    pub service: ServiceId,
+    /// Share of the requests, relative to the weights of the other parts.
+    pub weight: u32,
+}
+
+/// Sends the requests of a host name and a path prefix to services.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Route {
+    /// Name of the route.
+    pub id: RouteId,
+    /// Host name, in lower case.
+    pub host: String,
+    /// Path prefix that ends with a slash; the longest matching one wins.
+    pub prefix: String,
+    /// What may be repeated.
+    pub kind: Kind,
+    /// Longest time from acceptance to the final answer.
+    pub timeout: Duration,
+    /// Time within which an answer has its full value for the caller.
+    pub target_latency: Duration,
+    /// Rank of the work; 0 is the most urgent.
+    pub priority: u8,
+    /// Most upstreams to which one request may be sent.
+    pub attempt_limit: u32,
+    /// Services that answer, with their weights; at least one.
+    pub parts: Vec<Part>,
+}
+
+impl Default for Route {
+    fn default() -> Self {
+        Self {
+            id: RouteId::from(""),
+            host: String::new(),
+            prefix: "/".to_owned(),
+            kind: Kind::NonIdempotent,
+            timeout: DEFAULT_TIMEOUT,
+            target_latency: DEFAULT_TIMEOUT,
+            priority: 0,
+            attempt_limit: 1,
+            parts: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/config/table.rs
@@ -0,0 +1,60 @@
+//! Search for the route of a request.
+
+use std::{collections::HashMap, sync::Arc};
+
+use super::{Config, Limits, Route, Service, ServiceId, Version};
+
+/// A configuration prepared for the request path; it is replaced as a whole.
+#[derive(Debug, Default)]
+pub struct Table {
+    /// Version of the configuration.
+    pub version: Version,
+    /// Limits on what callers may send.
+    pub limits: Limits,
+    /// Services by name.
+    pub services: HashMap<ServiceId, Service>,
+    hosts: HashMap<String, Prefixes>,
+}
+
+#[derive(Debug, Default)]
+struct Prefixes {
+    routes: HashMap<String, Arc<Route>>,
+}
+
+impl Table {
+    /// Prepares `config`. Of routes with the same host and prefix the last one holds.
+    #[must_use]
+    pub fn new(config: Config) -> Self {
+        let mut res = Self {
+            version: config.version,
+            limits: config.limits,
+            services: config.services.into_iter().map(|it| (it.id.clone(), it)).collect(),
+            hosts: HashMap::new(),
+        };
+        for it in config.routes {
+            let prefixes = res.hosts.entry(it.host.clone()).or_default();
+            prefixes.routes.insert(it.prefix.clone(), Arc::new(it));
+        }
+        res
+    }
+
+    /// The route of the longest prefix that begins `path`, among those of `host`.
+    ///
+    /// The port of `host` and the query of `path` don't count.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let host = host.split_once(':').map_or(host, |(name, _port)| name);
+        let prefixes = match self.hosts.get(host) {
+            Some(it) => it,
+            None => self.hosts.get(&host.to_ascii_lowercase())?,
+        };
+        let path = path.split(['?', '#']).next().unwrap_or_default();
+        let ends = path.bytes().enumerate().rev().filter(|(_, it)| *it == b'/');
+        ends.into_iter().find_map(|(it, _)| prefixes.routes.get(&path[..=it]))
+    }
+
+    /// Every route.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.values().flat_map(|it| it.routes.values())
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/desk.rs
@@ -0,0 +1,197 @@
+//! One service on this host: the choice of upstreams, the requests that wait, the retry budget.
+
+mod flight;
+mod refusal;
+mod ticket;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use clock::Clock;
+use tokio::sync::oneshot;
+
+pub use flight::Flight;
+pub use refusal::Refusal;
+use ticket::Ticket;
+
+use crate::{
+    config::{Route, ServiceId},
+    load::{Budget, Queue, Service, Waiter},
+    registry::UpstreamId,
+};
+
+/// A flight, or why there is none.
+pub type Result<T, E = Refusal> = std::result::Result<T, E>;
+
+/// Share of the time left that a request may be expected to wait; beyond it, it is refused at once.
+const WAIT_SHARE: f64 = 0.5;
+/// Shortest advice to a caller that is refused.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Longest advice to a caller that is refused.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// What a request asks for.
+#[derive(Clone, Debug)]
+pub struct Demand<'a> {
+    /// Route of the request.
+    pub route: &'a Route,
+    /// Upstreams that it must not be sent to again.
+    pub tried: &'a [UpstreamId],
+    /// When the caller must have its answer.
+    pub deadline: Instant,
+}
+
+/// One service on this host.
+pub struct Desk {
+    /// Name of the service.
+    pub id: ServiceId,
+    /// Choice of upstreams.
+    pub service: RefCell<Service>,
+    /// Budget for attempts beyond the first.
+    pub budget: RefCell<Budget>,
+    queue: RefCell<Queue>,
+    waiting: RefCell<HashMap<u64, oneshot::Sender<Result<Flight>>>>,
+    wanted: RefCell<HashMap<u64, (Rc<Route>, Vec<UpstreamId>)>>,
+    daemons: Cell<u32>,
+    clock: Arc<dyn Clock>,
+    changed: Rc<dyn Fn(&UpstreamId)>,
+}
+
+impl Desk {
+    /// A desk for `service`; `changed` is told of each upstream whose requests in flight change.
+    #[must_use]
+    pub fn new(
+        id: ServiceId,
+        service: Service,
+        budget: Budget,
+        clock: Arc<dyn Clock>,
+        changed: Rc<dyn Fn(&UpstreamId)>,
+    ) -> Self {
+        Self {
+            id,
+            service: RefCell::new(service),
+            budget: RefCell::new(budget),
+            queue: RefCell::default(),
+            waiting: RefCell::default(),
+            wanted: RefCell::default(),
+            daemons: Cell::new(1),
+            clock,
+            changed,
+        }
+    }
+
+    /// Sets the number of daemons that share the upstreams.
+    pub fn set_daemons(&self, daemons: u32) {
+        self.daemons.set(daemons.max(1));
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.queue.borrow().len()
+    }
+
+    /// An upstream that can take the request now, unless others wait for room.
+    #[must_use]
+    pub fn take_now(self: &Rc<Self>, now: Instant, demand: &Demand<'_>) -> Option<Flight> {
+        if !self.queue.borrow().is_empty() {
+            return None;
+        }
+        self.depart(now, &demand.route.id, demand.tried)
+    }
+
+    /// Waits until an upstream has room.
+    ///
+    /// # Errors
+    ///
+    /// Refuses at once if no upstream takes work or the wait is expected to be too long, and later if
+    /// no answer can be in time any more.
+    pub async fn wait(self: &Rc<Self>, now: Instant, demand: &Demand<'_>) -> Result<Flight> {
+        let work = self.expected(&demand.route.id);
+        if !self.service.borrow().is_open() {
+            return Err(Refusal::no_upstream());
+        }
+        let wait = self.expected_wait(demand.route.priority, work);
+        let left = demand.deadline.saturating_duration_since(now);
+        if wait > left.saturating_sub(work).mul_f64(WAIT_SHARE) {
+            return Err(Refusal::overload(advice(wait)));
+        }
+        let priority = demand.route.priority;
+        let waiter = Waiter { priority, deadline: demand.deadline, work };
+        let serial = self.queue.borrow_mut().push(waiter);
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.borrow_mut().insert(serial, sender);
+        let wanted = (Rc::new(demand.route.clone()), demand.tried.to_vec());
+        self.wanted.borrow_mut().insert(serial, wanted);
+        let _ticket = Ticket { desk: self, priority, serial };
+        self.pump(now);
+        receiver.await.unwrap_or_else(|_closed| Err(Refusal::overload(advice(wait))))
+    }
+
+    /// Gives room that has become free to requests that wait, and refuses those that can't be
+    /// answered in time any more.
+    pub fn pump(self: &Rc<Self>, now: Instant) {
+        if self.queue.borrow().is_empty() {
+            return;
+        }
+        let late = self.queue.borrow_mut().hopeless(now);
+        for it in late {
+            self.reply(it, Err(Refusal::overload(MIN_RETRY_AFTER)));
+        }
+        loop {
+            let first = self.queue.borrow().first().map(|(serial, it)| (it.priority, serial));
+            let Some((priority, serial)) = first else { return };
+            let wanted = self.wanted.borrow().get(&serial).cloned();
+            let Some((route, tried)) = wanted else { return };
+            let Some(flight) = self.depart(now, &route.id, &tried) else { return };
+            self.queue.borrow_mut().remove(priority, serial);
+            self.reply(serial, Ok(flight));
+        }
+    }
+
+    /// Work of a request of a route, at the mean pace of the upstreams.
+    #[must_use]
+    pub fn expected(&self, route: &str) -> Duration {
+        let service = self.service.borrow();
+        service.work(route).mul_f64(service.mean_pace().clamp(1.0, 2.0))
+    }
+
+    fn expected_wait(&self, priority: u8, work: Duration) -> Duration {
+        let own = self.service.borrow().capacity() / f64::from(self.daemons.get());
+        let ahead = self.queue.borrow().ahead(priority) as f64;
+        work.mul_f64(ahead / own.max(0.5))
+    }
+
+    fn depart(
+        self: &Rc<Self>,
+        now: Instant,
+        route: &str,
+        tried: &[UpstreamId],
+    ) -> Option<Flight> {
+        let mut service = self.service.borrow_mut();
+        let id = service.choose(now, route, tried)?;
+        let registration = service.get(&id)?.registration.clone();
+        let serial = service.start(now, &id);
+        drop(service);
+        (self.changed)(&id);
+        Some(Flight::new(Rc::clone(self), registration, serial, now))
+    }
+
+    fn reply(&self, serial: u64, res: Result<Flight>) {
+        self.wanted.borrow_mut().remove(&serial);
+        let sender = self.waiting.borrow_mut().remove(&serial);
+        if let Some(it) = sender {
+            // The caller may have gone; a flight that comes back gives its place free.
+            drop(it.send(res));
+        }
+    }
+}
+
+fn advice(wait: Duration) -> Duration {
+    wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,316 @@
+//! What the parts of a daemon share: the routing table that requests read, the services, the peers.
+//!
+//! The request path reads; configuration, registry and peers write. The table is replaced whole.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeSet, HashMap},
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use clock::Clock;
+use tokio::sync::Notify;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    Settings,
+    config::{self, Config, RouteId, ServiceId, Table, Version},
+    decision::Journal,
+    desk::Desk,
+    load::{self, Budget, HostKey, Service},
+    metrics::Metrics,
+    peer::{self, Phase},
+    probe,
+    registry::{Change, Fold, Registration, UpstreamId},
+    upstream::Pool,
+    wire::Dialect,
+};
+
+/// Time for which a removal that was read just after the store's return is doubted: upstreams that
+/// are alive have registered again by then.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
+
+/// What the parts of a daemon share.
+pub struct Gateway {
+    /// Settings in force.
+    pub settings: RefCell<Rc<Settings>>,
+    /// Clock of all decisions.
+    pub clock: Arc<dyn Clock>,
+    /// Names and formats towards callers and upstreams.
+    pub dialect: Dialect,
+    /// Key of this incarnation.
+    pub key: HostKey,
+    /// Where the daemon stands between its start and its end.
+    pub phase: Cell<Phase>,
+    /// Upstreams by what they say of themselves.
+    pub registry: RefCell<Fold>,
+    /// Peers.
+    pub peers: RefCell<peer::Table>,
+    /// Idle connections to upstreams.
+    pub pool: Pool,
+    /// Budget for probes.
+    pub probes: RefCell<probe::Bucket>,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Log lines of requests.
+    pub journal: RefCell<Journal>,
+    /// Bytes of bodies that are held.
+    pub body_bytes: Cell<usize>,
+    /// Requests in work.
+    pub in_work: Cell<usize>,
+    /// Woken when peers are to be told of loads.
+    pub loads_changed: Notify,
+    /// Woken when the registry must be read at once.
+    pub registry_wanted: Notify,
+    /// Woken when a peer has a newer configuration.
+    pub config_wanted: Notify,
+    /// Woken when the registry was read, here or by a peer.
+    pub registry_read: Notify,
+    table: RefCell<Option<Rc<Table>>>,
+    desks: RefCell<HashMap<ServiceId, Rc<Desk>>>,
+    index: RefCell<HashMap<u32, (ServiceId, UpstreamId)>>,
+    dirty: Rc<RefCell<BTreeSet<UpstreamId>>>,
+    splits: RefCell<HashMap<RouteId, Vec<f64>>>,
+    registry_known: Cell<bool>,
+    seed: u64,
+}
+
+impl Gateway {
+    /// The state of a daemon that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: Settings, clock: Arc<dyn Clock>, dialect: Dialect, seed: u64) -> Rc<Self> {
+        let now = clock.now();
+        Rc::new(Self {
+            clock,
+            dialect,
+            key: seed,
+            phase: Cell::default(),
+            registry: RefCell::new(Fold::new(LAPSE_GRACE)),
+            peers: RefCell::new(peer::Table::new(settings.peer_address)),
+            pool: Pool::default(),
+            probes: RefCell::new(probe::Bucket::new(now)),
+            metrics: Metrics::default(),
+            journal: RefCell::new(Journal::new(now)),
+            body_bytes: Cell::new(0),
+            in_work: Cell::new(0),
+            loads_changed: Notify::new(),
+            registry_wanted: Notify::new(),
+            config_wanted: Notify::new(),
+            registry_read: Notify::new(),
+            table: RefCell::default(),
+            desks: RefCell::default(),
+            index: RefCell::default(),
+            dirty: Rc::default(),
+            splits: RefCell::default(),
+            registry_known: Cell::new(false),
+            seed,
+            settings: RefCell::new(Rc::new(settings)),
+        })
+    }
+
+    /// The settings in force.
+    #[must_use]
+    pub fn settings(&self) -> Rc<Settings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Present time.
+    #[must_use]
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// The routing table; none before the first configuration.
+    #[must_use]
+    pub fn table(&self) -> Option<Rc<Table>> {
+        self.table.borrow().clone()
+    }
+
+    /// Version of the configuration in force; 0 before the first.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.table.borrow().as_ref().map_or(0, |it| it.version)
+    }
+
+    /// Limits on what callers may send.
+    #[must_use]
+    pub fn limits(&self) -> config::Limits {
+        self.table.borrow().as_ref().map(|it| it.limits.clone()).unwrap_or_default()
+    }
+
+    /// The desk of a service.
+    #[must_use]
+    pub fn desk(&self, service: &str) -> Option<Rc<Desk>> {
+        self.desks.borrow().get(service).cloned()
+    }
+
+    /// All desks.
+    #[must_use]
+    pub fn desks(&self) -> Vec<Rc<Desk>> {
+        self.desks.borrow().values().cloned().collect()
+    }
+
+    /// Puts a configuration in force unless it is older than the present one; true if it is new.
+    pub fn set_config(self: &Rc<Self>, config: Config, source: &str) -> bool {
+        let old = self.version();
+        if config.version <= old {
+            return false;
+        }
+        let (version, routes) = (config.version, config.routes.len());
+        for it in &config.services {
+            self.open_desk(&it.id);
+        }
+        *self.table.borrow_mut() = Some(Rc::new(Table::new(config)));
+        log::info!(
+            target: "belief",
+            "event=config-in-force version={version} before={old} routes={routes} source={source}"
+        );
+        self.metrics.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.update_phase();
+        true
+    }
+
+    /// Notes that the registry has been read to its end.
+    pub fn set_registry_known(&self) {
+        self.registry_known.set(true);
+        self.update_phase();
+    }
+
+    /// Takes in a change of the registry.
+    pub fn apply(self: &Rc<Self>, change: &Change, source: &str) {
+        let now = self.now();
+        match change {
+            Change::Put(it) => self.put(now, it, source),
+            Change::Removed(id) => {
+                log::info!(target: "belief", "event=upstream-gone upstream={id} source={source}");
+                self.remove(id);
+            }
+        }
+    }
+
+    /// Service and id of the upstream whose id has the hash `key`.
+    #[must_use]
+    pub fn upstream_of(&self, key: u32) -> Option<(Rc<Desk>, UpstreamId)> {
+        let (service, id) = self.index.borrow().get(&key).cloned()?;
+        Some((self.desk(&service)?, id))
+    }
+
+    /// Marks an upstream as one whose load the peers are to be told.
+    pub fn mark_changed(&self, id: &UpstreamId) {
+        self.dirty.borrow_mut().insert(id.clone());
+        self.loads_changed.notify_one();
+    }
+
+    /// Upstreams whose loads the peers are to be told, which are then no longer marked.
+    #[must_use]
+    pub fn take_changed(&self) -> BTreeSet<UpstreamId> {
+        std::mem::take(&mut *self.dirty.borrow_mut())
+    }
+
+    /// The service that gets the next request of a route, so that each gets its share.
+    #[must_use]
+    pub fn split(&self, route: &config::Route) -> Option<ServiceId> {
+        if let [only] = &*route.parts {
+            return Some(only.service.clone());
+        }
+        let total: f64 = route.parts.iter().map(|it| f64::from(it.weight)).sum();
+        let mut splits = self.splits.borrow_mut();
+        let credits = splits.entry(route.id.clone()).or_default();
+        credits.resize(route.parts.len(), 0.0);
+        for (credit, part) in credits.iter_mut().zip(&route.parts) {
+            *credit += f64::from(part.weight);
+        }
+        let most = (0..credits.len()).max_by(|a, b| credits[*a].total_cmp(&credits[*b]))?;
+        credits[most] -= total;
+        Some(route.parts[most].service.clone())
+    }
+
+    /// Shares the budgets among the daemons that may be at work.
+    pub fn share_budgets(&self, now: Instant) {
+        let settings = self.settings();
+        let peers = self.peers.borrow();
+        let doubtful = peers.live_within(now, settings.retry_window) + 1;
+        let live = peers.live(now) + 1;
+        let mut upstreams = 0;
+        for it in self.desks.borrow().values() {
+            it.set_daemons(live);
+            it.budget.borrow_mut().set_slack(settings.retry_slack / f64::from(doubtful));
+            upstreams += it.service.borrow().iter().count();
+        }
+        let rate = settings.probe_rate * upstreams as f64 / f64::from(doubtful);
+        self.probes.borrow_mut().set_rate(rate);
+    }
+
+    fn update_phase(&self) {
+        let is_ready = self.table.borrow().is_some() && self.registry_known.get();
+        if is_ready && self.phase.get() == Phase::Starting {
+            self.phase.set(Phase::Ready);
+            log::info!(target: "belief", "event=ready version={}", self.version());
+        }
+    }
+
+    fn open_desk(self: &Rc<Self>, id: &ServiceId) -> Rc<Desk> {
+        if let Some(it) = self.desk(id) {
+            return it;
+        }
+        let settings = self.settings();
+        let now = self.now();
+        let seed = self.seed ^ xxh3_64(id.as_bytes());
+        let mut service = Service::new(load::Settings::default(), settings.domain.clone(), seed);
+        for it in self.registry.borrow().entries().filter(|it| it.service == *id) {
+            service.put(now, it.clone());
+        }
+        let budget = Budget::new(now, settings.retry_window, settings.retry_ratio, 0.0);
+        let weak = Rc::downgrade(self);
+        let changed = Rc::new(move |id: &UpstreamId| {
+            if let Some(it) = weak.upgrade() {
+                it.mark_changed(id);
+            }
+        });
+        let desk = Desk::new(id.clone(), service, budget, Arc::clone(&self.clock), changed);
+        let desk = Rc::new(desk);
+        self.desks.borrow_mut().insert(id.clone(), Rc::clone(&desk));
+        self.share_budgets(now);
+        desk
+    }
+
+    fn put(self: &Rc<Self>, now: Instant, it: &Registration, source: &str) {
+        log::info!(
+            target: "belief",
+            "event=upstream-says upstream={} service={} address={} state={:?} born_ms={} source={source}",
+            it.id, it.service, it.address, it.state, it.born_ms,
+        );
+        let key = upstream_key(&it.id);
+        let old = self.index.borrow_mut().insert(key, (it.service.clone(), it.id.clone()));
+        if let Some((service, id)) = old
+            && service != it.service
+            && let Some(desk) = self.desk(&service)
+        {
+            desk.service.borrow_mut().remove(&id);
+        }
+        let Some(desk) = self.desk(&it.service) else { return };
+        if desk.service.borrow_mut().put(now, it.clone()) {
+            self.pool.forget(&it.id);
+        }
+        desk.pump(now);
+    }
+
+    fn remove(&self, id: &UpstreamId) {
+        let found = self.index.borrow_mut().remove(&upstream_key(id));
+        self.pool.forget(id);
+        if let Some(desk) = found.and_then(|(service, _)| self.desk(&service)) {
+            desk.service.borrow_mut().remove(id);
+        }
+    }
+}
+
+/// Hash that stands for an upstream's id in datagrams.
+#[must_use]
+pub fn upstream_key(id: &str) -> u32 {
+    // The lower half of a good hash is one.
+    #[expect(clippy::cast_possible_truncation)]
+    let res = xxh3_64(id.as_bytes()) as u32;
+    res
+}
--- /dev/null
+++ b/crates/gateway/src/http/message.rs
@@ -0,0 +1,52 @@
+//! Whole messages, read piece by piece.
+
+use bytes::{Bytes, BytesMut};
+
+use super::{Body, Head, Result};
+
+/// A whole request or answer.
+#[derive(Clone, Debug, Default)]
+pub struct Message {
+    /// Head of the message.
+    pub head: Head,
+    /// Whole body.
+    pub body: Bytes,
+}
+
+/// Reads one request after the other from the bytes of a connection.
+#[derive(Debug, Default)]
+pub struct Reader {
+    partial: Option<(Head, Body)>,
+}
+
+impl Reader {
+    /// Takes the next whole request from the front of `buffer`; none if it isn't whole yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the request is malformed or above a limit. Nothing behind it can be read then.
+    pub fn next(
+        &mut self,
+        buffer: &mut BytesMut,
+        head_limit: usize,
+        body_limit: usize,
+    ) -> Result<Option<Message>> {
+        if self.partial.is_none() {
+            let Some(head) = Head::take_request(buffer, head_limit)? else { return Ok(None) };
+            let body = Body::new(head.request_framing()?, body_limit)?;
+            self.partial = Some((head, body));
+        }
+        let Some((head, mut body)) = self.partial.take() else { return Ok(None) };
+        if body.feed(buffer)? {
+            return Ok(Some(Message { head, body: body.into_bytes() }));
+        }
+        self.partial = Some((head, body));
+        Ok(None)
+    }
+
+    /// Head of the request whose body is being read.
+    #[must_use]
+    pub fn partial(&self) -> Option<&Head> {
+        self.partial.as_ref().map(|(head, _)| head)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/http/write.rs
@@ -0,0 +1,98 @@
+//! Messages as bytes.
+
+use std::io::Write;
+
+use bytes::Bytes;
+
+use super::Message;
+
+/// Bytes of a request to an upstream: the caller's own request with `extra` headers, which replace
+/// those of the same name.
+#[must_use]
+pub fn request(message: &Message, extra: &[(&str, &str)]) -> Vec<u8> {
+    let head = &message.head;
+    let mut out = Vec::with_capacity(256 + head.headers.len() * 48 + message.body.len());
+    out.extend_from_slice(&head.method);
+    out.push(b' ');
+    out.extend_from_slice(&head.target);
+    out.extend_from_slice(b" HTTP/1.1\r\n");
+    forward(&mut out, message, extra);
+    let has_body = !message.body.is_empty() || matches!(&*head.method, b"POST" | b"PUT" | b"PATCH");
+    finish(&mut out, &message.body, has_body);
+    out
+}
+
+/// Bytes of an answer to a caller; `is_last` closes the connection behind it.
+///
+/// The answer to a `HEAD` request (`without_body`) keeps the length that it declares.
+#[must_use]
+pub fn answer(message: &Message, without_body: bool, is_last: bool) -> Vec<u8> {
+    let head = &message.head;
+    let mut out = Vec::with_capacity(256 + head.headers.len() * 48 + message.body.len());
+    put(&mut out, format_args!("HTTP/1.1 {} {}\r\n", head.status, reason(head.status)));
+    forward(&mut out, message, &[]);
+    if is_last {
+        out.extend_from_slice(b"Connection: close\r\n");
+    }
+    let declared = head.text("content-length").filter(|_| without_body);
+    if let Some(it) = declared {
+        put(&mut out, format_args!("Content-Length: {it}\r\n"));
+    }
+    let has_length = declared.is_none() && !matches!(head.status, 100..=199 | 204 | 304);
+    finish(&mut out, if without_body { &EMPTY } else { &message.body }, has_length);
+    out
+}
+
+static EMPTY: Bytes = Bytes::new();
+
+fn forward(out: &mut Vec<u8>, message: &Message, extra: &[(&str, &str)]) {
+    for it in &message.head.headers {
+        let is_replaced =
+            extra.iter().any(|(name, _)| it.name.eq_ignore_ascii_case(name.as_bytes()));
+        let is_length = it.name.eq_ignore_ascii_case(b"content-length");
+        if is_replaced || is_length || message.head.is_hop_by_hop(it) {
+            continue;
+        }
+        out.extend_from_slice(&it.name);
+        out.extend_from_slice(b": ");
+        out.extend_from_slice(&it.value);
+        out.extend_from_slice(b"\r\n");
+    }
+    for (name, value) in extra {
+        put(out, format_args!("{name}: {value}\r\n"));
+    }
+}
+
+fn finish(out: &mut Vec<u8>, body: &Bytes, has_length: bool) {
+    if has_length {
+        put(out, format_args!("Content-Length: {}\r\n", body.len()));
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(body);
+}
+
+fn put(out: &mut Vec<u8>, text: std::fmt::Arguments<'_>) {
+    // Writing to memory doesn't fail.
+    let _infallible = out.write_fmt(text);
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        202 => "Accepted",
+        204 => "No Content",
+        304 => "Not Modified",
+        400 => "Bad Request",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/mesh.rs
@@ -0,0 +1,253 @@
+//! Datagrams between daemons: heartbeats, loads, and what one of them has read from the store.
+
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+
+use tokio::net::UdpSocket;
+
+use crate::{
+    gateway::{Gateway, upstream_key},
+    peer::{Beat, Event, Load, Packet, Relay},
+    registry::UpstreamId,
+};
+
+/// Time for which loads are gathered before peers are told.
+const LOAD_DELAY: Duration = Duration::from_millis(3);
+/// How often beats are considered.
+const BEAT_LOOK: Duration = Duration::from_millis(100);
+/// Largest datagram that is sent; larger ones would be split on the way.
+const MAX_DATAGRAM: usize = 1_400;
+/// Loads in one datagram.
+const LOADS_PER_DATAGRAM: usize = 60;
+/// Reports older than this are not passed on.
+const REPORT_LIFE: Duration = Duration::from_millis(150);
+
+/// Datagrams between daemons.
+pub struct Mesh {
+    gateway: Rc<Gateway>,
+    socket: UdpSocket,
+}
+
+impl Mesh {
+    /// A mesh on the address of the settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be used.
+    pub async fn bind(gateway: Rc<Gateway>) -> io::Result<Rc<Self>> {
+        let socket = UdpSocket::bind(gateway.settings().peer_address).await?;
+        Ok(Rc::new(Self { gateway, socket }))
+    }
+
+    /// Takes in datagrams until the task is dropped.
+    pub async fn receive(self: Rc<Self>) {
+        let mut buffer = vec![0; 64 << 10];
+        loop {
+            match self.socket.recv_from(&mut buffer).await {
+                Ok((len, from)) => match postcard::from_bytes(&buffer[..len]) {
+                    Ok(it) => self.take(from, it),
+                    Err(e) => log::warn!("event=datagram-malformed from={from} error={e}"),
+                },
+                Err(e) => {
+                    log::warn!("event=datagram-failed error={e}");
+                    tokio::time::sleep(BEAT_LOOK).await;
+                }
+            }
+        }
+    }
+
+    /// Sends beats until the task is dropped.
+    pub async fn beat(self: Rc<Self>) {
+        loop {
+            let now = self.gateway.now();
+            let events = self.gateway.peers.borrow_mut().tick(now);
+            self.note(&events);
+            self.gateway.share_budgets(now);
+            let due = self.gateway.peers.borrow_mut().due(now);
+            for (address, asks) in due {
+                let beat = self.own_beat(asks);
+                self.send(address, &Packet::Beat(beat));
+            }
+            tokio::time::sleep(BEAT_LOOK).await;
+        }
+    }
+
+    /// Tells every peer at once where this daemon stands.
+    pub fn announce(&self) {
+        let addresses: Vec<_> =
+            self.gateway.peers.borrow().live_addresses(self.gateway.now()).collect();
+        for it in addresses {
+            self.send(it, &Packet::Beat(self.own_beat(false)));
+        }
+    }
+
+    /// Tells peers of loads as they change, until the task is dropped.
+    pub async fn tell_loads(self: Rc<Self>) {
+        loop {
+            self.gateway.loads_changed.notified().await;
+            tokio::time::sleep(LOAD_DELAY).await;
+            let loads = self.changed_loads();
+            let peers: Vec<_> =
+                self.gateway.peers.borrow().live_addresses(self.gateway.now()).collect();
+            for part in loads.chunks(LOADS_PER_DATAGRAM) {
+                let packet = Packet::Loads(self.gateway.key, part.to_vec());
+                self.send_all(&peers, &packet);
+            }
+        }
+    }
+
+    /// Tells peers what was read from the store.
+    pub fn relay(&self, relay: Relay) {
+        let peers: Vec<_> =
+            self.gateway.peers.borrow().live_addresses(self.gateway.now()).collect();
+        self.send_all(&peers, &Packet::Relay(relay));
+    }
+
+    fn changed_loads(&self) -> Vec<Load> {
+        let now = self.gateway.now();
+        let changed = self.gateway.take_changed();
+        let load = |id: &UpstreamId| {
+            let (desk, _) = self.gateway.upstream_of(upstream_key(id))?;
+            let service = desk.service.borrow();
+            let upstream = service.get(id)?;
+            let report = upstream.report_to_tell(now, REPORT_LIFE).map(|(report, age)| {
+                (report, u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
+            });
+            Some(Load { upstream: upstream_key(id), in_flight: upstream.own(), report })
+        };
+        changed.iter().filter_map(load).collect()
+    }
+
+    fn own_beat(&self, asks: bool) -> Beat {
+        let gateway = &self.gateway;
+        let settings = gateway.settings();
+        let registry = gateway.registry.borrow();
+        Beat {
+            key: gateway.key,
+            host: settings.host.clone(),
+            domain: settings.domain.clone(),
+            caller_address: settings.caller_address,
+            phase: gateway.phase.get(),
+            config: gateway.version(),
+            registry_end: registry.end(),
+            registry_digest: registry.digest(),
+            peers: gateway.peers.borrow_mut().gossip(gateway.now()),
+            asks,
+        }
+    }
+
+    fn take(&self, from: SocketAddr, packet: Packet) {
+        let now = self.gateway.now();
+        match packet {
+            Packet::Beat(it) => self.take_beat(from, it),
+            Packet::Loads(host, loads) => {
+                self.gateway.peers.borrow_mut().touch(now, from);
+                for it in loads {
+                    self.take_load(host, it);
+                }
+            }
+            Packet::Relay(it) => {
+                self.gateway.peers.borrow_mut().touch(now, from);
+                self.take_relay(from, it);
+            }
+        }
+    }
+
+    fn take_beat(&self, from: SocketAddr, beat: Beat) {
+        let gateway = &self.gateway;
+        let now = gateway.now();
+        let is_newer = beat.config > gateway.version();
+        let (end, digest, asks) = (beat.registry_end, beat.registry_digest, beat.asks);
+        let events = gateway.peers.borrow_mut().hear(now, from, beat);
+        self.note(&events);
+        if asks {
+            self.send(from, &Packet::Beat(self.own_beat(false)));
+        }
+        if is_newer {
+            gateway.config_wanted.notify_one();
+        }
+        let differs = gateway.registry.borrow_mut().compare(now, end, digest);
+        if differs {
+            log::warn!("event=registry-differs from={from} end={end}");
+            gateway.registry_wanted.notify_one();
+        }
+    }
+
+    fn take_load(&self, host: u64, load: Load) {
+        let Some((desk, id)) = self.gateway.upstream_of(load.upstream) else { return };
+        let now = self.gateway.now();
+        let mut service = desk.service.borrow_mut();
+        service.peer_load(now, host, &id, load.in_flight);
+        if let Some((report, age)) = load.report
+            && let Some(at) = now.checked_sub(Duration::from_millis(age.into()))
+        {
+            service.report_from_peer(at, &id, report);
+        }
+        drop(service);
+        desk.pump(now);
+    }
+
+    fn take_relay(&self, from: SocketAddr, relay: Relay) {
+        let gateway = &self.gateway;
+        let end = gateway.registry.borrow().end();
+        if end == 0 || relay.from > end {
+            gateway.registry_wanted.notify_one();
+            return;
+        }
+        if relay.to < end {
+            return;
+        }
+        let source = format!("peer:{from}");
+        for it in relay.changes {
+            let news = gateway.registry.borrow_mut().believe(it);
+            if let Some(it) = news {
+                gateway.apply(&it, &source);
+            }
+        }
+        gateway.registry.borrow_mut().advance(relay.to);
+        gateway.registry_read.notify_one();
+    }
+
+    fn note(&self, events: &[Event]) {
+        for it in events {
+            match it {
+                Event::Joined(host) => log::info!(target: "belief", "event=peer-joined host={host}"),
+                Event::Leaving(host) => {
+                    log::info!(target: "belief", "event=peer-leaving host={host}");
+                }
+                Event::Lost(host, key) => {
+                    log::info!(target: "belief", "event=peer-lost host={host}");
+                    for it in self.gateway.desks() {
+                        it.service.borrow_mut().forget_peer(*key);
+                    }
+                }
+            }
+        }
+        let live = self.gateway.peers.borrow().live(self.gateway.now());
+        self.gateway.metrics.peers.set(i64::from(live));
+    }
+
+    fn send(&self, to: SocketAddr, packet: &Packet) {
+        self.send_all(&[to], packet);
+    }
+
+    /// Sends a datagram to each address; one that can't be sent now is lost, as on the way.
+    fn send_all(&self, to: &[SocketAddr], packet: &Packet) {
+        let bytes = match postcard::to_allocvec(packet) {
+            Ok(it) => it,
+            Err(e) => {
+                log::error!("event=datagram-not-encoded error={e}");
+                return;
+            }
+        };
+        if bytes.len() > MAX_DATAGRAM {
+            log::debug!("event=datagram-large bytes={}", bytes.len());
+        }
+        for it in to {
+            if let Err(e) = self.socket.try_send_to(&bytes, *it)
+                && e.kind() != io::ErrorKind::WouldBlock
+            {
+                log::debug!("event=datagram-not-sent to={it} error={e}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,145 @@
+//! Counters and histograms for Prometheus.
+
+use std::time::Duration;
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+/// Upper bound of the first latency bucket in seconds; each further one is twice as wide.
+const FIRST_BUCKET_S: f64 = 0.002;
+/// Number of latency buckets; the last ends at 16 s.
+const BUCKETS: u16 = 14;
+
+/// Labels of requests.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Request {
+    /// Route; empty if none matched.
+    pub route: String,
+    /// Status told to the caller; 0 if it went away.
+    pub status: u16,
+    /// Why the request was refused or failed; empty if it was answered.
+    pub reason: &'static str,
+}
+
+/// Labels of a route.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Route {
+    /// Route; empty if none matched.
+    pub route: String,
+}
+
+/// Labels of attempts.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Attempt {
+    /// Service of the upstream.
+    pub service: String,
+    /// Why the attempt was made: first, retry or hedge.
+    pub cause: &'static str,
+}
+
+/// Labels of calls to the store.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Call {
+    /// What was called.
+    pub call: &'static str,
+    /// Whether it succeeded.
+    pub ok: &'static str,
+}
+
+/// Counters and gauges of one daemon.
+#[derive(Debug)]
+pub struct Metrics {
+    /// Requests that have ended.
+    pub requests: Family<Request, Counter>,
+    /// Time from reading a request to its answer.
+    pub latency: Family<Route, Histogram>,
+    /// Attempts at upstreams.
+    pub attempts: Family<Attempt, Counter>,
+    /// Calls to the platform's store.
+    pub calls: Family<Call, Counter>,
+    /// Probes of upstreams.
+    pub probes: Counter,
+    /// Log lines about requests that were left out.
+    pub lines_omitted: Counter,
+    /// Connections of callers.
+    pub connections: Gauge,
+    /// Peers that are alive.
+    pub peers: Gauge,
+    /// Version of the configuration in force.
+    pub config_version: Gauge,
+    registry: Registry,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut res = Self {
+            requests: Family::default(),
+            latency: Family::new_with_constructor(latency),
+            attempts: Family::default(),
+            calls: Family::default(),
+            probes: Counter::default(),
+            lines_omitted: Counter::default(),
+            connections: Gauge::default(),
+            peers: Gauge::default(),
+            config_version: Gauge::default(),
+            registry: Registry::with_prefix("fireflydrum"),
+        };
+        res.register();
+        res
+    }
+}
+
+impl Metrics {
+    /// Counts a request that has ended.
+    pub fn count(&self, route: &str, status: u16, reason: &'static str, took: Duration) {
+        let route = route.to_owned();
+        self.latency.get_or_create(&Route { route: route.clone() }).observe(took.as_secs_f64());
+        self.requests.get_or_create(&Request { route, status, reason }).inc();
+    }
+
+    /// Counts an attempt at an upstream.
+    pub fn attempt(&self, service: &str, cause: &'static str) {
+        self.attempts.get_or_create(&Attempt { service: service.to_owned(), cause }).inc();
+    }
+
+    /// Counts a call to the store.
+    pub fn call(&self, call: &'static str, is_ok: bool) {
+        let ok = if is_ok { "yes" } else { "no" };
+        self.calls.get_or_create(&Call { call, ok }).inc();
+    }
+
+    /// All metrics in the text format.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut res = String::new();
+        if let Err(e) = text::encode(&mut res, &self.registry) {
+            log::error!("event=metrics-failed error={e}");
+        }
+        res
+    }
+
+    fn register(&mut self) {
+        let it = &mut self.registry;
+        it.register("requests", "Requests that have ended", self.requests.clone());
+        it.register("latency_seconds", "From reading to answering", self.latency.clone());
+        it.register("attempts", "Attempts at upstreams", self.attempts.clone());
+        it.register("store_calls", "Calls to the platform's store", self.calls.clone());
+        it.register("probes", "Probes of upstreams", self.probes.clone());
+        it.register("log_lines_omitted", "Lines left out", self.lines_omitted.clone());
+        it.register("connections", "Connections of callers", self.connections.clone());
+        it.register("peers", "Peers that are alive", self.peers.clone());
+        it.register("config_version", "Configuration in force", self.config_version.clone());
+    }
+}
+
+fn latency() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_S, 2.0, BUCKETS))
+}
--- /dev/null
+++ b/crates/gateway/src/peer.rs
@@ -0,0 +1,12 @@
+//! What daemons tell each other.
+//!
+//! Heartbeats and loads go by datagram: each is small, soon outdated, and may be lost. Texts that
+//! must arrive whole go by JSON-RPC, see [`crate::rpc`]. Nothing here does input or output.
+
+mod packet;
+mod phase;
+mod table;
+
+pub use packet::{Beat, Load, Packet, Relay};
+pub use phase::Phase;
+pub use table::{Event, Peer, Table};
--- /dev/null
+++ b/crates/gateway/src/peer/packet.rs
@@ -0,0 +1,69 @@
+//! Datagrams between daemons.
+
+use std::net::SocketAddr;
+
+use super::Phase;
+use crate::{
+    config::Version,
+    load::{HostKey, Report},
+    platform::Offset,
+    registry::{Change, Domain},
+};
+
+/// One datagram.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub enum Packet {
+    /// A sign of life.
+    Beat(Beat),
+    /// Requests in flight and reports of upstreams' loads.
+    Loads(HostKey, Vec<Load>),
+    /// What the sender has read from the store.
+    Relay(Relay),
+}
+
+/// A sign of life, with what the sender knows.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Beat {
+    /// Key of the sender's incarnation.
+    pub key: HostKey,
+    /// Name of the sender's host.
+    pub host: String,
+    /// Failure domain of the sender.
+    pub domain: Domain,
+    /// Address that callers connect to.
+    pub caller_address: SocketAddr,
+    /// Whether the sender serves callers.
+    pub phase: Phase,
+    /// Version of the sender's configuration; 0 if it has none.
+    pub config: Version,
+    /// Offset up to which the sender knows the registry.
+    pub registry_end: Offset,
+    /// Hash of the registry as the sender knows it.
+    pub registry_digest: u32,
+    /// Some of the peers that the sender knows.
+    pub peers: Vec<SocketAddr>,
+    /// Whether the sender asks for a beat in return.
+    pub asks: bool,
+}
+
+/// Load of one upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Load {
+    /// Hash of the upstream's id.
+    pub upstream: u32,
+    /// Requests that the sender has in flight there.
+    pub in_flight: u32,
+    /// Newest report that the sender was given, and its age in milliseconds.
+    pub report: Option<(Report, u32)>,
+}
+
+/// Changes of the registry that the sender has read from the store.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Relay {
+    /// Offset of the first record that the changes stand for.
+    pub from: Offset,
+    /// Offset behind the last one.
+    pub to: Offset,
+    /// What changed between the two.
+    pub changes: Vec<Change>,
+}
--- /dev/null
+++ b/crates/gateway/src/peer/table.rs
@@ -0,0 +1,203 @@
+//! Peers that are known, and which of them are alive.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use super::{Beat, Phase};
+use crate::load::HostKey;
+
+/// Silence after which a peer is taken to serve no more.
+const LIVE_TIME: Duration = Duration::from_millis(1_300);
+/// Silence after which nothing more is sent to a peer. Longer than cuts usually last, so that
+/// daemons find each other again by themselves.
+const KEEP_TIME: Duration = Duration::from_secs(60);
+/// Time between two beats to a live peer, for up to [`SMALL_FLEET`] peers.
+const BEAT_INTERVAL: Duration = Duration::from_millis(300);
+/// Time between two beats to an address that doesn't answer.
+const SILENT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Peers up to which beats go out at the shortest interval; beyond, it grows with their number, so
+/// that the beats of one daemon take the same processor time in any fleet.
+const SMALL_FLEET: u32 = 12;
+/// Longest interval of beats; a peer must hear several within [`LIVE_TIME`].
+const MAX_BEAT_INTERVAL: Duration = Duration::from_millis(600);
+/// Addresses of other peers told in each beat.
+const GOSSIP: usize = 3;
+
+/// A peer that has been heard.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Its last beat.
+    pub beat: Beat,
+    /// When it was last heard.
+    pub heard: Instant,
+}
+
+/// What a beat or the passing of time has changed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Event {
+    /// A peer was heard for the first time.
+    Joined(String),
+    /// A peer was not heard for some time or has started anew; what it said no longer holds.
+    Lost(String, HostKey),
+    /// A peer has begun to leave.
+    Leaving(String),
+}
+
+#[derive(Clone, Debug)]
+struct Contact {
+    added: Instant,
+    sent: Option<Instant>,
+}
+
+/// Peers that are known.
+#[derive(Debug)]
+pub struct Table {
+    own: SocketAddr,
+    contacts: BTreeMap<SocketAddr, Contact>,
+    peers: BTreeMap<SocketAddr, Peer>,
+    lost: BTreeSet<SocketAddr>,
+    gossip: usize,
+}
+
+impl Table {
+    /// A table of the daemon that peers reach at `own`.
+    #[must_use]
+    pub fn new(own: SocketAddr) -> Self {
+        Self {
+            own,
+            contacts: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            lost: BTreeSet::new(),
+            gossip: 0,
+        }
+    }
+
+    /// Adds an address at which a peer may be.
+    pub fn add(&mut self, now: Instant, address: SocketAddr) {
+        if address != self.own {
+            self.contacts.entry(address).or_insert(Contact { added: now, sent: None });
+        }
+    }
+
+    /// Takes in a beat that came from `address`.
+    pub fn hear(&mut self, now: Instant, address: SocketAddr, beat: Beat) -> Vec<Event> {
+        if address == self.own {
+            return Vec::new();
+        }
+        self.add(now, address);
+        for it in &beat.peers {
+            self.add(now, *it);
+        }
+        let mut res = Vec::new();
+        let was_lost = self.lost.remove(&address);
+        let host = beat.host.clone();
+        let old = self.peers.insert(address, Peer { beat, heard: now });
+        let beat = &self.peers[&address].beat;
+        match old {
+            None => res.push(Event::Joined(host)),
+            Some(old) if old.beat.key != beat.key => {
+                res.push(Event::Lost(old.beat.host, old.beat.key));
+                res.push(Event::Joined(host));
+            }
+            Some(old) if old.beat.phase != Phase::Leaving && beat.phase == Phase::Leaving => {
+                res.push(Event::Leaving(host));
+            }
+            Some(_) if was_lost => res.push(Event::Joined(host)),
+            Some(_) => {}
+        }
+        res
+    }
+
+    /// Takes in that something else than a beat came from `address`.
+    pub fn touch(&mut self, now: Instant, address: SocketAddr) {
+        if let Some(it) = self.peers.get_mut(&address) {
+            it.heard = now;
+        }
+    }
+
+    /// Peers that have fallen silent since the last call.
+    pub fn tick(&mut self, now: Instant) -> Vec<Event> {
+        let mut res = Vec::new();
+        for (address, it) in &self.peers {
+            if !is_live(it, now) && self.lost.insert(*address) {
+                res.push(Event::Lost(it.beat.host.clone(), it.beat.key));
+            }
+        }
+        let peers = &self.peers;
+        self.contacts.retain(|address, it| {
+            let last = peers.get(address).map_or(it.added, |it| it.heard);
+            now.duration_since(last) < KEEP_TIME
+        });
+        let contacts = &self.contacts;
+        self.peers.retain(|address, _| contacts.contains_key(address));
+        res
+    }
+
+    /// Addresses to which a beat is due; each given counts as sent, and whether it asks for a beat
+    /// in return.
+    pub fn due(&mut self, now: Instant) -> Vec<(SocketAddr, bool)> {
+        let live = self.live(now);
+        let mut res = Vec::new();
+        for (address, contact) in &mut self.contacts {
+            let is_live = self.peers.get(address).is_some_and(|it| is_live(it, now));
+            let interval = if is_live { beat_interval(live) } else { SILENT_INTERVAL };
+            if contact.sent.is_none_or(|it| now.duration_since(it) >= interval) {
+                contact.sent = Some(now);
+                res.push((*address, !is_live));
+            }
+        }
+        res
+    }
+
+    /// Addresses of every peer that is alive.
+    pub fn live_addresses(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
+        self.peers.iter().filter(move |(_, it)| is_live(it, now)).map(|(address, _)| *address)
+    }
+
+    /// Peers that are alive, with their addresses.
+    pub fn live_peers(&self, now: Instant) -> impl Iterator<Item = (SocketAddr, &Peer)> {
+        self.peers.iter().filter(move |(_, it)| is_live(it, now)).map(|(at, it)| (*at, it))
+    }
+
+    /// Number of peers that are alive.
+    #[must_use]
+    pub fn live(&self, now: Instant) -> u32 {
+        u32::try_from(self.live_addresses(now).count()).unwrap_or(u32::MAX)
+    }
+
+    /// Number of peers that were alive at some time within `window`; one that is only cut off from
+    /// here still counts.
+    #[must_use]
+    pub fn live_within(&self, now: Instant, window: Duration) -> u32 {
+        let recent = self.peers.values().filter(|it| now.duration_since(it.heard) < window);
+        u32::try_from(recent.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Place of the daemon `own` among those alive, in an order that all of them share.
+    #[must_use]
+    pub fn place(&self, now: Instant) -> u32 {
+        let before = self.live_peers(now).filter(|(address, it)| {
+            *address < self.own && it.beat.phase != Phase::Leaving
+        });
+        u32::try_from(before.count()).unwrap_or(u32::MAX)
+    }
+
+    /// Some of the known peers, others at each call.
+    pub fn gossip(&mut self, now: Instant) -> Vec<SocketAddr> {
+        let live: Vec<_> = self.live_addresses(now).collect();
+        self.gossip += GOSSIP;
+        let start = if live.is_empty() { 0 } else { self.gossip % live.len() };
+        live.iter().cycle().skip(start).take(GOSSIP.min(live.len())).copied().collect()
+    }
+}
+
+fn is_live(it: &Peer, now: Instant) -> bool {
+    now.saturating_duration_since(it.heard) < LIVE_TIME
+}
+
+fn beat_interval(live: u32) -> Duration {
+    (BEAT_INTERVAL * live.max(SMALL_FLEET) / SMALL_FLEET).min(MAX_BEAT_INTERVAL)
+}
--- /dev/null
+++ b/crates/gateway/src/process.rs
@@ -0,0 +1,270 @@
+//! A running daemon: its sockets, its tasks, its planned stop.
+
+use std::{
+    io,
+    path::{Path, PathBuf},
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use clock::Clock;
+use tokio::{
+    signal::unix::{Signal, SignalKind, signal},
+    task::LocalSet,
+};
+
+use crate::{
+    Settings,
+    caller::{Port, listen},
+    follow,
+    gateway::Gateway,
+    logs,
+    mesh::Mesh,
+    peer::Phase,
+    platform::Platform,
+    rpc,
+};
+
+/// How often time moves on for what no event drives: queues, idle connections, clocks.
+const TICK: Duration = Duration::from_millis(50);
+/// How often idle connections to upstreams are looked at.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Difference of two clocks that tells of a host that was suspended.
+const SUSPENDED: Duration = Duration::from_millis(250);
+/// Shortest time that a leaving daemon goes on serving: callers keep its address so long.
+const MIN_STAY: Duration = Duration::from_millis(3_500);
+/// Time before the kill by which a leaving daemon has ended.
+const STOP_RESERVE: Duration = Duration::from_millis(400);
+/// How often a leaving daemon looks whether it may end.
+const STOP_LOOK: Duration = Duration::from_millis(20);
+/// How often the settings file is looked at for a change without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
+
+/// Why a daemon could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// An address can't be used, or the runtime can't be started.
+    #[error("{what}: {source}")]
+    Io {
+        /// What was tried.
+        what: &'static str,
+        /// What the operating system said.
+        source: io::Error,
+    },
+}
+
+/// A value, or why a daemon could not start.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Runs a daemon until it is told to stop.
+///
+/// # Errors
+///
+/// Fails if an address can't be used.
+pub fn run<P: Platform>(settings: Settings, path: &Path, platform: P) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|source| Error::Io { what: "runtime", source })?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, Process::start(settings, path.to_owned(), platform))
+}
+
+struct Process<P> {
+    gateway: Rc<Gateway>,
+    platform: Rc<P>,
+    mesh: Rc<Mesh>,
+    path: PathBuf,
+    text: String,
+}
+
+impl<P: Platform> Process<P> {
+    async fn start(settings: Settings, path: PathBuf, platform: P) -> Result<()> {
+        let clock: Arc<dyn Clock> = Arc::new(clock::System);
+        let seed = fastrand::u64(1..);
+        let text = std::fs::read_to_string(&path).unwrap_or_default();
+        log::info!(
+            target: "belief",
+            "event=start version={} host={} domain={} callers={} peers={} store={}",
+            env!("CARGO_PKG_VERSION"), settings.host, settings.domain, settings.caller_address,
+            settings.peer_address, settings.store_address,
+        );
+        let addresses = [
+            (Port::Callers, settings.caller_address),
+            (Port::Ready, settings.ready_address),
+            (Port::Directory, settings.directory_address),
+            (Port::Metrics, settings.metrics_address),
+        ];
+        let peer_address = settings.peer_address;
+        let gateway = Gateway::new(settings, clock, platform.dialect(), seed);
+        let io = |what| move |source| Error::Io { what, source };
+        let shared = rpc::Shared::default();
+        let _server = rpc::serve(shared.clone(), peer_address).await.map_err(io("peer calls"))?;
+        let mesh = Mesh::bind(Rc::clone(&gateway)).await.map_err(io("peer datagrams"))?;
+        for (port, address) in addresses {
+            listen(&gateway, port, address).map_err(io("listener"))?;
+        }
+        let signals = Signals::new().map_err(io("signals"))?;
+        let process = Self { gateway, platform: Rc::new(platform), mesh, path, text };
+        process.spawn(shared);
+        process.serve(signals).await;
+        Ok(())
+    }
+
+    fn spawn(&self, shared: rpc::Shared) {
+        let Self { gateway, platform, mesh, .. } = self;
+        let spawn = |task: std::pin::Pin<Box<dyn Future<Output = ()>>>| {
+            tokio::task::spawn_local(task);
+        };
+        spawn(Box::pin(Rc::clone(mesh).receive()));
+        spawn(Box::pin(Rc::clone(mesh).beat()));
+        spawn(Box::pin(Rc::clone(mesh).tell_loads()));
+        spawn(Box::pin(follow::meet(Rc::clone(gateway), Rc::clone(platform))));
+        spawn(Box::pin(tick(Rc::clone(gateway))));
+        let configuration = follow::Configuration::new(
+            Rc::clone(gateway),
+            Rc::clone(platform),
+            shared.clone(),
+        );
+        spawn(Box::pin(configuration.run()));
+        let upstreams = follow::Upstreams::new(
+            Rc::clone(gateway),
+            Rc::clone(platform),
+            Rc::clone(mesh),
+            shared,
+        );
+        spawn(Box::pin(upstreams.run()));
+    }
+
+    async fn serve(mut self, mut signals: Signals) {
+        let reason = loop {
+            tokio::select! {
+                _ = signals.terminate.recv() => break "terminate",
+                _ = signals.interrupt.recv() => break "interrupt",
+                _ = signals.hang_up.recv() => self.reload("signal"),
+                () = tokio::time::sleep(SETTINGS_LOOK) => self.reload("file"),
+            }
+        };
+        self.stop(reason).await;
+    }
+
+    /// Reads the settings anew. Addresses and the place of the host stay as they were at the start.
+    fn reload(&mut self, cause: &str) {
+        let text = match std::fs::read_to_string(&self.path) {
+            Ok(it) => it,
+            Err(e) => {
+                log::warn!(target: "belief", "event=reload-failed cause={cause} error=\"{e}\"");
+                return;
+            }
+        };
+        if text == self.text {
+            if cause == "signal" {
+                log::info!(target: "belief", "event=reload cause={cause} changed=no");
+            }
+            return;
+        }
+        match Settings::parse(&text) {
+            Ok(it) => {
+                log::info!(target: "belief", "event=reload cause={cause} changed=yes");
+                *self.gateway.settings.borrow_mut() = Rc::new(it);
+                self.gateway.share_budgets(self.gateway.now());
+            }
+            Err(findings) => {
+                let findings: Vec<_> = findings.iter().map(ToString::to_string).collect();
+                let findings = findings.join("; ");
+                log::error!(
+                    target: "belief",
+                    "event=reload-rejected cause={cause} findings=\"{findings}\""
+                );
+            }
+        }
+        self.text = text;
+    }
+
+    /// Stops as planned: leaves the directories, serves what still comes, then ends.
+    async fn stop(self, reason: &str) {
+        let gateway = &self.gateway;
+        let started = gateway.now();
+        gateway.phase.set(Phase::Leaving);
+        log::info!(target: "belief", "event=stopping reason={reason} in_work={}", gateway.in_work.get());
+        self.mesh.announce();
+        follow::part(gateway, &*self.platform).await;
+        let grace = gateway.settings().grace.saturating_sub(STOP_RESERVE);
+        loop {
+            let elapsed = gateway.now().saturating_duration_since(started);
+            let is_done = elapsed >= MIN_STAY && gateway.in_work.get() == 0;
+            if is_done || elapsed >= grace {
+                break;
+            }
+            tokio::time::sleep(STOP_LOOK).await;
+        }
+        log::info!(target: "belief", "event=stop in_work={}", gateway.in_work.get());
+    }
+}
+
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hang_up: Signal,
+}
+
+impl Signals {
+    fn new() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hang_up: signal(SignalKind::hangup())?,
+        })
+    }
+}
+
+/// Moves time on for what no event drives.
+async fn tick(gateway: Rc<Gateway>) {
+    let mut swept = gateway.now();
+    let mut last = (gateway.now(), since_boot());
+    loop {
+        tokio::time::sleep(TICK).await;
+        let now = gateway.now();
+        last = note_suspension(&gateway, last, now);
+        for it in gateway.desks() {
+            it.pump(now);
+        }
+        if now.duration_since(swept) >= SWEEP_INTERVAL {
+            swept = now;
+            gateway.pool.sweep(now);
+            note_omitted(&gateway);
+        }
+    }
+}
+
+/// Notices that the host was suspended: the steady clock stands still meanwhile, the clock since
+/// boot does not. What was believed before is old then.
+fn note_suspension(
+    gateway: &Gateway,
+    last: (Instant, Duration),
+    now: Instant,
+) -> (Instant, Duration) {
+    let boot = since_boot();
+    let steady = now.duration_since(last.0);
+    let asleep = boot.saturating_sub(last.1).saturating_sub(steady);
+    if asleep >= SUSPENDED {
+        log::warn!(target: "belief", "event=was-suspended asleep_ms={}", asleep.as_millis());
+        gateway.registry_wanted.notify_one();
+    }
+    (now, boot)
+}
+
+/// Time since the host was started, the time that it was suspended included.
+fn since_boot() -> Duration {
+    let it = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    Duration::try_from(it).unwrap_or_default()
+}
+
+fn note_omitted(gateway: &Gateway) {
+    let omitted = gateway.journal.borrow_mut().take_omitted();
+    if omitted > 0 {
+        gateway.metrics.lines_omitted.inc_by(omitted);
+        log::info!(target: "request", "event=lines-omitted count={omitted} dropped={}", logs::dropped());
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/registry.rs
@@ -0,0 +1,14 @@
+//! Upstreams that register themselves, folded from the records that they write.
+
+mod fold;
+mod registration;
+
+use std::sync::Arc;
+
+pub use fold::{Change, Fold};
+pub use registration::{Registration, State};
+
+/// Id of one incarnation of an upstream.
+pub type UpstreamId = Arc<str>;
+/// Name of a failure domain.
+pub type Domain = Arc<str>;
--- /dev/null
+++ b/crates/gateway/src/request/refusal.rs
@@ -0,0 +1,76 @@
+//! Answers that the daemon makes itself.
+
+use std::time::Duration;
+
+use crate::desk;
+
+/// Advice to a caller while the daemon has no configuration.
+const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// An answer that the daemon makes itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// Status told to the caller.
+    pub status: u16,
+    /// Reason, for logs and metrics.
+    pub reason: &'static str,
+    /// What is wrong, for the caller.
+    pub message: String,
+    /// When the caller may ask again; only with statuses that promise that nothing ran.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// The request is malformed.
+    #[must_use]
+    pub fn bad_request(message: impl Into<String>) -> Self {
+        Self { status: 400, reason: "bad-request", message: message.into(), retry_after: None }
+    }
+
+    /// No route matches.
+    #[must_use]
+    pub fn no_route() -> Self {
+        let message = "no route matches this host and path".to_owned();
+        Self { status: 404, reason: "no-route", message, retry_after: None }
+    }
+
+    /// The daemon has no configuration yet.
+    #[must_use]
+    pub fn not_ready() -> Self {
+        let message = "this entry host has no configuration yet; use another".to_owned();
+        let retry_after = Some(NOT_READY_RETRY_AFTER);
+        Self { status: 503, reason: "not-ready", message, retry_after }
+    }
+
+    /// No upstream takes work.
+    #[must_use]
+    pub fn no_upstream() -> Self {
+        desk::Refusal::no_upstream().into()
+    }
+
+    /// The request has not run and was given up.
+    #[must_use]
+    pub fn not_run(reason: &'static str, message: String, retry_after: Duration) -> Self {
+        Self { status: 503, reason, message, retry_after: Some(retry_after) }
+    }
+
+    /// An attempt failed that may have run.
+    #[must_use]
+    pub fn failed(message: String) -> Self {
+        Self { status: 502, reason: "upstream-failed", message, retry_after: None }
+    }
+
+    /// Time ran out after an attempt that may have run.
+    #[must_use]
+    pub fn late() -> Self {
+        let message = "no answer before the deadline; the request may have run".to_owned();
+        Self { status: 504, reason: "upstream-late", message, retry_after: None }
+    }
+}
+
+impl From<desk::Refusal> for Refusal {
+    fn from(it: desk::Refusal) -> Self {
+        let message = format!("the request was not run: {}", it.reason);
+        Self::not_run(it.reason, message, it.retry_after)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/request/reply.rs
@@ -0,0 +1,61 @@
+//! What a caller gets.
+
+use bytes::Bytes;
+
+use super::Refusal;
+use crate::http::{self, Head, Header, Message};
+
+/// An answer to a caller.
+#[derive(Clone, Debug, Default)]
+pub struct Reply {
+    /// Head and body.
+    pub message: Message,
+    /// Whether the body stays away because only the head was asked for.
+    pub without_body: bool,
+    /// Whether the connection must end behind the answer.
+    pub closes: bool,
+}
+
+impl Reply {
+    /// An upstream's answer, unchanged.
+    #[must_use]
+    pub fn forward(message: Message) -> Self {
+        Self { message, ..Self::default() }
+    }
+
+    /// An answer with a text.
+    #[must_use]
+    pub fn text(status: u16, content_type: &'static str, body: String) -> Self {
+        let head = Head {
+            status,
+            minor_version: 1,
+            headers: vec![header("Content-Type", Bytes::from_static(content_type.as_bytes()))],
+            ..Head::default()
+        };
+        Self::forward(Message { head, body: body.into() })
+    }
+
+    /// A refusal; `id` is the header that identifies the request.
+    #[must_use]
+    pub fn refuse(refusal: Refusal, id: Option<(&'static str, &Bytes)>) -> Self {
+        let mut res = Self::text(refusal.status, "text/plain", refusal.message);
+        let headers = &mut res.message.head.headers;
+        if let Some((name, id)) = id {
+            headers.push(header(name, id.clone()));
+        }
+        if let Some(it) = refusal.retry_after {
+            headers.push(header("Retry-After", format!("{:.3}", it.as_secs_f64()).into()));
+        }
+        res
+    }
+
+    /// Bytes of the answer; `is_last` closes the connection behind it.
+    #[must_use]
+    pub fn bytes(&self, is_last: bool) -> Vec<u8> {
+        http::answer(&self.message, self.without_body, is_last)
+    }
+}
+
+fn header(name: &'static str, value: Bytes) -> Header {
+    Header { name: Bytes::from_static(name.as_bytes()), value }
+}
