gateway: dispatch only to upstreams known to work at their usual pace

Cause: the pace at the start of a request holds for all of it, so one request sent to a disturbed upstream takes five times as long and holds its slot as long. Now a request goes to an upstream whose report of the last 40 ms shows the usual pace, probes candidates if none is known, and else waits; late requests go behind those that can still be in time; all slots are used where upstreams don't slow down when full.

--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     config::{Route, ServiceId},
-    load::{Budget, Queue, Service, Waiter},
+    load::{Budget, Care, Queue, Service, Waiter},
     registry::UpstreamId,
 };
 
@@ -35,6 +35,14 @@
 /// Longest advice to a caller that is refused.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// Time for which a request waits for an upstream that works at its usual pace. Disturbances by
+/// neighbours last a fraction of a second.
+const PATIENCE: Duration = Duration::from_millis(150);
+/// Requests at the head of the queue that are considered for room; those behind wait for the same.
+const MAX_HEADS: usize = 8;
+/// Factor of the mean work that covers its spread.
+const SPREAD: f64 = 1.2;
+
 /// What a request asks for.
 #[derive(Clone, Debug)]
 pub struct Demand<'a> {
@@ -42,6 +50,8 @@
     pub route: &'a Route,
     /// Upstreams that it must not be sent to again.
     pub tried: &'a [UpstreamId],
+    /// When the request was read.
+    pub received: Instant,
     /// When the caller must have its answer.
     pub deadline: Instant,
 }
@@ -98,11 +108,16 @@
 
     /// An upstream that can take the request now, unless others wait for room.
     #[must_use]
-    pub fn take_now(self: &Rc<Self>, now: Instant, demand: &Demand<'_>) -> Option<Flight> {
+    pub fn take_now(
+        self: &Rc<Self>,
+        now: Instant,
+        demand: &Demand<'_>,
+        care: Care,
+    ) -> Option<Flight> {
         if !self.queue.borrow().is_empty() {
             return None;
         }
-        self.depart(now, &demand.route.id, demand.tried)
+        self.depart(now, &demand.route.id, demand.tried, care)
     }
 
     /// Waits until an upstream has room.
@@ -122,7 +137,8 @@
             return Err(Refusal::overload(advice(wait)));
         }
         let priority = demand.route.priority;
-        let waiter = Waiter { priority, deadline: demand.deadline, work };
+        let target = demand.received + demand.route.target_latency;
+        let waiter = Waiter { priority, since: now, target, deadline: demand.deadline, work };
         let serial = self.queue.borrow_mut().push(waiter);
         let (sender, receiver) = oneshot::channel();
         self.waiting.borrow_mut().insert(serial, sender);
@@ -139,26 +155,41 @@
         if self.queue.borrow().is_empty() {
             return;
         }
-        let late = self.queue.borrow_mut().hopeless(now);
+        let late = self.queue.borrow_mut().tick(now);
         for it in late {
             self.reply(it, Err(Refusal::overload(MIN_RETRY_AFTER)));
         }
-        loop {
-            let first = self.queue.borrow().first().map(|(serial, it)| (it.priority, serial));
-            let Some((priority, serial)) = first else { return };
-            let wanted = self.wanted.borrow().get(&serial).cloned();
-            let Some((route, tried)) = wanted else { return };
-            let Some(flight) = self.depart(now, &route.id, &tried) else { return };
+        // What one request can't be sent to, later ones of the same kind can't either.
+        while let Some((priority, serial, flight)) = self.next_departure(now) {
             self.queue.borrow_mut().remove(priority, serial);
             self.reply(serial, Ok(flight));
         }
     }
 
-    /// Work of a request of a route, at the mean pace of the upstreams.
+    /// The first request that waits and has an upstream to go to.
+    fn next_departure(self: &Rc<Self>, now: Instant) -> Option<(u8, u64, Flight)> {
+        let heads: Vec<_> = {
+            let queue = self.queue.borrow();
+            let head = |(serial, it): (u64, &Waiter)| {
+                let is_patient = now.saturating_duration_since(it.since) < PATIENCE;
+                (it.priority, serial, if is_patient { Care::Undisturbed } else { Care::Idle })
+            };
+            queue.iter().take(MAX_HEADS).map(head).collect()
+        };
+        for (priority, serial, care) in heads {
+            let wanted = self.wanted.borrow().get(&serial).cloned();
+            let Some((route, tried)) = wanted else { continue };
+            if let Some(it) = self.depart(now, &route.id, &tried, care) {
+                return Some((priority, serial, it));
+            }
+        }
+        None
+    }
+
+    /// Time that a request of a route is expected to take once it is sent.
     #[must_use]
     pub fn expected(&self, route: &str) -> Duration {
-        let service = self.service.borrow();
-        service.work(route).mul_f64(service.mean_pace().clamp(1.0, 2.0))
+        self.service.borrow().work(route).mul_f64(SPREAD)
     }
 
     fn expected_wait(&self, priority: u8, work: Duration) -> Duration {
@@ -172,9 +203,10 @@
         now: Instant,
         route: &str,
         tried: &[UpstreamId],
+        care: Care,
     ) -> Option<Flight> {
         let mut service = self.service.borrow_mut();
-        let id = service.choose(now, route, tried)?;
+        let id = service.choose(now, route, tried, care)?;
         let registration = service.get(&id)?.registration.clone();
         let serial = service.start(now, &id);
         drop(service);
--- a/crates/gateway/src/desk/flight.rs
+++ b/crates/gateway/src/desk/flight.rs
@@ -30,6 +30,12 @@
         &self.registration
     }
 
+    /// Number of the request at its upstream.
+    #[must_use]
+    pub fn serial(&self) -> u64 {
+        self.serial
+    }
+
     /// When the upstream was chosen.
     #[must_use]
     pub fn started(&self) -> Instant {
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -4,6 +4,7 @@
 //! Nothing here does input or output; every call takes the time.
 
 mod budget;
+mod care;
 mod outcome;
 mod queue;
 mod report;
@@ -12,12 +13,13 @@
 mod upstream;
 
 pub use budget::Budget;
+pub use care::Care;
 pub use outcome::Outcome;
 pub use queue::{Queue, Waiter};
 pub use report::Report;
 pub use service::Service;
 pub use settings::Settings;
-pub use upstream::Upstream;
+pub use upstream::{Flight, Standing, Upstream};
 
 /// Number that stands for an entry host in what peers tell each other.
 pub type HostKey = u64;
--- a/crates/gateway/src/load/service.rs
+++ b/crates/gateway/src/load/service.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use super::{HostKey, Outcome, Report, Settings, Upstream};
+use super::{Care, HostKey, Outcome, Report, Settings, Standing, Upstream};
 use crate::{
     config::RouteId,
     registry::{Domain, Registration, UpstreamId},
@@ -18,6 +18,19 @@
 /// Costs within this factor of the lowest count as equal.
 const TIE: f64 = 1.05;
 
+/// Added to the cost of an upstream that fails often, so that any other with room goes first.
+const FAILING_COST: f64 = 100.0;
+/// Pace in percent from which a service's reports are known to tell of the pace.
+const PACE_SEEN_PERCENT: u32 = 130;
+/// Factor of the usual time from which upstreams count as slow when they are nearly full.
+const SLOW_CROWD: f64 = 1.25;
+/// Largest factor that one answer may show, so that a single one can't decide.
+const MAX_CROWD_COST: f64 = 2.5;
+/// Share of an answer from a nearly full upstream in their mean.
+const CROWD_WEIGHT: f64 = 0.1;
+/// Time over which it is forgotten that upstreams slowed down when they were nearly full.
+const CROWD_MEMORY: Duration = Duration::from_secs(60);
+
 /// The upstreams of one service and what is known of them.
 #[derive(Debug)]
 pub struct Service {
@@ -27,6 +40,8 @@
     upstreams: BTreeMap<UpstreamId, Upstream>,
     works: HashMap<RouteId, f64>,
     pace: f64,
+    has_seen_pace: bool,
+    crowd_cost: f64,
     serial: u64,
 }
 
@@ -41,6 +56,8 @@
             upstreams: BTreeMap::new(),
             works: HashMap::new(),
             pace: 1.0,
+            has_seen_pace: false,
+            crowd_cost: 1.0,
             serial: 0,
         }
     }
@@ -83,7 +100,8 @@
     #[must_use]
     pub fn capacity(&self) -> f64 {
         let open = self.upstreams.values().filter(|it| it.is_open());
-        open.map(|it| it.limit(&self.settings)).sum()
+        let slows = self.slows_when_full();
+        open.map(|it| it.limit(&self.settings, slows)).sum()
     }
 
     /// Work of a request of a route on an undisturbed upstream.
@@ -105,11 +123,21 @@
         now: Instant,
         route: &str,
         tried: &[UpstreamId],
+        care: Care,
     ) -> Option<UpstreamId> {
         let work = self.work(route);
         let settings = &self.settings;
+        let slows = self.slows_when_full();
+        let is_fit = |it: &Upstream| match care {
+            Care::Any => true,
+            Care::Idle => {
+                it.standing(now, settings) != Standing::Disturbed
+                    || it.total(now, settings) < 0.5
+            }
+            Care::Undisturbed => self.is_undisturbed(now, it),
+        };
         let usable = |it: &&Upstream| {
-            !tried.contains(&it.registration.id) && it.has_room(now, settings)
+            !tried.contains(&it.registration.id) && it.has_room(now, settings, slows) && is_fit(it)
         };
         let weigh = |it: &Upstream| {
             let last = if it.is_failing(now, settings) { FAILING_COST } else { 0.0 };
@@ -123,29 +151,15 @@
         Some(chosen.registration.id.clone())
     }
 
-    /// Whether what is known of an upstream says that it is undisturbed now.
-    #[must_use]
-    pub fn is_known_good(&self, now: Instant, id: &str, fresh: Duration) -> bool {
-        self.upstreams.get(id).is_some_and(|it| {
-            it.report_age(now).is_some_and(|age| age <= fresh)
-                && it.reported_pace().is_some_and(|pace| pace < self.settings.disturbed_pace)
-        })
-    }
-
-    /// Up to `count` upstreams with room whose newest report is older than `fresh`.
-    pub fn unknown(
-        &mut self,
-        now: Instant,
-        tried: &[UpstreamId],
-        fresh: Duration,
-        count: usize,
-    ) -> Vec<UpstreamId> {
+    /// Up to `count` upstreams with room of which it isn't known how they stand.
+    pub fn unknown(&mut self, now: Instant, tried: &[UpstreamId], count: usize) -> Vec<UpstreamId> {
         let settings = &self.settings;
+        let slows = self.slows_when_full();
         let is_unknown = |it: &&Upstream| {
             !tried.contains(&it.registration.id)
-                && it.has_room(now, settings)
+                && it.has_room(now, settings, slows)
                 && !it.is_failing(now, settings)
-                && it.report_age(now).is_none_or(|age| age > fresh)
+                && it.standing(now, settings) == Standing::Unknown
         };
         let mut res: Vec<_> = self
             .upstreams
@@ -161,11 +175,28 @@
         res.into_iter().take(count).map(|(_, id)| id.clone()).collect()
     }
 
+    /// Whether the upstreams' reports ever tell of a pace other than the usual.
+    #[must_use]
+    pub fn reports_pace(&self) -> bool {
+        self.has_seen_pace
+    }
+
+    /// Whether upstreams work more slowly when they are nearly full, as far as that was seen.
+    #[must_use]
+    pub fn slows_when_full(&self) -> bool {
+        self.crowd_cost >= SLOW_CROWD
+    }
+
+    /// A service whose reports tell of no pace is taken to be undisturbed.
+    fn is_undisturbed(&self, now: Instant, it: &Upstream) -> bool {
+        !self.has_seen_pace || it.standing(now, &self.settings) == Standing::Undisturbed
+    }
+
     /// Counts a request that is sent to an upstream now; gives the number that its end is told by.
     pub fn start(&mut self, now: Instant, id: &str) -> u64 {
         self.serial += 1;
         if let Some(it) = self.upstreams.get_mut(id) {
-            it.start(now, self.serial);
+            it.start(now, &self.settings, self.serial);
         }
         self.serial
     }
@@ -177,13 +208,29 @@
         }
     }
 
-    /// Takes in how long an upstream took for a whole answer to a request of a route.
-    pub fn answered(&mut self, route: &RouteId, took: Duration, pace: f64) {
-        let sample = took.as_secs_f64() / pace.max(1.0);
+    /// Takes in how long an upstream took for a whole answer to a request of a route; called before
+    /// the request's end is told.
+    pub fn answered(&mut self, id: &str, serial: u64, route: &RouteId, took: Duration) {
+        let flight = self.upstreams.get(id).and_then(|it| it.flight(serial));
+        let Some(flight) = flight else { return };
+        let pace = flight.pace.unwrap_or(self.pace).max(1.0);
+        let sample = took.as_secs_f64() / pace;
+        if flight.is_crowded {
+            let usual = self.work(route).as_secs_f64().max(1e-3);
+            let cost = (sample / usual).min(MAX_CROWD_COST);
+            self.crowd_cost += (cost - self.crowd_cost) * CROWD_WEIGHT;
+            return;
+        }
         let mean = self.works.entry(route.clone()).or_insert(sample);
         *mean += (sample - *mean) * SAMPLE_WEIGHT;
     }
 
+    /// Moves time on: a service that slowed down when nearly full is tried again some time.
+    pub fn forget(&mut self, elapsed: Duration) {
+        let share = (elapsed.as_secs_f64() / CROWD_MEMORY.as_secs_f64()).min(1.0);
+        self.crowd_cost += (1.0 - self.crowd_cost) * share;
+    }
+
     /// Takes in a report that an upstream gave this host at `at`.
     pub fn report(&mut self, at: Instant, id: &str, report: Report) {
         self.take_report(at, id, report, true);
@@ -198,6 +245,7 @@
         let Some(it) = self.upstreams.get_mut(id) else { return };
         it.report(at, report, is_own);
         let pace = f64::from(report.pace_percent) / 100.0;
+        self.has_seen_pace |= report.pace_percent > PACE_SEEN_PERCENT;
         self.pace += (pace - self.pace) * SAMPLE_WEIGHT;
     }
 
@@ -213,6 +261,3 @@
         self.upstreams.values_mut().for_each(|it| it.forget_peer(host));
     }
 }
-
-/// Added to the cost of an upstream that fails often, so that any other with room goes first.
-const FAILING_COST: f64 = 100.0;
--- a/crates/gateway/src/load/settings.rs
+++ b/crates/gateway/src/load/settings.rs
@@ -11,6 +11,8 @@
     /// Time after which a reported pace says nothing any more; neighbours on the same machine come
     /// and go several times a second.
     pub pace_memory: Duration,
+    /// Age up to which a report is taken as the present state.
+    pub report_life: Duration,
     /// Time after which a peer's count of its requests in flight is dropped.
     pub peer_memory: Duration,
     /// Time over which failures of an upstream are forgotten.
@@ -26,6 +28,7 @@
         Self {
             slot_share: 0.8,
             pace_memory: Duration::from_millis(200),
+            report_life: Duration::from_millis(40),
             peer_memory: Duration::from_secs(2),
             failure_memory: Duration::from_secs(3),
             domain_cost: 0.15,
--- a/crates/gateway/src/load/upstream.rs
+++ b/crates/gateway/src/load/upstream.rs
@@ -28,13 +28,37 @@
     is_own: bool,
 }
 
+/// A request of this host that is in flight.
+#[derive(Clone, Copy, Debug)]
+pub struct Flight {
+    /// Number by which its end is told.
+    pub serial: u64,
+    /// When it was sent.
+    pub at: Instant,
+    /// Whether the upstream was filled beyond its share of slots.
+    pub is_crowded: bool,
+    /// The pace that was reported shortly before; none if it wasn't known.
+    pub pace: Option<f64>,
+}
+
+/// How an upstream stands, by what was reported last.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Standing {
+    /// Works at its usual pace.
+    Undisturbed,
+    /// Works more slowly than usual.
+    Disturbed,
+    /// The newest report is too old to tell.
+    Unknown,
+}
+
 /// What is known of one upstream.
 #[derive(Debug)]
 pub struct Upstream {
     /// What it says of itself.
     pub registration: Registration,
     cold_until: Instant,
-    flights: Vec<(u64, Instant)>,
+    flights: Vec<Flight>,
     peers: HashMap<HostKey, (u32, Instant)>,
     seen: Option<Seen>,
     failures: f64,
@@ -70,13 +94,22 @@
     }
 
     /// Counts a request that is sent now.
-    pub fn start(&mut self, now: Instant, serial: u64) {
-        self.flights.push((serial, now));
+    pub fn start(&mut self, now: Instant, settings: &Settings, serial: u64) {
+        let is_crowded = self.total(now, settings) + 0.5 >= self.shared_limit(settings);
+        let is_fresh = self.report_age(now).is_some_and(|it| it <= settings.report_life);
+        let pace = self.reported_pace().filter(|_| is_fresh);
+        self.flights.push(Flight { serial, at: now, is_crowded, pace });
+    }
+
+    /// The request that is told by `serial`.
+    #[must_use]
+    pub fn flight(&self, serial: u64) -> Option<Flight> {
+        self.flights.iter().find(|it| it.serial == serial).copied()
     }
 
     /// Takes in how a request ended.
     pub fn finish(&mut self, now: Instant, settings: &Settings, serial: u64, outcome: Outcome) {
-        self.flights.retain(|(it, _)| *it != serial);
+        self.flights.retain(|it| it.serial != serial);
         let failed = match outcome {
             Outcome::Success => 0.0,
             Outcome::Failure => 1.0,
@@ -129,16 +162,35 @@
         f64::from(self.own()) + f64::from(told).max(seen)
     }
 
-    /// Requests that all entry hosts together may have in flight there.
+    /// Requests up to which an upstream works at its usual pace, wherever it slows down when it is
+    /// nearly full.
     #[must_use]
-    pub fn limit(&self, settings: &Settings) -> f64 {
+    pub fn shared_limit(&self, settings: &Settings) -> f64 {
         (f64::from(self.registration.slots) * settings.slot_share).floor().max(1.0)
     }
 
+    /// Requests that all entry hosts together may have in flight there; `slows` if upstreams of the
+    /// service slow down when they are nearly full.
+    #[must_use]
+    pub fn limit(&self, settings: &Settings, slows: bool) -> f64 {
+        if slows { self.shared_limit(settings) } else { f64::from(self.registration.slots.max(1)) }
+    }
+
     /// Whether it may get another request.
     #[must_use]
-    pub fn has_room(&self, now: Instant, settings: &Settings) -> bool {
-        self.is_open() && self.total(now, settings) + 0.5 < self.limit(settings)
+    pub fn has_room(&self, now: Instant, settings: &Settings, slows: bool) -> bool {
+        self.is_open() && self.total(now, settings) + 0.5 < self.limit(settings, slows)
+    }
+
+    /// How it stands, by its newest report.
+    #[must_use]
+    pub fn standing(&self, now: Instant, settings: &Settings) -> Standing {
+        let is_fresh = self.report_age(now).is_some_and(|it| it <= settings.report_life);
+        match self.reported_pace().filter(|_| is_fresh) {
+            Some(it) if it < settings.disturbed_pace => Standing::Undisturbed,
+            Some(_) => Standing::Disturbed,
+            None => Standing::Unknown,
+        }
     }
 
     /// Whether it fails so often that any other with room is better.
@@ -166,7 +218,7 @@
             let reported = f64::from(it.report.pace_percent) / 100.0;
             mean + (reported - mean) * fade(now, it.at, settings.pace_memory)
         });
-        let oldest = self.flights.iter().map(|(_, at)| now.saturating_duration_since(*at)).max();
+        let oldest = self.flights.iter().map(|it| now.saturating_duration_since(it.at)).max();
         // A request that has been in flight for long shows that work takes at least so long.
         let overdue = oldest.unwrap_or_default().as_secs_f64() / work.as_secs_f64().max(1e-3) / 2.0;
         known.max(overdue)
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -6,22 +6,24 @@
 };
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
+use tokio::task::JoinHandle;
 
 use crate::{
     config::Table,
     desk::Desk,
     gateway::Gateway,
     http::{self, Head, Header, Message},
+    load::Care,
     registry::{Registration, UpstreamId},
     upstream::Exchange,
 };
 
-/// Age up to which a report is taken as the present state of an upstream.
-const FRESH: Duration = Duration::from_millis(60);
 /// Upstreams that are probed for one request.
 const CANDIDATES: usize = 3;
 /// Longest time that a request waits for answers to probes.
 const PATIENCE: Duration = Duration::from_millis(15);
+/// Time between two rounds of probes while requests wait.
+const WATCH_INTERVAL: Duration = Duration::from_millis(15);
 /// Longest time that a probe takes.
 const TIMEOUT: Duration = Duration::from_millis(250);
 /// Probes that may be sent at once after a quiet time.
@@ -60,68 +62,83 @@
     }
 }
 
-/// Learns the present load of some candidates, unless one is known to be undisturbed.
+/// Learns how some candidates stand, until one is known to be undisturbed; gives the care with which
+/// to choose then.
 pub async fn refresh(
     gateway: &Rc<Gateway>,
     table: &Table,
     desk: &Rc<Desk>,
     route: &str,
     tried: &[UpstreamId],
-) {
-    let now = gateway.now();
-    let candidates = {
+) -> Care {
+    let knows_one = || {
         let mut service = desk.service.borrow_mut();
-        let Some(best) = service.choose(now, route, tried) else { return };
-        if service.is_known_good(now, &best, FRESH) {
-            return;
-        }
-        service.unknown(now, tried, FRESH, CANDIDATES)
+        service.choose(gateway.now(), route, tried, Care::Undisturbed).is_some()
     };
-    let Some(config) = table.services.get(&desk.id) else { return };
-    let mut probes = FuturesUnordered::new();
+    if knows_one() || desk.service.borrow_mut().unknown(gateway.now(), tried, 1).is_empty() {
+        return Care::Undisturbed;
+    }
+    let mut probes = start(gateway, table, desk, tried);
+    if probes.is_empty() {
+        // The budget is spent: all that can be done is to choose by what is known.
+        return Care::Any;
+    }
+    let wait = async { while probes.next().await.is_some() && !knows_one() {} };
+    // Running out of patience is no failure: the choice is made with what is known.
+    let _elapsed = tokio::time::timeout(PATIENCE, wait).await;
+    Care::Undisturbed
+}
+
+/// Goes on learning how upstreams stand while requests wait for one that is undisturbed.
+pub async fn watch(gateway: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(WATCH_INTERVAL).await;
+        let Some(table) = gateway.table() else { continue };
+        for desk in gateway.desks() {
+            if desk.queued() > 0 {
+                // The probes go on by themselves and wake the queue.
+                drop(start(&gateway, &table, &desk, &[]));
+            }
+        }
+    }
+}
+
+/// Starts probes of candidates whose standing isn't known.
+fn start(
+    gateway: &Rc<Gateway>,
+    table: &Table,
+    desk: &Rc<Desk>,
+    tried: &[UpstreamId],
+) -> FuturesUnordered<JoinHandle<()>> {
+    let now = gateway.now();
+    let res = FuturesUnordered::new();
+    let Some(config) = table.services.get(&desk.id) else { return res };
+    let candidates = desk.service.borrow_mut().unknown(now, tried, CANDIDATES);
     for id in candidates {
         let registration = desk.service.borrow().get(&id).map(|it| it.registration.clone());
         let Some(registration) = registration else { continue };
         if !gateway.probes.borrow_mut().take(now) {
             break;
         }
-        let probe = probe(
-            Rc::clone(gateway),
-            Rc::clone(desk),
-            registration,
-            config.health_path.clone(),
-        );
-        // A probe goes on when the request no longer waits for it: its connection stays usable.
-        probes.push(tokio::task::spawn_local(probe));
+        let (gateway, desk) = (Rc::clone(gateway), Rc::clone(desk));
+        let path = config.health_path.clone();
+        // A probe goes on when nobody waits for it any more: its connection stays usable.
+        res.push(tokio::task::spawn_local(probe(gateway, desk, registration, path)));
     }
-    let wait = async {
-        while let Some(it) = probes.next().await {
-            if let Ok(Some(id)) = it
-                && desk.service.borrow().is_known_good(gateway.now(), &id, FRESH)
-            {
-                return;
-            }
-        }
-    };
-    // Running out of patience is no failure: the choice is made with what is known.
-    let _elapsed = tokio::time::timeout(PATIENCE, wait).await;
+    res
 }
 
-/// Asks one upstream for its load; gives its id if it answered.
-async fn probe(
-    gateway: Rc<Gateway>,
-    desk: Rc<Desk>,
-    upstream: Registration,
-    path: String,
-) -> Option<UpstreamId> {
+/// Asks one upstream for its load.
+async fn probe(gateway: Rc<Gateway>, desk: Rc<Desk>, upstream: Registration, path: String) {
     gateway.metrics.probes.inc();
     let probing = tokio::time::timeout(TIMEOUT, exchange(&gateway, &upstream, &path));
-    let answer = probing.await.ok()??;
-    let load = answer.head.get(gateway.dialect.names.load)?;
-    let report = (gateway.dialect.parse_load)(load)?;
-    desk.service.borrow_mut().report(gateway.now(), &upstream.id, report);
+    let Ok(Some(answer)) = probing.await else { return };
+    let load = answer.head.get(gateway.dialect.names.load);
+    let Some(report) = load.and_then(|it| (gateway.dialect.parse_load)(it)) else { return };
+    let now = gateway.now();
+    desk.service.borrow_mut().report(now, &upstream.id, report);
     gateway.mark_changed(&upstream.id);
-    Some(upstream.id)
+    desk.pump(now);
 }
 
 async fn exchange(gateway: &Gateway, upstream: &Registration, path: &str) -> Option<Message> {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -23,7 +23,7 @@
     mesh::Mesh,
     peer::Phase,
     platform::Platform,
-    rpc,
+    probe, rpc,
 };
 
 /// How often time moves on for what no event drives: queues, idle connections, clocks.
@@ -122,6 +122,7 @@
         spawn(Box::pin(Rc::clone(mesh).tell_loads()));
         spawn(Box::pin(follow::meet(Rc::clone(gateway), Rc::clone(platform))));
         spawn(Box::pin(tick(Rc::clone(gateway))));
+        spawn(Box::pin(probe::watch(Rc::clone(gateway))));
         let configuration = follow::Configuration::new(
             Rc::clone(gateway),
             Rc::clone(platform),
@@ -228,6 +229,7 @@
         let now = gateway.now();
         last = note_suspension(&gateway, last, now);
         for it in gateway.desks() {
+            it.service.borrow_mut().forget(TICK);
             it.pump(now);
         }
         if now.duration_since(swept) >= SWEEP_INTERVAL {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -68,6 +68,7 @@
         desk: &desk,
         route: &route,
         message: &message,
+        received,
         deadline: received + left,
     };
     attempts::run(&job, trail).await
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -15,7 +15,7 @@
     desk::{Demand, Desk, Flight},
     gateway::Gateway,
     http::{self, Message},
-    load::Outcome,
+    load::{Care, Outcome},
     probe,
     registry::UpstreamId,
     upstream::{Exchange, Failure},
@@ -47,6 +47,8 @@
     pub route: &'a Route,
     /// The request.
     pub message: &'a Message,
+    /// When the request was read.
+    pub received: Instant,
     /// When the caller must have an answer.
     pub deadline: Instant,
 }
@@ -142,15 +144,18 @@
     }
 
     fn demand(&self) -> Demand<'_> {
-        Demand { route: self.job.route, tried: &self.tried, deadline: self.job.deadline }
+        let Job { route, received, deadline, .. } = *self.job;
+        Demand { route, tried: &self.tried, received, deadline }
     }
 
     /// Waits for an upstream that can take the request.
     async fn admit(&self) -> Result<Flight> {
         let Job { gateway, table, desk, route, .. } = *self.job;
-        probe::refresh(gateway, table, desk, &route.id, &self.tried).await;
-        if let Some(it) = desk.take_now(self.now(), &self.demand()) {
-            return Ok(it);
+        if desk.queued() == 0 {
+            let care = probe::refresh(gateway, table, desk, &route.id, &self.tried).await;
+            if let Some(it) = desk.take_now(self.now(), &self.demand(), care) {
+                return Ok(it);
+            }
         }
         desk.wait(self.now(), &self.demand()).await.map_err(Refusal::from)
     }
@@ -168,7 +173,7 @@
             return None;
         }
         probe::refresh(gateway, table, desk, &route.id, &self.tried).await;
-        let flight = desk.take_now(self.now(), &self.demand())?;
+        let flight = desk.take_now(self.now(), &self.demand(), Care::Undisturbed)?;
         // A flight that is dropped gives its place free.
         desk.budget.borrow_mut().try_hedge(self.now()).then_some(flight)
     }
@@ -284,7 +289,8 @@
         let took = now.saturating_duration_since(started);
         let (outcome, result) = judge(&end);
         if outcome == Outcome::Success {
-            self.answered(&id, took);
+            let mut service = self.desk.service.borrow_mut();
+            service.answered(&id, flight.serial(), &self.route.id, took);
         }
         flight.land(now, outcome);
         Landed { end, record: Attempt { upstream: id, report_age, pace, result, took } }
@@ -296,12 +302,6 @@
         (upstream.and_then(|it| it.report_age(at)), upstream.and_then(|it| it.reported_pace()))
     }
 
-    fn answered(&self, id: &str, took: Duration) {
-        let mut service = self.desk.service.borrow_mut();
-        let pace = service.get(id).and_then(|it| it.reported_pace()).unwrap_or(1.0);
-        service.answered(&self.route.id, took, pace);
-    }
-
     async fn exchange(&self, flight: &Flight) -> End {
         let upstream = flight.upstream();
         let gateway = self.gateway;
--- /dev/null
+++ b/crates/gateway/tests/registry_fold.rs
@@ -0,0 +1,128 @@
+//! The set of upstreams follows their records, also through outages of the store.
+
+use std::time::{Duration, Instant};
+
+use gateway::registry::{Change, Fold, Registration, State};
+
+const GRACE: Duration = Duration::from_secs(2);
+
+fn upstream(id: &str, born_ms: u64) -> Registration {
+    Registration {
+        id: id.into(),
+        born_ms,
+        service: "stock".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        domain: "a".into(),
+        slots: 4,
+        state: State::Ready,
+        cold_for: Duration::ZERO,
+    }
+}
+
+fn put(id: &str, born_ms: u64) -> Change {
+    Change::Put(upstream(id, born_ms))
+}
+
+fn removed(id: &str) -> Change {
+    Change::Removed(id.into())
+}
+
+fn ids(fold: &Fold) -> Vec<String> {
+    fold.entries().map(|it| it.id.to_string()).collect()
+}
+
+#[test]
+fn heartbeats_are_no_news() {
+    let now = Instant::now();
+    let mut fold = Fold::new(GRACE);
+    assert!(fold.apply(now, put("u", 1)).is_some());
+    assert_eq!(fold.apply(now, put("u", 1)), None);
+    let leaving = Registration { state: State::Leaving, ..upstream("u", 1) };
+    assert!(fold.apply(now, Change::Put(leaving)).is_some());
+}
+
+#[test]
+fn older_incarnation_is_ignored() {
+    let now = Instant::now();
+    let mut fold = Fold::new(GRACE);
+    fold.apply(now, put("u", 5));
+    assert_eq!(fold.apply(now, put("u", 4)), None);
+    assert!(fold.apply(now, put("u", 6)).is_some());
+}
+
+#[test]
+fn removal_is_believed_at_once_while_the_store_is_calm() {
+    let now = Instant::now();
+    let mut fold = Fold::new(GRACE);
+    fold.apply(now, put("u", 1));
+    assert_eq!(fold.apply(now, removed("u")), Some(removed("u")));
+    assert!(ids(&fold).is_empty());
+}
+
+#[test]
+fn lapsed_entry_that_returns_is_kept() {
+    let now = Instant::now();
+    let mut fold = Fold::new(GRACE);
+    fold.apply(now, put("u", 1));
+    fold.apply(now, put("v", 1));
+    fold.store_failed();
+    fold.store_answered(now);
+    assert_eq!(fold.apply(now, removed("u")), None);
+    assert_eq!(fold.apply(now, removed("v")), None);
+    assert_eq!(ids(&fold), ["u", "v"]);
+    fold.apply(now + GRACE / 2, put("u", 1));
+    assert!(fold.tick(now + GRACE / 2).is_empty());
+    assert_eq!(fold.tick(now + GRACE), [removed("v")]);
+    assert_eq!(ids(&fold), ["u"]);
+}
+
+#[test]
+fn leaving_upstream_is_removed_also_in_an_outage() {
+    let now = Instant::now();
+    let mut fold = Fold::new(GRACE);
+    fold.apply(now, Change::Put(Registration { state: State::Leaving, ..upstream("u", 1) }));
+    fold.store_failed();
+    assert_eq!(fold.apply(now, removed("u")), Some(removed("u")));
+}
+
+#[test]
+fn whole_list_replaces_the_set() {
+    let now = Instant::now();
+    let mut fold = Fold::new(GRACE);
+    fold.apply(now, put("u", 1));
+    fold.apply(now, put("v", 1));
+    let changes = fold.replace(now, vec![upstream("v", 1), upstream("w", 1)], 9);
+    assert_eq!(changes, [put("w", 1), removed("u")]);
+    assert_eq!(fold.end(), 9);
+    assert!(fold.replace(now, Vec::new(), 8).is_empty(), "a list that is older changes nothing");
+}
+
+#[test]
+fn digest_depends_on_entries_only() {
+    let now = Instant::now();
+    let mut one = Fold::new(GRACE);
+    let mut other = Fold::new(GRACE);
+    one.apply(now, put("u", 1));
+    one.apply(now, put("v", 2));
+    other.apply(now, put("v", 1));
+    other.apply(now, put("x", 1));
+    other.apply(now, put("u", 1));
+    other.apply(now, removed("x"));
+    assert_ne!(one.digest(), other.digest());
+    other.apply(now, put("v", 2));
+    assert_eq!(one.digest(), other.digest());
+}
+
+#[test]
+fn lasting_difference_is_noticed() {
+    let now = Instant::now();
+    let mut fold = Fold::new(GRACE);
+    fold.apply(now, put("u", 1));
+    fold.advance(7);
+    let other = fold.digest().wrapping_add(1);
+    assert!(!fold.compare(now, 7, other));
+    assert!(!fold.compare(now + Duration::from_millis(900), 6, other), "it is only behind");
+    assert!(!fold.compare(now + Duration::from_millis(1_000), 7, other));
+    assert!(fold.compare(now + Duration::from_millis(2_100), 7, other));
+    assert_eq!(fold.end(), 0, "everything is read anew");
+}
--- /dev/null
+++ b/crates/gateway/tests/retry_budget.rs
@@ -0,0 +1,85 @@
+//! Attempts beyond the first stay within the budget in each sliding window, summed over daemons
+//! that come, go and are cut off.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+use gateway::load::Budget;
+use quickcheck::quickcheck;
+
+const WINDOW: Duration = Duration::from_secs(10);
+const RATIO: f64 = 0.2;
+const SLACK: f64 = 56.0;
+const STEP: Duration = Duration::from_millis(20);
+
+/// Attempts and requests of all daemons together.
+#[derive(Default)]
+struct Ledger {
+    requests: VecDeque<Instant>,
+    extra: VecDeque<Instant>,
+}
+
+impl Ledger {
+    fn check(&mut self, now: Instant) {
+        let is_old = |at: &Instant| now.duration_since(*at) >= WINDOW;
+        while self.requests.front().is_some_and(is_old) {
+            self.requests.pop_front();
+        }
+        while self.extra.front().is_some_and(is_old) {
+            self.extra.pop_front();
+        }
+        let allowed = self.requests.len() as f64 * RATIO + SLACK;
+        assert!(self.extra.len() as f64 <= allowed, "{} of {allowed}", self.extra.len());
+    }
+}
+
+quickcheck! {
+    fn no_window_above_the_bound(seed: u64) -> bool {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let start = Instant::now();
+        let daemons = rng.usize(1..7);
+        let new = |now| Budget::new(now, WINDOW, RATIO, SLACK / daemons as f64);
+        let mut budgets: Vec<_> = (0..daemons).map(|_| new(start)).collect();
+        let mut ledger = Ledger::default();
+        for step in 0..2_000_u32 {
+            let now = start + STEP * step;
+            for it in &mut budgets {
+                let is_flood = rng.u32(..1_000) < 5;
+                for _ in 0..if is_flood { rng.u32(..100) } else { rng.u32(..3) } {
+                    it.request(now);
+                    ledger.requests.push_back(now);
+                    let is_taken = if rng.bool() { it.try_retry(now) } else { it.try_hedge(now) };
+                    if is_taken {
+                        ledger.extra.push_back(now);
+                    }
+                }
+                if rng.u32(..500) == 0 {
+                    *it = new(now);
+                }
+            }
+            ledger.check(now);
+        }
+        true
+    }
+}
+
+#[test]
+fn new_daemon_has_no_slack() {
+    let now = Instant::now();
+    let mut budget = Budget::new(now, WINDOW, RATIO, SLACK);
+    assert!(!budget.try_retry(now));
+    assert!(budget.try_retry(now + WINDOW));
+}
+
+#[test]
+fn hedges_leave_some_to_retries() {
+    let now = Instant::now();
+    let mut budget = Budget::new(now, WINDOW, RATIO, 0.0);
+    (0..100).for_each(|_| budget.request(now));
+    let hedges = (0..100).filter(|_| budget.try_hedge(now)).count();
+    let retries = (0..100).filter(|_| budget.try_retry(now)).count();
+    assert!(hedges >= 10 && retries >= 3, "{hedges} hedges, {retries} retries");
+    assert!(hedges + retries <= 20);
+}
