gateway: serve the newest in time first, share upstreams out in large fleets

Freshness of reports follows the time of a probe; hedges go out as late as they can still help. Fleets of more than 8 daemons share upstreams out by rendezvous hashing.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeSet, HashMap},
+    net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -21,7 +22,10 @@
     desk::Desk,
     load::{self, Budget, HostKey, Service},
     metrics::Metrics,
-    peer::{self, Phase},
+    peer::{
+        self, Phase,
+        placement::{self, Daemon},
+    },
     probe,
     registry::{Change, Fold, Registration, UpstreamId},
     upstream::Pool,
@@ -72,6 +76,8 @@
     desks: RefCell<HashMap<ServiceId, Rc<Desk>>>,
     index: RefCell<HashMap<u32, (ServiceId, UpstreamId)>>,
     dirty: Rc<RefCell<BTreeSet<UpstreamId>>>,
+    keepers: RefCell<HashMap<UpstreamId, Rc<[SocketAddr]>>>,
+    is_placed: Cell<bool>,
     splits: RefCell<HashMap<RouteId, Vec<f64>>>,
     registry_known: Cell<bool>,
     seed: u64,
@@ -103,6 +109,8 @@
             desks: RefCell::default(),
             index: RefCell::default(),
             dirty: Rc::default(),
+            keepers: RefCell::default(),
+            is_placed: Cell::new(false),
             splits: RefCell::default(),
             registry_known: Cell::new(false),
             seed,
@@ -209,6 +217,44 @@
         std::mem::take(&mut *self.dirty.borrow_mut())
     }
 
+    /// Notes that daemons or upstreams have come or gone.
+    pub fn unplace(&self) {
+        self.is_placed.set(false);
+    }
+
+    /// Works out anew which daemons look after which upstreams, if any have come or gone.
+    pub fn place(&self, now: Instant) {
+        if self.is_placed.replace(true) {
+            return;
+        }
+        let settings = self.settings();
+        let own = settings.peer_address;
+        let mut daemons = vec![Daemon { address: own, domain: settings.domain.clone() }];
+        let peers = self.peers.borrow();
+        let staying = peers.live_peers(now).filter(|(_, it)| it.beat.phase != Phase::Leaving);
+        daemons.extend(staying.map(|(address, it)| Daemon { address, domain: it.beat.domain.clone() }));
+        let mut keepers = self.keepers.borrow_mut();
+        keepers.clear();
+        for desk in self.desks.borrow().values() {
+            let mut service = desk.service.borrow_mut();
+            let count = placement::keeper_count(daemons.len(), service.iter().count());
+            for it in service.iter_mut() {
+                let Registration { id, domain, .. } = &it.registration;
+                let mut found = placement::keepers(id, domain, &daemons, count);
+                let before = found.len();
+                found.retain(|it| *it != own);
+                it.is_preferred = found.len() < before;
+                keepers.insert(it.registration.id.clone(), found.into());
+            }
+        }
+    }
+
+    /// Peers that look after an upstream.
+    #[must_use]
+    pub fn keepers(&self, id: &str) -> Option<Rc<[SocketAddr]>> {
+        self.keepers.borrow().get(id).cloned()
+    }
+
     /// The service that gets the next request of a route, so that each gets its share.
     #[must_use]
     pub fn split(&self, route: &config::Route) -> Option<ServiceId> {
@@ -271,6 +317,7 @@
         });
         let desk = Desk::new(id.clone(), service, budget, Arc::clone(&self.clock), changed);
         let desk = Rc::new(desk);
+        self.unplace();
         self.desks.borrow_mut().insert(id.clone(), Rc::clone(&desk));
         self.share_budgets(now);
         desk
@@ -293,6 +340,7 @@
         let Some(desk) = self.desk(&it.service) else { return };
         if desk.service.borrow_mut().put(now, it.clone()) {
             self.pool.forget(&it.id);
+            self.unplace();
         }
         desk.pump(now);
     }
@@ -300,6 +348,7 @@
     fn remove(&self, id: &UpstreamId) {
         let found = self.index.borrow_mut().remove(&upstream_key(id));
         self.pool.forget(id);
+        self.unplace();
         if let Some(desk) = found.and_then(|(service, _)| self.desk(&service)) {
             desk.service.borrow_mut().remove(id);
         }
--- a/crates/gateway/src/load/care.rs
+++ b/crates/gateway/src/load/care.rs
@@ -5,8 +5,8 @@
 pub enum Care {
     /// Only those that are known to work at their usual pace now.
     Undisturbed,
-    /// Besides, those of which nothing new is known, and disturbed ones that hold no other request:
-    /// work on them takes longer, but takes no room from requests that can be done at the usual pace.
+    /// Besides, those that were undisturbed shortly before; if hardly any is, also disturbed ones that
+    /// hold no other request.
     Idle,
     /// All that have room.
     Any,
--- a/crates/gateway/src/load/queue.rs
+++ b/crates/gateway/src/load/queue.rs
@@ -1,10 +1,14 @@
 //! Requests that wait until an upstream has room.
 
 use std::{
+    cmp::Reverse,
     collections::BTreeMap,
     time::{Duration, Instant},
 };
 
+/// Share of its time that a request may wait once its answer can only be late.
+const LATE_WAIT_SHARE: f64 = 0.5;
+
 /// A request that waits.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Waiter {
@@ -21,10 +25,14 @@
 }
 
 impl Waiter {
-    /// Whether an answer can still be in time if the request is sent at `now`.
+    /// Whether it is worth to go on waiting: an answer can come before the deadline, and a late
+    /// request has not spent most of its time already. Its caller does better to come back.
     #[must_use]
     pub fn is_hopeful(&self, now: Instant) -> bool {
-        now + self.work < self.deadline
+        let waited = now.saturating_duration_since(self.since);
+        let whole = self.deadline.saturating_duration_since(self.since);
+        let is_patient = !self.is_late(now) || waited < whole.mul_f64(LATE_WAIT_SHARE);
+        is_patient && now + self.work < self.deadline
     }
 
     /// Whether an answer can't keep its full value any more.
@@ -34,11 +42,12 @@
     }
 }
 
-/// Place in the queue: rank, whether the request is late, order of arrival.
-type Place = (u8, bool, u64);
+/// Place in the queue: rank, whether the request is late, the newest first.
+type Place = (u8, bool, Reverse<u64>);
 
 /// Requests that wait, most urgent first. Within a rank those that can still be answered within
-/// their target go first: in a flood, all would be late otherwise.
+/// their target go first, and the newest of them before the others: in the order of arrival, a queue
+/// that doesn't empty would make every request late.
 #[derive(Debug, Default)]
 pub struct Queue {
     waiters: BTreeMap<Place, Waiter>,
@@ -61,25 +70,25 @@
     /// Requests that go before a new one of `priority`.
     #[must_use]
     pub fn ahead(&self, priority: u8) -> usize {
-        self.waiters.range(..(priority, true, 0)).count()
+        self.waiters.range(..(priority, true, Reverse(u64::MAX))).count()
     }
 
     /// Adds a request; gives the number by which it is removed.
     pub fn push(&mut self, waiter: Waiter) -> u64 {
         self.serial += 1;
-        self.waiters.insert((waiter.priority, false, self.serial), waiter);
+        self.waiters.insert((waiter.priority, false, Reverse(self.serial)), waiter);
         self.serial
     }
 
     /// Removes a request.
     pub fn remove(&mut self, priority: u8, serial: u64) -> Option<Waiter> {
-        let place = |is_late| (priority, is_late, serial);
+        let place = |is_late| (priority, is_late, Reverse(serial));
         self.waiters.remove(&place(false)).or_else(|| self.waiters.remove(&place(true)))
     }
 
     /// The requests in the order in which they are served.
     pub fn iter(&self) -> impl Iterator<Item = (u64, &Waiter)> {
-        self.waiters.iter().map(|((_, _, serial), it)| (*serial, it))
+        self.waiters.iter().map(|((_, _, serial), it)| (serial.0, it))
     }
 
     /// Puts requests that have become late behind the others of their rank; removes and gives those
@@ -99,6 +108,6 @@
                 self.waiters.insert((priority, true, serial), it);
             }
         }
-        hopeless.into_iter().map(|(_, _, serial)| serial).collect()
+        hopeless.into_iter().map(|(_, _, serial)| serial.0).collect()
     }
 }
--- a/crates/gateway/src/load/service.rs
+++ b/crates/gateway/src/load/service.rs
@@ -20,6 +20,8 @@
 
 /// Added to the cost of an upstream that fails often, so that any other with room goes first.
 const FAILING_COST: f64 = 100.0;
+/// An undisturbed upstream in so many is too few to wait for.
+const MOSTLY: usize = 4;
 /// Pace in percent from which a service's reports are known to tell of the pace.
 const PACE_SEEN_PERCENT: u32 = 130;
 /// Factor of the usual time from which upstreams count as slow when they are nearly full.
@@ -42,6 +44,7 @@
     pace: f64,
     has_seen_pace: bool,
     crowd_cost: f64,
+    probe_time: Option<Duration>,
     serial: u64,
 }
 
@@ -58,6 +61,7 @@
             pace: 1.0,
             has_seen_pace: false,
             crowd_cost: 1.0,
+            probe_time: None,
             serial: 0,
         }
     }
@@ -90,6 +94,11 @@
         self.upstreams.values()
     }
 
+    /// All upstreams, to be changed.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Upstream> {
+        self.upstreams.values_mut()
+    }
+
     /// Whether any upstream takes new work.
     #[must_use]
     pub fn is_open(&self) -> bool {
@@ -117,27 +126,44 @@
     }
 
     /// The upstream with room where a request is expected to be done soonest, those in `tried`
-    /// left out. One that fails often is chosen only when no other has room.
+    /// left out. One that fails often is chosen only when no other has room, and one that other
+    /// daemons look after only when none of the own is fit.
     pub fn choose(
         &mut self,
         now: Instant,
         route: &str,
         tried: &[UpstreamId],
         care: Care,
+    ) -> Option<UpstreamId> {
+        let own = self.choose_among(now, route, tried, care, |it| it.is_preferred);
+        own.or_else(|| self.choose_among(now, route, tried, care, |it| !it.is_preferred))
+    }
+
+    fn choose_among(
+        &mut self,
+        now: Instant,
+        route: &str,
+        tried: &[UpstreamId],
+        care: Care,
+        is_member: impl Fn(&Upstream) -> bool,
     ) -> Option<UpstreamId> {
         let work = self.work(route);
         let settings = &self.settings;
         let slows = self.slows_when_full();
+        let mostly_disturbed = care == Care::Idle && self.is_mostly_disturbed(now);
         let is_fit = |it: &Upstream| match care {
             Care::Any => true,
             Care::Idle => {
-                it.standing(now, settings) != Standing::Disturbed
-                    || it.total(now, settings) < 0.5
+                let seems_good = it.pace(now, settings, self.pace, work) < settings.disturbed_pace;
+                seems_good || mostly_disturbed && it.total(now, settings) < 0.5
             }
             Care::Undisturbed => self.is_undisturbed(now, it),
         };
         let usable = |it: &&Upstream| {
-            !tried.contains(&it.registration.id) && it.has_room(now, settings, slows) && is_fit(it)
+            is_member(it)
+                && !tried.contains(&it.registration.id)
+                && it.has_room(now, settings, slows)
+                && is_fit(it)
         };
         let weigh = |it: &Upstream| {
             let last = if it.is_failing(now, settings) { FAILING_COST } else { 0.0 };
@@ -155,11 +181,12 @@
     pub fn unknown(&mut self, now: Instant, tried: &[UpstreamId], count: usize) -> Vec<UpstreamId> {
         let settings = &self.settings;
         let slows = self.slows_when_full();
+        let life = self.report_life();
         let is_unknown = |it: &&Upstream| {
             !tried.contains(&it.registration.id)
                 && it.has_room(now, settings, slows)
                 && !it.is_failing(now, settings)
-                && it.standing(now, settings) == Standing::Unknown
+                && it.standing(now, settings, life) == Standing::Unknown
         };
         let mut res: Vec<_> = self
             .upstreams
@@ -167,11 +194,12 @@
             .filter(is_unknown)
             .map(|it| {
                 let away = it.registration.domain != self.home;
-                (it.total(now, settings) + f64::from(u8::from(away)) / 2.0, &it.registration.id)
+                let total = it.total(now, settings) + f64::from(u8::from(away)) / 2.0;
+                ((!it.is_preferred, total), &it.registration.id)
             })
             .collect();
         self.rng.shuffle(&mut res);
-        res.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+        res.sort_by(|(a, _), (b, _)| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         res.into_iter().take(count).map(|(_, id)| id.clone()).collect()
     }
 
@@ -181,22 +209,47 @@
         self.has_seen_pace
     }
 
+    /// Takes in how long a probe took.
+    pub fn probed(&mut self, took: Duration) {
+        let mean = self.probe_time.unwrap_or(took);
+        self.probe_time = Some(mean.mul_f64(1.0 - SAMPLE_WEIGHT) + took.mul_f64(SAMPLE_WEIGHT));
+    }
+
+    /// Age up to which a report is taken as the present state.
+    #[must_use]
+    pub fn report_life(&self) -> Duration {
+        let Settings { min_report_life: min, max_report_life: max, report_life_probes, .. } =
+            self.settings;
+        self.probe_time.map_or(max, |it| it.mul_f64(report_life_probes).clamp(min, max))
+    }
+
     /// Whether upstreams work more slowly when they are nearly full, as far as that was seen.
     #[must_use]
     pub fn slows_when_full(&self) -> bool {
         self.crowd_cost >= SLOW_CROWD
     }
 
+    /// Whether so few upstreams seem to be undisturbed that requests can't wait for one.
+    fn is_mostly_disturbed(&self, now: Instant) -> bool {
+        let open = || self.upstreams.values().filter(|it| it.is_open());
+        let is_good = |it: &&Upstream| {
+            it.reported_pace().is_none_or(|pace| pace < self.settings.disturbed_pace)
+                || it.report_age(now).is_none_or(|age| age > self.settings.pace_memory)
+        };
+        open().filter(is_good).count() * MOSTLY < open().count()
+    }
+
     /// A service whose reports tell of no pace is taken to be undisturbed.
     fn is_undisturbed(&self, now: Instant, it: &Upstream) -> bool {
-        !self.has_seen_pace || it.standing(now, &self.settings) == Standing::Undisturbed
+        !self.has_seen_pace || it.standing(now, &self.settings, self.report_life()) == Standing::Undisturbed
     }
 
     /// Counts a request that is sent to an upstream now; gives the number that its end is told by.
     pub fn start(&mut self, now: Instant, id: &str) -> u64 {
         self.serial += 1;
+        let life = self.report_life();
         if let Some(it) = self.upstreams.get_mut(id) {
-            it.start(now, &self.settings, self.serial);
+            it.start(now, &self.settings, life, self.serial);
         }
         self.serial
     }
--- a/crates/gateway/src/load/settings.rs
+++ b/crates/gateway/src/load/settings.rs
@@ -11,8 +11,13 @@
     /// Time after which a reported pace says nothing any more; neighbours on the same machine come
     /// and go several times a second.
     pub pace_memory: Duration,
-    /// Age up to which a report is taken as the present state.
-    pub report_life: Duration,
+    /// Shortest age up to which a report is taken as the present state.
+    pub min_report_life: Duration,
+    /// Longest age up to which a report is taken as the present state.
+    pub max_report_life: Duration,
+    /// Age up to which a report is taken as the present state, in times that a probe takes: asking
+    /// anew costs a request so much.
+    pub report_life_probes: f64,
     /// Time after which a peer's count of its requests in flight is dropped.
     pub peer_memory: Duration,
     /// Time over which failures of an upstream are forgotten.
@@ -28,7 +33,9 @@
         Self {
             slot_share: 0.8,
             pace_memory: Duration::from_millis(200),
-            report_life: Duration::from_millis(40),
+            min_report_life: Duration::from_millis(10),
+            max_report_life: Duration::from_millis(40),
+            report_life_probes: 3.0,
             peer_memory: Duration::from_secs(2),
             failure_memory: Duration::from_secs(3),
             domain_cost: 0.15,
--- a/crates/gateway/src/load/upstream.rs
+++ b/crates/gateway/src/load/upstream.rs
@@ -16,6 +16,10 @@
 const FAILURE_COST: f64 = 8.0;
 /// Factor by which an upstream works more slowly just after its start.
 const COLD_COST: f64 = 2.0;
+/// Time after which an upstream that has had no request of this host is tried.
+const TRIAL_TIME: Duration = Duration::from_secs(3);
+/// Factor of the cost of an upstream that is to be tried.
+const TRIAL_COST: f64 = 0.5;
 /// Cost of filled slots below the limit, as a share of a request's work.
 const CROWD_COST: f64 = 0.3;
 
@@ -57,6 +61,10 @@
 pub struct Upstream {
     /// What it says of itself.
     pub registration: Registration,
+    /// Whether this host looks after it and uses it before others.
+    pub is_preferred: bool,
+    joined: Instant,
+    was_used: bool,
     cold_until: Instant,
     flights: Vec<Flight>,
     peers: HashMap<HostKey, (u32, Instant)>,
@@ -72,6 +80,9 @@
         let cold_until = now + registration.cold_for;
         Self {
             registration,
+            is_preferred: true,
+            joined: now,
+            was_used: false,
             cold_until,
             flights: Vec::new(),
             peers: HashMap::new(),
@@ -94,10 +105,11 @@
     }
 
     /// Counts a request that is sent now.
-    pub fn start(&mut self, now: Instant, settings: &Settings, serial: u64) {
+    pub fn start(&mut self, now: Instant, settings: &Settings, life: Duration, serial: u64) {
         let is_crowded = self.total(now, settings) + 0.5 >= self.shared_limit(settings);
-        let is_fresh = self.report_age(now).is_some_and(|it| it <= settings.report_life);
+        let is_fresh = self.report_age(now).is_some_and(|it| it <= life);
         let pace = self.reported_pace().filter(|_| is_fresh);
+        self.was_used = true;
         self.flights.push(Flight { serial, at: now, is_crowded, pace });
     }
 
@@ -182,10 +194,10 @@
         self.is_open() && self.total(now, settings) + 0.5 < self.limit(settings, slows)
     }
 
-    /// How it stands, by its newest report.
+    /// How it stands, by its newest report; one older than `life` doesn't tell.
     #[must_use]
-    pub fn standing(&self, now: Instant, settings: &Settings) -> Standing {
-        let is_fresh = self.report_age(now).is_some_and(|it| it <= settings.report_life);
+    pub fn standing(&self, now: Instant, settings: &Settings, life: Duration) -> Standing {
+        let is_fresh = self.report_age(now).is_some_and(|it| it <= life);
         match self.reported_pace().filter(|_| is_fresh) {
             Some(it) if it < settings.disturbed_pace => Standing::Undisturbed,
             Some(_) => Standing::Disturbed,
@@ -239,7 +251,9 @@
         let cold = if now < self.cold_until { COLD_COST } else { 1.0 };
         let failures = 1.0 + FAILURE_COST * self.failure_mean(now, settings);
         let away = if &*self.registration.domain == home { 0.0 } else { settings.domain_cost };
-        self.pace(now, settings, mean, work) * crowd * cold * failures + away
+        let is_due = !self.was_used && now.saturating_duration_since(self.joined) > TRIAL_TIME;
+        let trial = if is_due { TRIAL_COST } else { 1.0 };
+        self.pace(now, settings, mean, work) * crowd * cold * failures * trial + away
     }
 
     fn failure_mean(&self, now: Instant, settings: &Settings) -> f64 {
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -1,6 +1,6 @@
 //! Datagrams between daemons: heartbeats, loads, and what one of them has read from the store.
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::BTreeMap, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use tokio::net::UdpSocket;
 
@@ -62,6 +62,7 @@
             let events = self.gateway.peers.borrow_mut().tick(now);
             self.note(&events);
             self.gateway.share_budgets(now);
+            self.gateway.place(now);
             let due = self.gateway.peers.borrow_mut().due(now);
             for (address, asks) in due {
                 let beat = self.own_beat(asks);
@@ -80,17 +81,22 @@
         }
     }
 
-    /// Tells peers of loads as they change, until the task is dropped.
+    /// Tells the peers that look after an upstream of its load as it changes, until the task is
+    /// dropped.
     pub async fn tell_loads(self: Rc<Self>) {
         loop {
             self.gateway.loads_changed.notified().await;
             tokio::time::sleep(LOAD_DELAY).await;
-            let loads = self.changed_loads();
-            let peers: Vec<_> =
-                self.gateway.peers.borrow().live_addresses(self.gateway.now()).collect();
-            for part in loads.chunks(LOADS_PER_DATAGRAM) {
-                let packet = Packet::Loads(self.gateway.key, part.to_vec());
-                self.send_all(&peers, &packet);
+            let mut by_peer: BTreeMap<SocketAddr, Vec<Load>> = BTreeMap::new();
+            for (id, load) in self.changed_loads() {
+                for peer in self.gateway.keepers(&id).iter().flat_map(|it| it.iter()) {
+                    by_peer.entry(*peer).or_default().push(load);
+                }
+            }
+            for (peer, loads) in by_peer {
+                for part in loads.chunks(LOADS_PER_DATAGRAM) {
+                    self.send(peer, &Packet::Loads(self.gateway.key, part.to_vec()));
+                }
             }
         }
     }
@@ -102,7 +108,7 @@
         self.send_all(&peers, &Packet::Relay(relay));
     }
 
-    fn changed_loads(&self) -> Vec<Load> {
+    fn changed_loads(&self) -> Vec<(UpstreamId, Load)> {
         let now = self.gateway.now();
         let changed = self.gateway.take_changed();
         let load = |id: &UpstreamId| {
@@ -112,7 +118,8 @@
             let report = upstream.report_to_tell(now, REPORT_LIFE).map(|(report, age)| {
                 (report, u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
             });
-            Some(Load { upstream: upstream_key(id), in_flight: upstream.own(), report })
+            let load = Load { upstream: upstream_key(id), in_flight: upstream.own(), report };
+            Some((id.clone(), load))
         };
         changed.iter().filter_map(load).collect()
     }
@@ -208,6 +215,9 @@
     }
 
     fn note(&self, events: &[Event]) {
+        if !events.is_empty() {
+            self.gateway.unplace();
+        }
         for it in events {
             match it {
                 Event::Joined(host) => log::info!(target: "belief", "event=peer-joined host={host}"),
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -5,6 +5,7 @@
 
 mod packet;
 mod phase;
+pub mod placement;
 mod table;
 
 pub use packet::{Beat, Load, Packet, Relay};
--- /dev/null
+++ b/crates/gateway/src/peer/placement.rs
@@ -0,0 +1,62 @@
+//! Which daemons look after which upstreams.
+//!
+//! In a large fleet each daemon uses a part of the upstreams as long as these have room, and only the
+//! daemons that share an upstream tell each other of its load. Connections, reports and datagrams
+//! then don't grow with the product of daemons and upstreams. Every daemon works out the same
+//! placement from the same members, without a word exchanged.
+
+use std::net::SocketAddr;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::registry::Domain;
+
+/// Daemons up to which every one looks after every upstream.
+const SMALL_FLEET: usize = 8;
+/// Upstreams of a service that a daemon looks after on average, at least: enough to find one that is
+/// undisturbed and has room.
+const MIN_UPSTREAMS: usize = 8;
+/// Daemons that look after an upstream, at least: it gets work also when some of them end.
+const MIN_KEEPERS: usize = 3;
+
+/// A daemon that may look after upstreams.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Daemon {
+    /// Address of its datagrams.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: Domain,
+}
+
+/// Number of daemons, out of `daemons`, that look after each of a service's `upstreams`.
+#[must_use]
+pub fn keeper_count(daemons: usize, upstreams: usize) -> usize {
+    if daemons <= SMALL_FLEET {
+        return daemons;
+    }
+    let wanted = (MIN_UPSTREAMS * daemons).div_ceil(upstreams.max(1));
+    wanted.max(MIN_KEEPERS).min(daemons)
+}
+
+/// The `count` daemons that look after an upstream, those in its failure domain first.
+#[must_use]
+pub fn keepers(id: &str, domain: &str, daemons: &[Daemon], count: usize) -> Vec<SocketAddr> {
+    let seed = xxh3_64(id.as_bytes());
+    let order = |it: &Daemon| {
+        let hash = xxh3_64(&[hash_of(it.address).to_le_bytes(), seed.to_le_bytes()].concat());
+        (&*it.domain != domain, hash, it.address)
+    };
+    let mut res: Vec<_> = daemons.iter().map(order).collect();
+    if count < res.len() {
+        res.select_nth_unstable(count);
+        res.truncate(count);
+    }
+    res.into_iter().map(|(_, _, address)| address).collect()
+}
+
+fn hash_of(address: SocketAddr) -> u64 {
+    match address {
+        SocketAddr::V4(it) => xxh3_64(&it.ip().octets()),
+        SocketAddr::V6(it) => xxh3_64(&it.ip().octets()),
+    }
+}
--- a/crates/gateway/src/peer/table.rs
+++ b/crates/gateway/src/peer/table.rs
@@ -9,8 +9,8 @@
 use super::{Beat, Phase};
 use crate::load::HostKey;
 
-/// Silence after which a peer is taken to serve no more.
-const LIVE_TIME: Duration = Duration::from_millis(1_300);
+/// Beats without which a peer is taken to serve no more.
+const LIVE_BEATS: f64 = 4.3;
 /// Silence after which nothing more is sent to a peer. Longer than cuts usually last, so that
 /// daemons find each other again by themselves.
 const KEEP_TIME: Duration = Duration::from_secs(60);
@@ -21,8 +21,9 @@
 /// Peers up to which beats go out at the shortest interval; beyond, it grows with their number, so
 /// that the beats of one daemon take the same processor time in any fleet.
 const SMALL_FLEET: u32 = 12;
-/// Longest interval of beats; a peer must hear several within [`LIVE_TIME`].
-const MAX_BEAT_INTERVAL: Duration = Duration::from_millis(600);
+/// Longest interval of beats: callers must not be told of a dead peer for much longer than they keep
+/// what they are told.
+const MAX_BEAT_INTERVAL: Duration = Duration::from_millis(800);
 /// Addresses of other peers told in each beat.
 const GOSSIP: usize = 3;
 
@@ -121,9 +122,11 @@
     /// Peers that have fallen silent since the last call.
     pub fn tick(&mut self, now: Instant) -> Vec<Event> {
         let mut res = Vec::new();
-        for (address, it) in &self.peers {
-            if !is_live(it, now) && self.lost.insert(*address) {
-                res.push(Event::Lost(it.beat.host.clone(), it.beat.key));
+        let silent = self.peers.iter().filter(|(_, it)| !self.is_live(it, now));
+        let silent: Vec<_> = silent.map(|(at, it)| (*at, it.beat.host.clone(), it.beat.key)).collect();
+        for (address, host, key) in silent {
+            if self.lost.insert(address) {
+                res.push(Event::Lost(host, key));
             }
         }
         let peers = &self.peers;
@@ -139,11 +142,12 @@
     /// Addresses to which a beat is due; each given counts as sent, and whether it asks for a beat
     /// in return.
     pub fn due(&mut self, now: Instant) -> Vec<(SocketAddr, bool)> {
-        let live = self.live(now);
+        let live: BTreeSet<_> = self.live_addresses(now).collect();
+        let usual = beat_interval(self.peers.len());
         let mut res = Vec::new();
         for (address, contact) in &mut self.contacts {
-            let is_live = self.peers.get(address).is_some_and(|it| is_live(it, now));
-            let interval = if is_live { beat_interval(live) } else { SILENT_INTERVAL };
+            let is_live = live.contains(address);
+            let interval = if is_live { usual } else { SILENT_INTERVAL };
             if contact.sent.is_none_or(|it| now.duration_since(it) >= interval) {
                 contact.sent = Some(now);
                 res.push((*address, !is_live));
@@ -154,12 +158,18 @@
 
     /// Addresses of every peer that is alive.
     pub fn live_addresses(&self, now: Instant) -> impl Iterator<Item = SocketAddr> {
-        self.peers.iter().filter(move |(_, it)| is_live(it, now)).map(|(address, _)| *address)
+        self.peers.iter().filter(move |(_, it)| self.is_live(it, now)).map(|(address, _)| *address)
     }
 
     /// Peers that are alive, with their addresses.
     pub fn live_peers(&self, now: Instant) -> impl Iterator<Item = (SocketAddr, &Peer)> {
-        self.peers.iter().filter(move |(_, it)| is_live(it, now)).map(|(at, it)| (*at, it))
+        self.peers.iter().filter(move |(_, it)| self.is_live(it, now)).map(|(at, it)| (*at, it))
+    }
+
+    /// Whether a peer was heard lately. Peers send as often as this daemon does: they know as many.
+    fn is_live(&self, it: &Peer, now: Instant) -> bool {
+        let limit = beat_interval(self.peers.len()).mul_f64(LIVE_BEATS);
+        now.saturating_duration_since(it.heard) < limit
     }
 
     /// Number of peers that are alive.
@@ -194,10 +204,8 @@
     }
 }
 
-fn is_live(it: &Peer, now: Instant) -> bool {
-    now.saturating_duration_since(it.heard) < LIVE_TIME
-}
-
-fn beat_interval(live: u32) -> Duration {
-    (BEAT_INTERVAL * live.max(SMALL_FLEET) / SMALL_FLEET).min(MAX_BEAT_INTERVAL)
+fn beat_interval(known: usize) -> Duration {
+    let known = u32::try_from(known).unwrap_or(u32::MAX);
+    let interval = BEAT_INTERVAL.saturating_mul(known.max(SMALL_FLEET)) / SMALL_FLEET;
+    interval.min(MAX_BEAT_INTERVAL)
 }
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -131,12 +131,16 @@
 /// Asks one upstream for its load.
 async fn probe(gateway: Rc<Gateway>, desk: Rc<Desk>, upstream: Registration, path: String) {
     gateway.metrics.probes.inc();
+    let started = gateway.now();
     let probing = tokio::time::timeout(TIMEOUT, exchange(&gateway, &upstream, &path));
     let Ok(Some(answer)) = probing.await else { return };
     let load = answer.head.get(gateway.dialect.names.load);
     let Some(report) = load.and_then(|it| (gateway.dialect.parse_load)(it)) else { return };
     let now = gateway.now();
-    desk.service.borrow_mut().report(now, &upstream.id, report);
+    let mut service = desk.service.borrow_mut();
+    service.probed(now.saturating_duration_since(started));
+    service.report(now, &upstream.id, report);
+    drop(service);
     gateway.mark_changed(&upstream.id);
     desk.pump(now);
 }
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -28,8 +28,12 @@
 const USABLE_LINK: Duration = Duration::from_secs(8);
 /// Longest time to open a connection to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Share of the target latency after which an idempotent request is sent to a second upstream.
-const HEDGE_SHARE: f64 = 0.45;
+/// Factor of the mean work that most requests stay within.
+const HEDGE_MARGIN: f64 = 1.2;
+/// Factor of the mean work within which a fair part of the requests is done.
+const HEDGE_CHANCE: f64 = 0.9;
+/// Multiple of the mean work after which an upstream seems to have stalled.
+const STALLED_WORKS: u32 = 3;
 /// Connections that can't be opened, after which a request is given up.
 const MAX_UNREACHABLE: u32 = 4;
 /// Advice to a caller whose request was not run by any upstream that was tried.
@@ -160,10 +164,21 @@
         desk.wait(self.now(), &self.demand()).await.map_err(Refusal::from)
     }
 
+    /// When a second upstream is asked: as late as it can still answer within the target, since
+    /// until then the first one most often has.
     fn hedge_at(&self) -> Option<Instant> {
-        let route = self.job.route;
-        let may_hedge = route.kind.is_idempotent() && route.attempt_limit > self.sent.max(1);
-        may_hedge.then(|| self.now() + route.target_latency.mul_f64(HEDGE_SHARE))
+        let Job { desk, route, received, .. } = *self.job;
+        if !route.kind.is_idempotent() || route.attempt_limit <= self.sent.max(1) {
+            return None;
+        }
+        let now = self.now();
+        let target = received + route.target_latency;
+        let work = desk.service.borrow().work(&route.id);
+        let earliest = now + work.mul_f64(HEDGE_MARGIN);
+        let latest = target.checked_sub(work.mul_f64(HEDGE_MARGIN));
+        let ideal = latest.map_or(earliest, |it| it.max(earliest));
+        let is_useful = ideal + work.mul_f64(HEDGE_CHANCE) <= target;
+        Some(if is_useful { ideal } else { now + work * STALLED_WORKS })
     }
 
     /// A second upstream, if the budget and the load allow it.
