--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -62,6 +62,10 @@
     pub journal: RefCell<Journal>,
     /// Bytes of bodies that are held.
     pub body_bytes: Cell<usize>,
+    /// How busy the daemon is.
+    pub activity: RefCell<peer::Activity>,
+    /// Requests taken since the start.
+    pub taken: Cell<u64>,
     /// Requests in work.
     pub in_work: Cell<usize>,
     /// Woken when peers are to be told of loads.
@@ -100,6 +104,8 @@
             metrics: Metrics::default(),
             journal: RefCell::new(Journal::new(now)),
             body_bytes: Cell::new(0),
+            activity: RefCell::new(peer::Activity::new(now)),
+            taken: Cell::new(0),
             in_work: Cell::new(0),
             loads_changed: Notify::new(),
             registry_wanted: Notify::new(),
@@ -217,6 +223,20 @@
         std::mem::take(&mut *self.dirty.borrow_mut())
     }
 
+    /// What the host can do, and how much of it is in use.
+    #[must_use]
+    pub fn capacity(&self) -> peer::Capacity {
+        let settings = self.settings();
+        // Figures for people and for comparison; the precision of the smaller type is enough.
+        #[expect(clippy::cast_possible_truncation)]
+        let res = peer::Capacity {
+            link_mbps: settings.link_mbps as f32,
+            cpu_cores: settings.cpu_cores as f32,
+            used_cores: self.activity.borrow().used_cores() as f32,
+        };
+        res
+    }
+
     /// Notes that daemons or upstreams have come or gone.
     pub fn unplace(&self) {
         self.is_placed.set(false);
@@ -229,10 +249,14 @@
         }
         let settings = self.settings();
         let own = settings.peer_address;
-        let mut daemons = vec![Daemon { address: own, domain: settings.domain.clone() }];
         let peers = self.peers.borrow();
-        let staying = peers.live_peers(now).filter(|(_, it)| it.beat.phase != Phase::Leaving);
-        daemons.extend(staying.map(|(address, it)| Daemon { address, domain: it.beat.domain.clone() }));
+        let active = peers.live_peers(now).filter(|(_, it)| it.beat.is_active);
+        let mut daemons: Vec<_> = active
+            .map(|(address, it)| Daemon { address, domain: it.beat.domain.clone() })
+            .collect();
+        if self.activity.borrow().is_active() || daemons.is_empty() {
+            daemons.push(Daemon { address: own, domain: settings.domain.clone() });
+        }
         let mut keepers = self.keepers.borrow_mut();
         keepers.clear();
         for desk in self.desks.borrow().values() {
--- a/crates/gateway/src/load/service.rs
+++ b/crates/gateway/src/load/service.rs
@@ -22,6 +22,10 @@
 const FAILING_COST: f64 = 100.0;
 /// An undisturbed upstream in so many is too few to wait for.
 const MOSTLY: usize = 4;
+/// Reports of the usual pace in a row after which a service is taken never to tell of another.
+const USUAL_REPORTS: u32 = 500;
+/// Answers without a report in a row after which a service is taken to report nothing.
+const MISSING_REPORTS: u32 = 8;
 /// Pace in percent from which a service's reports are known to tell of the pace.
 const PACE_SEEN_PERCENT: u32 = 130;
 /// Factor of the usual time from which upstreams count as slow when they are nearly full.
@@ -42,7 +46,8 @@
     upstreams: BTreeMap<UpstreamId, Upstream>,
     works: HashMap<RouteId, f64>,
     pace: f64,
-    has_seen_pace: bool,
+    usual_reports: u32,
+    answers_without_report: u32,
     crowd_cost: f64,
     probe_time: Option<Duration>,
     serial: u64,
@@ -59,7 +64,8 @@
             upstreams: BTreeMap::new(),
             works: HashMap::new(),
             pace: 1.0,
-            has_seen_pace: false,
+            usual_reports: 0,
+            answers_without_report: 0,
             crowd_cost: 1.0,
             probe_time: None,
             serial: 0,
@@ -203,10 +209,15 @@
         res.into_iter().take(count).map(|(_, id)| id.clone()).collect()
     }
 
-    /// Whether the upstreams' reports ever tell of a pace other than the usual.
+    /// Takes in that an answer came without a report.
+    pub fn not_reported(&mut self) {
+        self.answers_without_report = self.answers_without_report.saturating_add(1);
+    }
+
+    /// Whether reports may tell of a pace other than the usual, as far as that was seen.
     #[must_use]
     pub fn reports_pace(&self) -> bool {
-        self.has_seen_pace
+        self.usual_reports < USUAL_REPORTS && self.answers_without_report < MISSING_REPORTS
     }
 
     /// Takes in how long a probe took.
@@ -241,7 +252,7 @@
 
     /// A service whose reports tell of no pace is taken to be undisturbed.
     fn is_undisturbed(&self, now: Instant, it: &Upstream) -> bool {
-        !self.has_seen_pace || it.standing(now, &self.settings, self.report_life()) == Standing::Undisturbed
+        !self.reports_pace() || it.standing(now, &self.settings, self.report_life()) == Standing::Undisturbed
     }
 
     /// Counts a request that is sent to an upstream now; gives the number that its end is told by.
@@ -298,7 +309,9 @@
         let Some(it) = self.upstreams.get_mut(id) else { return };
         it.report(at, report, is_own);
         let pace = f64::from(report.pace_percent) / 100.0;
-        self.has_seen_pace |= report.pace_percent > PACE_SEEN_PERCENT;
+        let is_usual = report.pace_percent <= PACE_SEEN_PERCENT;
+        self.usual_reports = if is_usual { self.usual_reports.saturating_add(1) } else { 0 };
+        self.answers_without_report = 0;
         self.pace += (pace - self.pace) * SAMPLE_WEIGHT;
     }
 
--- a/crates/gateway/src/load/settings.rs
+++ b/crates/gateway/src/load/settings.rs
@@ -33,9 +33,9 @@
         Self {
             slot_share: 0.8,
             pace_memory: Duration::from_millis(200),
-            min_report_life: Duration::from_millis(10),
+            min_report_life: Duration::from_millis(8),
             max_report_life: Duration::from_millis(40),
-            report_life_probes: 3.0,
+            report_life_probes: 2.0,
             peer_memory: Duration::from_secs(2),
             failure_memory: Duration::from_secs(3),
             domain_cost: 0.15,
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -59,6 +59,11 @@
     pub async fn beat(self: Rc<Self>) {
         loop {
             let now = self.gateway.now();
+            let cpu = process_time();
+            if self.gateway.activity.borrow_mut().note(now, cpu, self.gateway.taken.get()) {
+                self.gateway.unplace();
+                self.announce();
+            }
             let events = self.gateway.peers.borrow_mut().tick(now);
             self.note(&events);
             self.gateway.share_budgets(now);
@@ -134,6 +139,8 @@
             domain: settings.domain.clone(),
             caller_address: settings.caller_address,
             phase: gateway.phase.get(),
+            capacity: gateway.capacity(),
+            is_active: gateway.activity.borrow().is_active(),
             config: gateway.version(),
             registry_end: registry.end(),
             registry_digest: registry.digest(),
@@ -220,6 +227,7 @@
         }
         for it in events {
             match it {
+                Event::Activity => {}
                 Event::Joined(host) => log::info!(target: "belief", "event=peer-joined host={host}"),
                 Event::Leaving(host) => {
                     log::info!(target: "belief", "event=peer-leaving host={host}");
@@ -261,3 +269,9 @@
         }
     }
 }
+
+/// Processor time that this process has used.
+fn process_time() -> Duration {
+    let it = rustix::time::clock_gettime(rustix::time::ClockId::ProcessCPUTime);
+    Duration::try_from(it).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/gateway/src/peer/activity.rs
@@ -0,0 +1,65 @@
+//! How busy this daemon is.
+
+use std::time::{Duration, Instant};
+
+/// Time over which the use is taken.
+const PERIOD: Duration = Duration::from_secs(1);
+/// Requests a second from which a daemon counts as one that callers use. Single requests that only
+/// check a daemon stay below.
+const ACTIVE_RATE: f64 = 5.0;
+/// Quiet periods after which it no longer counts as such.
+const QUIET_PERIODS: u32 = 4;
+
+/// How busy this daemon is.
+#[derive(Debug)]
+pub struct Activity {
+    since: Instant,
+    cpu: Duration,
+    requests: u64,
+    quiet: u32,
+    used_cores: f64,
+    is_active: bool,
+}
+
+impl Activity {
+    /// A daemon that has done nothing yet.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            since: now,
+            cpu: Duration::ZERO,
+            requests: 0,
+            quiet: 0,
+            used_cores: 0.0,
+            is_active: false,
+        }
+    }
+
+    /// Takes in the processor time used and the requests taken since the start; true if the daemon
+    /// has become active or quiet.
+    pub fn note(&mut self, now: Instant, cpu: Duration, requests: u64) -> bool {
+        let elapsed = now.saturating_duration_since(self.since);
+        if elapsed < PERIOD {
+            return false;
+        }
+        self.used_cores = cpu.saturating_sub(self.cpu).as_secs_f64() / elapsed.as_secs_f64();
+        let rate = requests.saturating_sub(self.requests) as f64 / elapsed.as_secs_f64();
+        (self.since, self.cpu, self.requests) = (now, cpu, requests);
+        self.quiet = if rate < ACTIVE_RATE { self.quiet + 1 } else { 0 };
+        let was_active = self.is_active;
+        self.is_active = self.quiet == 0 || self.is_active && self.quiet < QUIET_PERIODS;
+        self.is_active != was_active
+    }
+
+    /// Processor in use, in cores.
+    #[must_use]
+    pub fn used_cores(&self) -> f64 {
+        self.used_cores
+    }
+
+    /// Whether callers send more than single requests.
+    #[must_use]
+    pub fn is_active(&self) -> bool {
+        self.is_active
+    }
+}
--- a/crates/gateway/src/peer/packet.rs
+++ b/crates/gateway/src/peer/packet.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::Phase;
+use super::{Capacity, Phase};
 use crate::{
     config::Version,
     load::{HostKey, Report},
@@ -11,7 +11,7 @@
 };
 
 /// One datagram.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
 pub enum Packet {
     /// A sign of life.
     Beat(Beat),
@@ -22,7 +22,7 @@
 }
 
 /// A sign of life, with what the sender knows.
-#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Beat {
     /// Key of the sender's incarnation.
     pub key: HostKey,
@@ -34,6 +34,10 @@
     pub caller_address: SocketAddr,
     /// Whether the sender serves callers.
     pub phase: Phase,
+    /// What the sender's host can do, and how much of it is in use.
+    pub capacity: Capacity,
+    /// Whether callers send it more than single requests.
+    pub is_active: bool,
     /// Version of the sender's configuration; 0 if it has none.
     pub config: Version,
     /// Offset up to which the sender knows the registry.
--- a/crates/gateway/src/peer/table.rs
+++ b/crates/gateway/src/peer/table.rs
@@ -45,6 +45,8 @@
     Lost(String, HostKey),
     /// A peer has begun to leave.
     Leaving(String),
+    /// Callers have begun to use a peer, or no longer do.
+    Activity,
 }
 
 #[derive(Clone, Debug)]
@@ -106,6 +108,7 @@
             Some(old) if old.beat.phase != Phase::Leaving && beat.phase == Phase::Leaving => {
                 res.push(Event::Leaving(host));
             }
+            Some(old) if old.beat.is_active != beat.is_active => res.push(Event::Activity),
             Some(_) if was_lost => res.push(Event::Joined(host)),
             Some(_) => {}
         }
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -76,6 +76,9 @@
 struct Course<'a, 'b> {
     job: &'b Job<'a>,
     tried: Vec<UpstreamId>,
+    /// Attempts with the time of their start.
+    going: Vec<(UpstreamId, Instant)>,
+    ended: Vec<UpstreamId>,
     sent: u32,
     unreachable: u32,
     may_have_run: bool,
@@ -91,6 +94,8 @@
     let mut course = Course {
         job,
         tried: Vec::new(),
+        going: Vec::new(),
+        ended: Vec::new(),
         sent: 0,
         unreachable: 0,
         may_have_run: false,
@@ -112,7 +117,7 @@
             biased;
             Some(it) = running.next() => it,
             () = tokio::time::sleep_until(job.deadline.into()) => {
-                trail.attempts.extend(course.unfinished(running.len()));
+                trail.attempts.extend(course.unfinished(running.len(), "unanswered"));
                 return course.time_out(running.len());
             }
             () = hedge => {
@@ -123,10 +128,14 @@
                 continue;
             }
         };
+        course.ended.push(landed.record.upstream.clone());
         trail.attempts.push(landed.record);
         if let Some(res) = course.land(landed.end, running.len()).await {
             match res {
-                Ok(Step::Done(it)) => return Ok(it),
+                Ok(Step::Done(it)) => {
+                    trail.attempts.extend(course.unfinished(running.len(), "cancelled"));
+                    return Ok(it);
+                }
                 Ok(Step::Again(flight)) => running.push(course.send(flight, "retry")),
                 Err(it) => return Err(it),
             }
@@ -196,6 +205,7 @@
     /// Starts an attempt.
     fn send(&mut self, flight: Flight, cause: &'static str) -> LocalBoxFuture<'a, Landed> {
         self.tried.push(flight.upstream().id.clone());
+        self.going.push((flight.upstream().id.clone(), flight.started()));
         self.sent += 1;
         let Job { gateway, desk, route, message, deadline, .. } = *self.job;
         gateway.metrics.attempt(&desk.id, cause);
@@ -267,16 +277,18 @@
         }
     }
 
-    fn unfinished(&self, count: usize) -> Vec<Attempt> {
-        let took = self.job.deadline.saturating_duration_since(self.now());
-        let record = |id: &UpstreamId| Attempt {
+    /// Records of the attempts that go on when the request ends.
+    fn unfinished(&self, count: usize, result: &str) -> Vec<Attempt> {
+        let now = self.now();
+        let record = |(id, sent): &(UpstreamId, Instant)| Attempt {
             upstream: id.clone(),
             report_age: None,
             pace: None,
-            result: "unanswered".to_owned(),
-            took,
+            result: result.to_owned(),
+            took: now.saturating_duration_since(*sent),
         };
-        self.tried.iter().rev().take(count).map(record).collect()
+        let going = self.going.iter().filter(|(id, _)| !self.ended.contains(id));
+        going.take(count).map(record).collect()
     }
 }
 
@@ -361,8 +373,11 @@
 
     fn report(&self, id: &UpstreamId, answer: &Message) {
         let load = answer.head.get(self.gateway.dialect.names.load);
-        let Some(report) = load.and_then(|it| (self.gateway.dialect.parse_load)(it)) else { return };
-        self.desk.service.borrow_mut().report(self.gateway.now(), id, report);
+        let mut service = self.desk.service.borrow_mut();
+        match load.and_then(|it| (self.gateway.dialect.parse_load)(it)) {
+            Some(it) => service.report(self.gateway.now(), id, it),
+            None => service.not_reported(),
+        }
     }
 
     fn classify(&self, answer: Message) -> End {
--- a/crates/gateway/src/request/work.rs
+++ b/crates/gateway/src/request/work.rs
@@ -17,6 +17,7 @@
     #[must_use]
     pub fn new(gateway: &Rc<Gateway>, trail: Trail) -> Self {
         gateway.in_work.set(gateway.in_work.get() + 1);
+        gateway.taken.set(gateway.taken.get() + 1);
         Self { gateway: Rc::clone(gateway), trail, has_ended: false }
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -41,6 +41,10 @@
     pub store_address: SocketAddr,
     /// Memory of the host.
     pub memory_bytes: u64,
+    /// Bandwidth of the host's link, in Mbit/s.
+    pub link_mbps: f64,
+    /// Processor that the daemon may use, in cores.
+    pub cpu_cores: f64,
     /// File descriptors that sockets may use.
     pub descriptor_limit: usize,
     /// Time within which a new configuration must be in force.
@@ -80,6 +84,8 @@
             seeds: Vec::new(),
             store_address: any,
             memory_bytes: 512 << 20,
+            link_mbps: 1_000.0,
+            cpu_cores: 1.0,
             descriptor_limit: 8_000,
             config_apply: Duration::from_secs(2),
             drain: Duration::from_secs(2),
@@ -203,6 +209,12 @@
         if let Some(it) = keys.number("descriptor_limit", 64..=10_000_000, "descriptors") {
             self.descriptor_limit = it;
         }
+        if let Some(it) = keys.number("link_mbps", 0.1..=1e7, "Mbit/s") {
+            self.link_mbps = it;
+        }
+        if let Some(it) = keys.number("cpu_cores", 0.01..=1e4, "cores") {
+            self.cpu_cores = it;
+        }
         if let Some(it) = keys.number("retry_ratio", 0.0..=1.0, "of the requests") {
             self.retry_ratio = it;
         }
