--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -32,7 +32,7 @@
 
 /// Requests of one connection that are in work at the same time.
 const MAX_PIPELINED: usize = 32;
-/// Bytes read ahead of the requests in work.
+/// Bytes that wait in the buffer at most; those of a body are taken out of it as they come.
 const READ_AHEAD_BYTES: usize = 256 << 10;
 /// Longest time to send an answer to a caller that doesn't read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -93,7 +93,7 @@
             let limits = self.gateway.limits();
             self.accept(&limits);
             let wake = self.wake_at(&limits);
-            let may_read = !self.is_broken && self.buffer.len() < self.read_limit();
+            let may_read = !self.is_broken && self.buffer.len() < READ_AHEAD_BYTES;
             tokio::select! {
                 biased;
                 Some(reply) = self.pending.next(), if !self.pending.is_empty() => {
@@ -173,11 +173,6 @@
         self.reader.partial().is_none()
     }
 
-    /// Bytes that may wait in the buffer; those of a body are taken out of it as they come.
-    fn read_limit(&self) -> usize {
-        READ_AHEAD_BYTES
-    }
-
     fn wake_at(&self, limits: &Limits) -> Instant {
         if !self.pending.is_empty() {
             return self.gateway.now() + limits.idle_timeout;
--- a/crates/gateway/src/decision/journal.rs
+++ b/crates/gateway/src/decision/journal.rs
@@ -26,9 +26,10 @@
         if now.saturating_duration_since(self.since) >= PERIOD {
             (self.since, self.successes, self.failures) = (now, 0, 0);
         }
-        let (count, limit) = match is_success {
-            true => (&mut self.successes, limits.0),
-            false => (&mut self.failures, limits.1),
+        let (count, limit) = if is_success {
+            (&mut self.successes, limits.0)
+        } else {
+            (&mut self.failures, limits.1)
         };
         if *count >= limit {
             self.omitted += 1;
--- a/crates/gateway/src/decision/trail.rs
+++ b/crates/gateway/src/decision/trail.rs
@@ -90,7 +90,13 @@
 
 impl fmt::Display for Attempt {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(out, "(upstream={} result={} took_ms={}", self.upstream, self.result, self.took.as_millis())?;
+        write!(
+            out,
+            "(upstream={} result={} took_ms={}",
+            self.upstream,
+            self.result,
+            self.took.as_millis()
+        )?;
         if let (Some(age), Some(pace)) = (self.report_age, self.pace) {
             write!(out, " pace={pace:.2} report_age_ms={}", age.as_millis())?;
         }
--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -20,7 +20,7 @@
 use ticket::Ticket;
 
 use crate::{
-    config::{Route, ServiceId},
+    config::{Route, RouteId, ServiceId},
     load::{Budget, Care, Queue, Service, Waiter},
     registry::UpstreamId,
 };
@@ -56,6 +56,13 @@
     pub deadline: Instant,
 }
 
+/// What a request that waits is told by, and what it asks for.
+struct Waiting {
+    reply: oneshot::Sender<Result<Flight>>,
+    route: RouteId,
+    tried: Vec<UpstreamId>,
+}
+
 /// One service on this host.
 pub struct Desk {
     /// Name of the service.
@@ -65,8 +72,7 @@
     /// Budget for attempts beyond the first.
     pub budget: RefCell<Budget>,
     queue: RefCell<Queue>,
-    waiting: RefCell<HashMap<u64, oneshot::Sender<Result<Flight>>>>,
-    wanted: RefCell<HashMap<u64, (Rc<Route>, Vec<UpstreamId>)>>,
+    waiting: RefCell<HashMap<u64, Waiting>>,
     daemons: Cell<u32>,
     clock: Arc<dyn Clock>,
     changed: Rc<dyn Fn(&UpstreamId)>,
@@ -88,7 +94,6 @@
             budget: RefCell::new(budget),
             queue: RefCell::default(),
             waiting: RefCell::default(),
-            wanted: RefCell::default(),
             daemons: Cell::new(1),
             clock,
             changed,
@@ -140,10 +145,9 @@
         let target = demand.received + demand.route.target_latency;
         let waiter = Waiter { priority, since: now, target, deadline: demand.deadline, work };
         let serial = self.queue.borrow_mut().push(waiter);
-        let (sender, receiver) = oneshot::channel();
-        self.waiting.borrow_mut().insert(serial, sender);
-        let wanted = (Rc::new(demand.route.clone()), demand.tried.to_vec());
-        self.wanted.borrow_mut().insert(serial, wanted);
+        let (reply, receiver) = oneshot::channel();
+        let (route, tried) = (demand.route.id.clone(), demand.tried.to_vec());
+        self.waiting.borrow_mut().insert(serial, Waiting { reply, route, tried });
         let _ticket = Ticket { desk: self, priority, serial };
         self.pump(now);
         receiver.await.unwrap_or_else(|_closed| Err(Refusal::overload(advice(wait))))
@@ -177,9 +181,10 @@
             queue.iter().take(MAX_HEADS).map(head).collect()
         };
         for (priority, serial, care) in heads {
-            let wanted = self.wanted.borrow().get(&serial).cloned();
+            let wanted =
+                self.waiting.borrow().get(&serial).map(|it| (it.route.clone(), it.tried.clone()));
             let Some((route, tried)) = wanted else { continue };
-            if let Some(it) = self.depart(now, &route.id, &tried, care) {
+            if let Some(it) = self.depart(now, &route, &tried, care) {
                 return Some((priority, serial, it));
             }
         }
@@ -215,11 +220,10 @@
     }
 
     fn reply(&self, serial: u64, res: Result<Flight>) {
-        self.wanted.borrow_mut().remove(&serial);
-        let sender = self.waiting.borrow_mut().remove(&serial);
-        if let Some(it) = sender {
+        let waiting = self.waiting.borrow_mut().remove(&serial);
+        if let Some(it) = waiting {
             // The caller may have gone; a flight that comes back gives its place free.
-            drop(it.send(res));
+            drop(it.reply.send(res));
         }
     }
 }
--- a/crates/gateway/src/desk/ticket.rs
+++ b/crates/gateway/src/desk/ticket.rs
@@ -12,7 +12,6 @@
 impl Drop for Ticket<'_> {
     fn drop(&mut self) {
         self.desk.queue.borrow_mut().remove(self.priority, self.serial);
-        self.desk.wanted.borrow_mut().remove(&self.serial);
         self.desk.waiting.borrow_mut().remove(&self.serial);
     }
 }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -95,5 +95,9 @@
 /// Value of a parameter in the query of a target.
 fn parameter<'a>(target: &'a [u8], name: &str) -> Option<&'a str> {
     let (_, query) = std::str::from_utf8(target).ok()?.split_once('?')?;
-    query.split('&').filter_map(|it| it.split_once('=')).find(|(key, _)| *key == name).map(|it| it.1)
+    query
+        .split('&')
+        .filter_map(|it| it.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|it| it.1)
 }
--- a/crates/gateway/src/follow/configuration.rs
+++ b/crates/gateway/src/follow/configuration.rs
@@ -112,17 +112,19 @@
 
     fn take_record(&self, record: &crate::platform::Record, source: &str) {
         let Some(value) = &record.value else { return };
-        match self.platform.config(&record.key, value) {
-            None => {}
-            Some(Ok(config)) => {
-                if self.gateway.set_config(config, source) {
-                    self.shared.set_config(&record.key, value);
-                }
+        let Some(res) = self.platform.config(&record.key, value) else { return };
+        let config = match res {
+            Ok(it) => it,
+            Err(findings) => {
+                log::error!(
+                    target: "belief",
+                    "event=config-rejected source={source} findings=\"{}\"", findings.join("; ")
+                );
+                return;
             }
-            Some(Err(findings)) => log::error!(
-                target: "belief",
-                "event=config-rejected source={source} findings=\"{}\"", findings.join("; ")
-            ),
+        };
+        if self.gateway.set_config(config, source) {
+            self.shared.set_config(&record.key, value);
         }
     }
 
--- a/crates/gateway/src/follow/upstreams.rs
+++ b/crates/gateway/src/follow/upstreams.rs
@@ -41,12 +41,7 @@
 impl<P: Platform> Follower<P> {
     /// A follower that has read nothing yet.
     #[must_use]
-    pub fn new(
-        gateway: Rc<Gateway>,
-        platform: Rc<P>,
-        mesh: Rc<Mesh>,
-        shared: rpc::Shared,
-    ) -> Self {
+    pub fn new(gateway: Rc<Gateway>, platform: Rc<P>, mesh: Rc<Mesh>, shared: rpc::Shared) -> Self {
         let next = gateway.now();
         Self { gateway, platform, mesh, shared, contact: Contact::default(), next }
     }
@@ -88,7 +83,7 @@
             Ok(batch) => {
                 gateway.registry.borrow_mut().store_answered(now);
                 let to = batch.end;
-                let changes = if from == 0 { self.replace(batch) } else { self.take(batch) };
+                let changes = if from == 0 { self.replace(&batch) } else { self.take(&batch) };
                 gateway.set_registry_known();
                 if from > 0 {
                     self.mesh.relay(Relay { from, to, changes });
@@ -111,7 +106,7 @@
     }
 
     /// Takes in the newest record of each upstream.
-    fn replace(&self, batch: Batch) -> Vec<Change> {
+    fn replace(&self, batch: &Batch) -> Vec<Change> {
         let decode = |it: &Record| match self.decode(it) {
             Some(Change::Put(it)) => Some(it),
             _ => None,
@@ -119,12 +114,14 @@
         let registrations = batch.records.iter().filter_map(decode).collect();
         let now = self.gateway.now();
         let changes = self.gateway.registry.borrow_mut().replace(now, registrations, batch.end);
-        changes.iter().for_each(|it| self.gateway.apply(it, "store"));
+        for it in &changes {
+            self.gateway.apply(it, "store");
+        }
         changes
     }
 
     /// Takes in the records written since the last read.
-    fn take(&self, batch: Batch) -> Vec<Change> {
+    fn take(&self, batch: &Batch) -> Vec<Change> {
         let now = self.gateway.now();
         let mut res = Vec::new();
         for it in &batch.records {
@@ -133,7 +130,9 @@
         }
         res.extend(self.gateway.registry.borrow_mut().tick(now));
         self.gateway.registry.borrow_mut().advance(batch.end);
-        res.iter().for_each(|it| self.gateway.apply(it, "store"));
+        for it in &res {
+            self.gateway.apply(it, "store");
+        }
         res
     }
 
@@ -157,7 +156,9 @@
         let changes =
             self.gateway.registry.borrow_mut().replace(now, known.registrations, known.end);
         let source = format!("peer:{from}");
-        changes.iter().for_each(|it| self.gateway.apply(it, &source));
+        for it in &changes {
+            self.gateway.apply(it, &source);
+        }
         self.gateway.set_registry_known();
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -64,6 +64,8 @@
     pub body_bytes: Cell<usize>,
     /// How busy the daemon is.
     pub activity: RefCell<peer::Activity>,
+    /// Whether other daemons find this one through the store.
+    pub is_registered: Cell<bool>,
     /// Requests taken since the start.
     pub taken: Cell<u64>,
     /// Requests in work.
@@ -105,6 +107,7 @@
             journal: RefCell::new(Journal::new(now)),
             body_bytes: Cell::new(0),
             activity: RefCell::new(peer::Activity::new(now)),
+            is_registered: Cell::new(false),
             taken: Cell::new(0),
             in_work: Cell::new(0),
             loads_changed: Notify::new(),
--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -145,9 +145,9 @@
     let Some(line) = take_line(buffer)? else { return Ok(None) };
     let digits = line.split(|it| *it == b';').next().unwrap_or_default().trim_ascii_end();
     let is_number = !digits.is_empty() && digits.len() <= 15;
-    let text = std::str::from_utf8(digits).ok().filter(|it| {
-        is_number && it.bytes().all(|it| it.is_ascii_hexdigit())
-    });
+    let text = std::str::from_utf8(digits)
+        .ok()
+        .filter(|it| is_number && it.bytes().all(|it| it.is_ascii_hexdigit()));
     let size = text.and_then(|it| u64::from_str_radix(it, 16).ok());
     size.map(Some).ok_or_else(|| Error::Malformed("chunk size that is no number".to_owned()))
 }
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -139,7 +139,7 @@
     #[must_use]
     pub fn is_hop_by_hop(&self, header: &Header) -> bool {
         let is_named = |it: &&str| header.name.eq_ignore_ascii_case(it.as_bytes());
-        if HOP_BY_HOP.iter().any(|it| is_named(&it)) {
+        if HOP_BY_HOP.iter().any(is_named) {
             return true;
         }
         std::str::from_utf8(&header.name).is_ok_and(|it| self.lists("connection", it))
@@ -186,9 +186,7 @@
             return Err(Error::Framing("more than one length, or one that is no number"));
         }
         let length = std::str::from_utf8(length).ok().and_then(|it| it.parse().ok());
-        length
-            .map(|it| Some(Framing::Length(it)))
-            .ok_or(Error::Framing("length that is no number"))
+        length.map(|it| Some(Framing::Length(it))).ok_or(Error::Framing("length that is no number"))
     }
 }
 
--- a/crates/gateway/src/load/queue.rs
+++ b/crates/gateway/src/load/queue.rs
@@ -96,7 +96,7 @@
     pub fn tick(&mut self, now: Instant) -> Vec<u64> {
         let hopeless: Vec<_> =
             self.waiters.iter().filter(|(_, it)| !it.is_hopeful(now)).map(|(it, _)| *it).collect();
-        hopeless.iter().for_each(|it| drop(self.waiters.remove(it)));
+        self.waiters.retain(|it, _| !hopeless.contains(it));
         let late: Vec<_> = self
             .waiters
             .iter()
--- a/crates/gateway/src/load/service.rs
+++ b/crates/gateway/src/load/service.rs
@@ -38,7 +38,7 @@
 /// Share of an answer from a nearly full upstream in their mean.
 const CROWD_WEIGHT: f64 = 0.1;
 /// Time over which it is forgotten that upstreams slowed down when they were nearly full.
-const CROWD_MEMORY: Duration = Duration::from_secs(60);
+const CROWD_MEMORY: Duration = Duration::from_mins(1);
 
 /// The upstreams of one service and what is known of them.
 #[derive(Debug)]
@@ -255,7 +255,8 @@
 
     /// A service whose reports tell of no pace is taken to be undisturbed.
     fn is_undisturbed(&self, now: Instant, it: &Upstream) -> bool {
-        !self.reports_pace() || it.standing(now, &self.settings, self.report_life()) == Standing::Undisturbed
+        !self.reports_pace()
+            || it.standing(now, &self.settings, self.report_life()) == Standing::Undisturbed
     }
 
     /// Counts a request that is sent to an upstream now; gives the number that its end is told by.
--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -42,7 +42,10 @@
     fern::Dispatch::new().level(level).format(|out, message, record| {
         let now = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
         let (level, target) = (record.level(), record.target());
-        out.finish(format_args!("time={:.3} level={level} target={target} {message}", now.as_secs_f64()));
+        out.finish(format_args!(
+            "time={:.3} level={level} target={target} {message}",
+            now.as_secs_f64()
+        ));
     })
 }
 
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -126,9 +126,9 @@
             let (desk, _) = self.gateway.upstream_of(upstream_key(id))?;
             let service = desk.service.borrow();
             let upstream = service.get(id)?;
-            let report = upstream.report_to_tell(now, REPORT_LIFE).map(|(report, age)| {
-                (report, u32::try_from(age.as_millis()).unwrap_or(u32::MAX))
-            });
+            let report = upstream
+                .report_to_tell(now, REPORT_LIFE)
+                .map(|(report, age)| (report, u32::try_from(age.as_millis()).unwrap_or(u32::MAX)));
             let load = Load { upstream: upstream_key(id), in_flight: upstream.own(), report };
             Some((id.clone(), load))
         };
@@ -234,7 +234,9 @@
         for it in events {
             match it {
                 Event::Activity => {}
-                Event::Joined(host) => log::info!(target: "belief", "event=peer-joined host={host}"),
+                Event::Joined(host) => {
+                    log::info!(target: "belief", "event=peer-joined host={host}");
+                }
                 Event::Leaving(host) => {
                     log::info!(target: "belief", "event=peer-leaving host={host}");
                 }
--- a/crates/gateway/src/peer/activity.rs
+++ b/crates/gateway/src/peer/activity.rs
@@ -27,13 +27,7 @@
     /// A daemon that has done nothing yet.
     #[must_use]
     pub fn new(now: Instant) -> Self {
-        Self {
-            since: now,
-            requests: 0,
-            quiet: 0,
-            used_cores: 0.0,
-            is_active: false,
-        }
+        Self { since: now, requests: 0, quiet: 0, used_cores: 0.0, is_active: false }
     }
 
     /// Takes in the requests taken since the start; true if the daemon has become active or quiet.
--- a/crates/gateway/src/peer/table.rs
+++ b/crates/gateway/src/peer/table.rs
@@ -13,11 +13,11 @@
 const LIVE_BEATS: f64 = 4.3;
 /// Silence after which nothing more is sent to a peer. Longer than cuts usually last, so that
 /// daemons find each other again by themselves.
-const KEEP_TIME: Duration = Duration::from_secs(60);
+const KEEP_TIME: Duration = Duration::from_mins(1);
 /// Time between two beats to a live peer, for up to [`SMALL_FLEET`] peers.
 const BEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// Time between two beats to an address that doesn't answer.
-const SILENT_INTERVAL: Duration = Duration::from_millis(1_000);
+const SILENT_INTERVAL: Duration = Duration::from_secs(1);
 /// Peers up to which beats go out at the shortest interval; beyond, it grows with their number, so
 /// that the beats of one daemon take the same processor time in any fleet.
 const SMALL_FLEET: u32 = 12;
@@ -126,7 +126,8 @@
     pub fn tick(&mut self, now: Instant) -> Vec<Event> {
         let mut res = Vec::new();
         let silent = self.peers.iter().filter(|(_, it)| !self.is_live(it, now));
-        let silent: Vec<_> = silent.map(|(at, it)| (*at, it.beat.host.clone(), it.beat.key)).collect();
+        let silent: Vec<_> =
+            silent.map(|(at, it)| (*at, it.beat.host.clone(), it.beat.key)).collect();
         for (address, host, key) in silent {
             if self.lost.insert(address) {
                 res.push(Event::Lost(host, key));
@@ -192,9 +193,9 @@
     /// Place of the daemon `own` among those alive, in an order that all of them share.
     #[must_use]
     pub fn place(&self, now: Instant) -> u32 {
-        let before = self.live_peers(now).filter(|(address, it)| {
-            *address < self.own && it.beat.phase != Phase::Leaving
-        });
+        let before = self
+            .live_peers(now)
+            .filter(|(address, it)| *address < self.own && it.beat.phase != Phase::Leaving);
         u32::try_from(before.count()).unwrap_or(u32::MAX)
     }
 
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -153,11 +153,9 @@
     let bytes = http::request(&message(upstream, path), &[]);
     let names = &gateway.dialect.names;
     let exchange = Exchange { bytes: &bytes, method: b"GET", id_name: names.request_id, id: None };
-    let (answer, rest) = exchange.run(link).await.ok()?;
-    if let Some((link, limit)) = rest {
-        gateway.pool.put(id, gateway.now(), link, limit);
-    }
-    Some(answer)
+    let answered = exchange.run(link).await.ok()?;
+    gateway.pool.put(id, gateway.now(), answered.link, answered.keep_time);
+    Some(answered.message)
 }
 
 fn message(upstream: &Registration, path: &str) -> Message {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -29,7 +29,7 @@
 /// How often time moves on for what no event drives: queues, idle connections, clocks.
 const TICK: Duration = Duration::from_millis(50);
 /// How often idle connections to upstreams are looked at.
-const SWEEP_INTERVAL: Duration = Duration::from_millis(1_000);
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Difference of two clocks that tells of a host that was suspended.
 const SUSPENDED: Duration = Duration::from_millis(250);
 /// Shortest time that a leaving daemon goes on serving: callers keep its address so long.
@@ -124,11 +124,8 @@
         spawn(Box::pin(follow::meet(Rc::clone(gateway), Rc::clone(platform))));
         spawn(Box::pin(tick(Rc::clone(gateway))));
         spawn(Box::pin(probe::watch(Rc::clone(gateway))));
-        let configuration = follow::Configuration::new(
-            Rc::clone(gateway),
-            Rc::clone(platform),
-            shared.clone(),
-        );
+        let configuration =
+            follow::Configuration::new(Rc::clone(gateway), Rc::clone(platform), shared.clone());
         spawn(Box::pin(configuration.run()));
         let upstreams = follow::Upstreams::new(
             Rc::clone(gateway),
--- a/crates/gateway/src/registry/fold.rs
+++ b/crates/gateway/src/registry/fold.rs
@@ -99,8 +99,7 @@
         let present: HashSet<_> = registrations.iter().map(|it| it.id.clone()).collect();
         let missing: Vec<_> =
             self.entries.keys().filter(|it| !present.contains(*it)).cloned().collect();
-        let mut res: Vec<_> =
-            registrations.into_iter().filter_map(|it| self.put(it)).collect();
+        let mut res: Vec<_> = registrations.into_iter().filter_map(|it| self.put(it)).collect();
         res.extend(missing.into_iter().filter_map(|it| self.remove(now, it)));
         self.end = end;
         res
@@ -175,7 +174,9 @@
             return None;
         }
         let is_news = old.is_none_or(|old| {
-            !old.is_same_incarnation(&it) || old.state != it.state || old.slots != it.slots
+            !old.is_same_incarnation(&it)
+                || old.state != it.state
+                || old.slots != it.slots
                 || old.service != it.service
         });
         self.take(&it.id);
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -15,7 +15,7 @@
     desk::{Demand, Desk, Flight},
     gateway::Gateway,
     http::{self, Message},
-    load::{Care, Outcome},
+    load::{self, Care, Outcome},
     probe,
     registry::UpstreamId,
     upstream::{Exchange, Failure},
@@ -326,7 +326,10 @@
     fn known(&self, id: &str, at: Instant) -> (Option<Duration>, Option<f64>) {
         let service = self.desk.service.borrow();
         let upstream = service.get(id);
-        (upstream.and_then(|it| it.report_age(at)), upstream.and_then(|it| it.reported_pace()))
+        (
+            upstream.and_then(|it| it.report_age(at)),
+            upstream.and_then(load::Upstream::reported_pace),
+        )
     }
 
     async fn exchange(&self, flight: &Flight) -> End {
@@ -359,12 +362,10 @@
             id: self.message.head.get(names.request_id),
         };
         match exchange.run(link).await {
-            Ok((answer, rest)) => {
-                self.report(&upstream.id, &answer);
-                if let Some((link, limit)) = rest {
-                    gateway.pool.put(&upstream.id, gateway.now(), link, limit);
-                }
-                self.classify(answer)
+            Ok(it) => {
+                self.report(&upstream.id, &it.message);
+                gateway.pool.put(&upstream.id, gateway.now(), it.link, it.keep_time);
+                self.classify(it.message)
             }
             Err(Failure::NotSent(it)) => not_sent(it),
             Err(e) => End::Unknown(e.to_string()),
@@ -399,9 +400,7 @@
 
 fn judge(end: &End) -> (Outcome, String) {
     match end {
-        End::Answer(it) if it.head.status < 500 => {
-            (Outcome::Success, it.head.status.to_string())
-        }
+        End::Answer(it) if it.head.status < 500 => (Outcome::Success, it.head.status.to_string()),
         End::Answer(it) => (Outcome::Failure, it.head.status.to_string()),
         End::NotRun { message, sent } => {
             let outcome = if *sent { Outcome::Refused } else { Outcome::Failure };
--- a/crates/gateway/src/rpc.rs
+++ b/crates/gateway/src/rpc.rs
@@ -135,7 +135,9 @@
     let end = gateway.registry.borrow().end();
     let addresses = ask_list(gateway, |it| it.registry_end > end);
     for address in addresses {
-        if let Some(it) = ask::<Option<Known>>(address, REGISTRY).await.flatten().filter(|it| it.end > 0) {
+        if let Some(it) =
+            ask::<Option<Known>>(address, REGISTRY).await.flatten().filter(|it| it.end > 0)
+        {
             return Some((it, address));
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -238,8 +238,7 @@
 
 fn parse_addresses(text: &str) -> Result<Vec<SocketAddr>, String> {
     let parts = text.split(',').map(str::trim).filter(|it| !it.is_empty());
-    let parse = |it: &str| {
-        it.parse().map_err(|_e| format!("`{}` is no `IP:port`", ini::excerpt(it)))
-    };
+    let parse =
+        |it: &str| it.parse().map_err(|_e| format!("`{}` is no `IP:port`", ini::excerpt(it)));
     parts.map(parse).collect()
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -3,7 +3,7 @@
 mod exchange;
 mod pool;
 
-pub use exchange::{Exchange, Failure};
+pub use exchange::{Answered, Exchange, Failure};
 pub use pool::{Link, Pool};
 
 /// A whole answer, or why there is none.
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -31,6 +31,17 @@
     Garbled(String),
 }
 
+/// A whole answer and what is left of its connection.
+#[derive(Debug)]
+pub struct Answered {
+    /// The answer.
+    pub message: Message,
+    /// The connection, if it can carry another request.
+    pub link: Option<Link>,
+    /// How long the upstream keeps the connection idle, if it said so.
+    pub keep_time: Option<Duration>,
+}
+
 /// One request to an upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct Exchange<'a> {
@@ -47,13 +58,12 @@
 impl Exchange<'_> {
     /// Sends the request and reads its whole answer.
     ///
-    /// Gives the connection back if it can carry another request, with the time that the upstream
-    /// keeps it idle if it said so. Dropping the future closes the connection, which cancels the work.
+    /// Dropping the future closes the connection, which cancels the work.
     ///
     /// # Errors
     ///
     /// Fails if the connection breaks or the bytes received are no answer to this request.
-    pub async fn run(self, mut link: Link) -> Result<(Message, Option<(Link, Option<Duration>)>)> {
+    pub async fn run(self, mut link: Link) -> Result<Answered> {
         let mut written = 0;
         let mut foreign = 0;
         let mut partial: Option<(Head, Body)> = None;
@@ -71,9 +81,9 @@
                     && link.buffer.is_empty()
                     && head.keeps_connection()
                     && !body.ends_with_connection();
-                let keep = keep_time(&head);
+                let keep_time = keep_time(&head);
                 let message = Message { head, body: body.into_bytes() };
-                return Ok((message, is_reusable.then_some((link, keep))));
+                return Ok(Answered { message, link: is_reusable.then_some(link), keep_time });
             }
             let unwritten = self.bytes.get(written..).unwrap_or_default();
             let Link { stream, buffer, .. } = &mut link;
@@ -117,14 +127,11 @@
     }
 
     /// The answer, if the end of the connection completes it.
-    fn end(
-        self,
-        link: &Link,
-        partial: Option<(Head, Body)>,
-    ) -> Result<(Message, Option<(Link, Option<Duration>)>)> {
+    fn end(self, link: &Link, partial: Option<(Head, Body)>) -> Result<Answered> {
         match partial {
             Some((head, body)) if body.ends_with_connection() && self.is_own(&head) => {
-                Ok((Message { head, body: body.into_bytes() }, None))
+                let message = Message { head, body: body.into_bytes() };
+                Ok(Answered { message, link: None, keep_time: None })
             }
             Some(_) => Err(Failure::Garbled("answer that ends early".to_owned())),
             None if link.buffer.is_empty() => Err(Failure::Broken("closed".to_owned())),
@@ -142,6 +149,8 @@
     }
 }
 
+// The error is handed over by `map_err`.
+#[expect(clippy::needless_pass_by_value)]
 fn garbled(e: crate::http::Error) -> Failure {
     Failure::Garbled(e.to_string())
 }
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -25,8 +25,6 @@
     pub stream: TcpStream,
     /// Bytes received and not yet read.
     pub buffer: BytesMut,
-    /// Whether an exchange was completed on it before.
-    pub is_used: bool,
 }
 
 struct Idle {
@@ -61,12 +59,13 @@
         let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
         let stream = connecting.await.map_err(|_elapsed| io::ErrorKind::TimedOut)??;
         socket::prepare(&stream)?;
-        Ok(Link { stream, buffer: BytesMut::new(), is_used: false })
+        Ok(Link { stream, buffer: BytesMut::new() })
     }
 
-    /// Keeps a connection for later use; `limit` is how long the upstream keeps it, if it said so.
-    pub fn put(&self, id: &UpstreamId, now: Instant, mut link: Link, limit: Option<Duration>) {
-        link.is_used = true;
+    /// Keeps a connection, if any is left, for later use; `limit` is how long the upstream keeps it,
+    /// if it said so.
+    pub fn put(&self, id: &UpstreamId, now: Instant, link: Option<Link>, limit: Option<Duration>) {
+        let Some(link) = link else { return };
         let limit = limit.map_or(MAX_IDLE_TIME, |it| it.mul_f64(0.8).min(MAX_IDLE_TIME));
         let mut idle = self.idle.borrow_mut();
         let links = idle.entry(id.clone()).or_default();
--- a/crates/gateway/tests/load_patterns.rs
+++ b/crates/gateway/tests/load_patterns.rs
@@ -106,10 +106,12 @@
         count
     };
     assert_eq!(fill(&mut service, work), 6, "nothing speaks against using all slots");
-    (0..5).for_each(|_| drop(fill(&mut service, work * 2)));
+    for _ in 0..5 {
+        fill(&mut service, work * 2);
+    }
     assert!(service.slows_when_full());
     assert_eq!(fill(&mut service, work * 2), 4, "four fifths of the slots");
-    service.forget(Duration::from_secs(60));
+    service.forget(Duration::from_mins(1));
     assert_eq!(fill(&mut service, work), 6, "it is tried again after some time");
 }
 
@@ -125,7 +127,10 @@
     assert!(service.choose(now, ROUTE, &[], Care::Any).is_some());
     service.peer_load(now, 1, "u", 9);
     let later = now + Settings::default().peer_memory;
-    assert!(service.choose(later, ROUTE, &[], Care::Any).is_some(), "a peer that is silent is forgotten");
+    assert!(
+        service.choose(later, ROUTE, &[], Care::Any).is_some(),
+        "a peer that is silent is forgotten"
+    );
 }
 
 /// Pattern: an upstream fails its requests quickly and seems to be the least loaded.
@@ -188,7 +193,9 @@
     service.iter_mut().for_each(|it| it.is_preferred = &*it.registration.id == "mine");
     assert!(chosen(&mut service, now, 50).iter().all(|it| &**it == "mine"));
     assert_eq!(service.unknown(now, &[], 1), ["mine".into()]);
-    (0..6).for_each(|_| drop(service.start(now, "mine")));
+    for _ in 0..6 {
+        service.start(now, "mine");
+    }
     assert!(chosen(&mut service, now, 50).iter().all(|it| &**it == "theirs"), "when full");
 }
 
--- a/crates/gateway/tests/registry_fold.rs
+++ b/crates/gateway/tests/registry_fold.rs
@@ -122,7 +122,7 @@
     let other = fold.digest().wrapping_add(1);
     assert!(!fold.compare(now, 7, other));
     assert!(!fold.compare(now + Duration::from_millis(900), 6, other), "it is only behind");
-    assert!(!fold.compare(now + Duration::from_millis(1_000), 7, other));
+    assert!(!fold.compare(now + Duration::from_secs(1), 7, other));
     assert!(fold.compare(now + Duration::from_millis(2_100), 7, other));
     assert_eq!(fold.end(), 0, "everything is read anew");
 }
--- a/crates/gateway/tests/waiting_order.rs
+++ b/crates/gateway/tests/waiting_order.rs
@@ -79,6 +79,10 @@
     let long = queue.push(waiter(now, 1, 300, 900));
     assert_eq!(queue.tick(now + MS * 400), [short]);
     assert_eq!(order(&queue), [long]);
-    assert_eq!(queue.tick(now + MS * 450), [long], "half of its time is spent and it would be late");
+    assert_eq!(
+        queue.tick(now + MS * 450),
+        [long],
+        "half of its time is spent and it would be late"
+    );
     assert!(queue.is_empty());
 }
