--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -43,6 +43,10 @@
 }
 
 impl Contact {
+    fn is_lost(&self) -> bool {
+        self.lost.is_some()
+    }
+
     fn note<T>(&mut self, now: Instant, what: &str, res: &Result<T>) {
         match (res, self.lost) {
             (Ok(_) | Err(Error::Deleted { .. }), Some(since)) => {
--- a/crates/gateway/src/follow/configuration.rs
+++ b/crates/gateway/src/follow/configuration.rs
@@ -1,6 +1,9 @@
 //! Follows the configurations that operators publish.
 
-use std::{rc::Rc, time::Duration};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use super::{CALL_TIMEOUT, Contact, call};
 use crate::{
@@ -9,9 +12,23 @@
     rpc,
 };
 
-/// Longest time that the store may hold a read back. Connections that have gone silent are noticed
-/// by their keep-alive probes, well before.
+/// Longest time that the store may hold a read back, in a fleet where every daemon reads. Connections
+/// that have gone silent are noticed by their keep-alive probes, well before.
 const READ_WAIT: Duration = Duration::from_secs(20);
+/// Daemons up to which every one reads the store.
+const SMALL_FLEET: u32 = 8;
+/// Daemons that read in a larger fleet; the others hear of news from them.
+const READERS: u32 = 3;
+/// Longest time that the store may hold back a read of these: the others count on their word.
+const READER_WAIT: Duration = Duration::from_millis(1_500);
+/// Time after the start by which daemons have found one another.
+const MEETING_TIME: Duration = Duration::from_secs(2);
+/// How often a daemon that doesn't read looks whether the word of the readers is fresh.
+const LOOK_INTERVAL: Duration = Duration::from_millis(250);
+/// Part of the time in which a configuration must be in force that is kept for reading it oneself.
+const READ_RESERVE: Duration = Duration::from_millis(700);
+/// Pause of a daemon that doesn't read otherwise after a failed call.
+const HELPER_PAUSE: Duration = Duration::from_secs(3);
 /// First pause after a failed call.
 const MIN_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause between failed calls; the bound on the age of a configuration allows no more.
@@ -25,8 +42,11 @@
     platform: Rc<P>,
     shared: rpc::Shared,
     contact: Contact,
+    started: Instant,
     end: Option<Offset>,
     pause: Duration,
+    /// When this daemon may read again in place of the readers.
+    help_from: Instant,
 }
 
 impl<P: Platform> Follower<P> {
@@ -34,20 +54,59 @@
     #[must_use]
     pub fn new(gateway: Rc<Gateway>, platform: Rc<P>, shared: rpc::Shared) -> Self {
         let contact = Contact::default();
-        Self { gateway, platform, shared, contact, end: None, pause: MIN_PAUSE }
+        let started = gateway.now();
+        let (pause, help_from) = (MIN_PAUSE, started);
+        Self { gateway, platform, shared, contact, started, end: None, pause, help_from }
     }
 
     /// Follows until the task is dropped.
     pub async fn run(mut self) {
         let gateway = Rc::clone(&self.gateway);
         loop {
-            tokio::select! {
-                () = self.step() => {}
-                () = gateway.config_wanted.notified() => self.hurry().await,
+            if self.is_reader() {
+                tokio::select! {
+                    () = self.step() => {}
+                    () = gateway.config_wanted.notified() => self.hurry().await,
+                }
+                continue;
+            }
+            // A failed look is no failure: it only means that nothing was announced.
+            let _quiet =
+                tokio::time::timeout(LOOK_INTERVAL, gateway.config_wanted.notified()).await;
+            if self.is_behind() {
+                self.hurry().await;
+            } else if self.is_stale() && gateway.now() >= self.help_from {
+                self.end = None;
+                self.step().await;
+                if self.contact.is_lost() {
+                    let pause = HELPER_PAUSE.mul_f64(0.75 + fastrand::f64() / 2.0);
+                    self.help_from = gateway.now() + pause;
+                }
             }
         }
     }
 
+    /// Whether this daemon is one of those that read the store all the time.
+    fn is_reader(&self) -> bool {
+        let peers = self.gateway.peers.borrow();
+        let now = self.gateway.now();
+        peers.live(now) < SMALL_FLEET || peers.place(now) < READERS
+    }
+
+    /// Whether nobody has heard lately from the store which configuration is the newest.
+    fn is_stale(&self) -> bool {
+        let gateway = &self.gateway;
+        let now = gateway.now();
+        let limit = gateway.settings().config_apply.saturating_sub(READ_RESERVE);
+        let own = gateway.config_checked.get().map(|it| now.saturating_duration_since(it));
+        let peers = gateway.peers.borrow();
+        let told = peers.live_peers(now).filter_map(|(_, it)| {
+            let age = Duration::from_millis(it.beat.config_checked_ms?.into());
+            Some(age + now.saturating_duration_since(it.beat_at))
+        });
+        told.chain(own).min().is_none_or(|it| it >= limit)
+    }
+
     /// One read of the store.
     async fn step(&mut self) {
         let gateway = Rc::clone(&self.gateway);
@@ -57,8 +116,12 @@
                 call(&gateway, "config-newest", CALL_TIMEOUT, newest).await
             }
             Some(from) => {
-                let read = self.platform.read(Topic::Config, from, READ_WAIT);
-                call(&gateway, "config-read", READ_WAIT + CALL_TIMEOUT, read).await
+                let now = gateway.now();
+                let knows_fleet = now.saturating_duration_since(self.started) >= MEETING_TIME;
+                let is_small = knows_fleet && gateway.peers.borrow().live(now) < SMALL_FLEET;
+                let wait = if is_small { READ_WAIT } else { READER_WAIT };
+                let read = self.platform.read(Topic::Config, from, wait);
+                call(&gateway, "config-read", wait + CALL_TIMEOUT, read).await
             }
         };
         self.contact.note(gateway.now(), "config", &res);
@@ -66,6 +129,8 @@
             Ok(it) => {
                 self.pause = MIN_PAUSE;
                 self.take(&it, "store");
+                gateway.config_checked.set(Some(gateway.now()));
+                gateway.news.notify_one();
             }
             Err(Error::Deleted { .. }) => self.end = None,
             Err(_) => {
@@ -125,6 +190,7 @@
         };
         if self.gateway.set_config(config, source) {
             self.shared.set_config(&record.key, value);
+            self.gateway.news.notify_one();
         }
     }
 
--- a/crates/gateway/src/follow/upstreams.rs
+++ b/crates/gateway/src/follow/upstreams.rs
@@ -25,8 +25,11 @@
 const STAGGER: Duration = Duration::from_millis(150);
 /// Daemons that step in one after the other; all others follow together.
 const MAX_PLACE: u32 = 4;
-/// Pause after a failed call.
+/// Pause after a failed call, for the first daemon in the order; the others wait for its news and try
+/// less often.
 const FAILED_PAUSE: Duration = Duration::from_millis(300);
+/// Longest pause after a failed call, in pauses of the first daemon.
+const MAX_PAUSES: u32 = 10;
 
 /// Follows the upstreams that register themselves.
 pub struct Follower<P> {
@@ -99,7 +102,9 @@
                 if gateway.registry.borrow().end() == 0 {
                     self.ask_peers().await;
                 }
-                self.next = now + FAILED_PAUSE.mul_f64(0.75 + fastrand::f64() / 2.0);
+                let place = gateway.peers.borrow().place(now);
+                let pause = FAILED_PAUSE * (place + 1).min(MAX_PAUSES);
+                self.next = now + pause.mul_f64(0.75 + fastrand::f64() / 2.0);
             }
         }
         self.share();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -66,6 +66,8 @@
     pub activity: RefCell<peer::Activity>,
     /// Whether other daemons find this one through the store.
     pub is_registered: Cell<bool>,
+    /// When the store last told this daemon which configuration is the newest.
+    pub config_checked: Cell<Option<Instant>>,
     /// Requests taken since the start.
     pub taken: Cell<u64>,
     /// Requests in work.
@@ -74,6 +76,8 @@
     pub loads_changed: Notify,
     /// Woken when the registry must be read at once.
     pub registry_wanted: Notify,
+    /// Woken when peers are to be told at once where this daemon stands.
+    pub news: Notify,
     /// Woken when a peer has a newer configuration.
     pub config_wanted: Notify,
     /// Woken when the registry was read, here or by a peer.
@@ -108,10 +112,12 @@
             body_bytes: Cell::new(0),
             activity: RefCell::new(peer::Activity::new(now)),
             is_registered: Cell::new(false),
+            config_checked: Cell::new(None),
             taken: Cell::new(0),
             in_work: Cell::new(0),
             loads_changed: Notify::new(),
             registry_wanted: Notify::new(),
+            news: Notify::new(),
             config_wanted: Notify::new(),
             registry_read: Notify::new(),
             table: RefCell::default(),
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -79,7 +79,11 @@
                 let beat = self.own_beat(asks);
                 self.send(address, &Packet::Beat(beat));
             }
-            tokio::time::sleep(BEAT_LOOK).await;
+            // Waiting ends early when there is news.
+            let news = self.gateway.news.notified();
+            if tokio::time::timeout(BEAT_LOOK, news).await.is_ok() {
+                self.announce();
+            }
         }
     }
 
@@ -148,6 +152,10 @@
             capacity: gateway.capacity(),
             is_active: gateway.activity.borrow().is_active(),
             config: gateway.version(),
+            config_checked_ms: gateway.config_checked.get().map(|it| {
+                let age = gateway.now().saturating_duration_since(it);
+                u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+            }),
             registry_end: registry.end(),
             registry_digest: registry.digest(),
             peers: gateway.peers.borrow_mut().gossip(gateway.now()),
--- a/crates/gateway/src/peer/packet.rs
+++ b/crates/gateway/src/peer/packet.rs
@@ -40,6 +40,9 @@
     pub is_active: bool,
     /// Version of the sender's configuration; 0 if it has none.
     pub config: Version,
+    /// Milliseconds since the sender last heard from the store that this is the newest; none if it
+    /// never has.
+    pub config_checked_ms: Option<u32>,
     /// Offset up to which the sender knows the registry.
     pub registry_end: Offset,
     /// Hash of the registry as the sender knows it.
--- a/crates/gateway/src/peer/table.rs
+++ b/crates/gateway/src/peer/table.rs
@@ -32,7 +32,9 @@
 pub struct Peer {
     /// Its last beat.
     pub beat: Beat,
-    /// When it was last heard.
+    /// When that beat came.
+    pub beat_at: Instant,
+    /// When anything was last heard of it.
     pub heard: Instant,
 }
 
@@ -97,7 +99,7 @@
         let mut res = Vec::new();
         let was_lost = self.lost.remove(&address);
         let host = beat.host.clone();
-        let old = self.peers.insert(address, Peer { beat, heard: now });
+        let old = self.peers.insert(address, Peer { beat, beat_at: now, heard: now });
         let beat = &self.peers[&address].beat;
         match old {
             None => res.push(Event::Joined(host)),
