--- a/crates/gateway/src/follow/configuration.rs
+++ b/crates/gateway/src/follow/configuration.rs
@@ -143,13 +143,13 @@
 
     /// Fetches a configuration that a peer is known to have, unless the own read brings it at once.
     async fn hurry(&mut self) {
-        if tokio::time::timeout(PEER_HEAD_START, self.step()).await.is_ok() && !self.is_behind() {
-            return;
+        if self.is_reader() {
+            // A read that takes longer is given up: its connection may have gone silent.
+            let _elapsed = tokio::time::timeout(PEER_HEAD_START, self.step()).await;
         }
         if !self.is_behind() {
             return;
         }
-        // The connection of the held read may have gone silent.
         self.end = None;
         let gateway = Rc::clone(&self.gateway);
         let fetched = rpc::fetch_config(&gateway).await;
@@ -160,6 +160,9 @@
             };
             self.take_record(&record, &format!("peer:{from}"));
         }
+        if self.is_behind() {
+            self.step().await;
+        }
     }
 
     fn is_behind(&self) -> bool {
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -217,7 +217,11 @@
     fn take_relay(&self, from: SocketAddr, relay: Relay) {
         let gateway = &self.gateway;
         let end = gateway.registry.borrow().end();
-        if end == 0 || relay.from > end {
+        if end == 0 {
+            // The first read, of the whole registry, is under way.
+            return;
+        }
+        if relay.from > end {
             gateway.registry_wanted.notify_one();
             return;
         }
