--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -4,6 +4,7 @@
 //! harm; answers go out in the order of the requests. A caller that closes its connection is noticed
 //! at once, also while its requests are in work, and they are cancelled.
 
+mod held;
 mod listener;
 mod port;
 
@@ -15,6 +16,7 @@
 
 use bytes::BytesMut;
 use futures_util::{StreamExt, stream::FuturesOrdered};
+use held::Held;
 pub use listener::{bind, listen};
 pub use port::Port;
 use tokio::{
@@ -40,6 +42,8 @@
 const LINGER: Duration = Duration::from_millis(500);
 /// Idle time after which a leaving daemon closes a connection.
 const LEAVING_IDLE: Duration = Duration::from_millis(1_200);
+/// Advice to a caller whose body finds no memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// How often idle connections look whether the daemon leaves.
 const IDLE_LOOK: Duration = Duration::from_secs(1);
 
@@ -144,9 +148,15 @@
         let is_safe = matches!(&*message.head.method, b"GET" | b"HEAD" | b"OPTIONS");
         self.is_exclusive = !is_safe;
         self.is_broken |= closes;
+        let Some(held) = Held::take(&self.gateway, message.body.len()) else {
+            let reply = Reply { closes, ..no_memory() };
+            self.pending.push_back(Box::pin(async { reply }));
+            return;
+        };
         let answer = self.port.answer(Rc::clone(&self.gateway), message, received);
         self.pending.push_back(Box::pin(async move {
             let mut reply = answer.await;
+            drop(held);
             reply.closes |= closes;
             reply
         }));
@@ -233,10 +243,19 @@
     last(Refusal { status: 408, reason: "slow-caller", message, retry_after: None })
 }
 
+fn no_memory() -> Reply {
+    let message = "the bodies of other requests hold the memory for bodies".to_owned();
+    refuse(Refusal::not_run("body-memory", message, MEMORY_RETRY_AFTER))
+}
+
 fn last(refusal: Refusal) -> Reply {
+    Reply { closes: true, ..refuse(refusal) }
+}
+
+fn refuse(refusal: Refusal) -> Reply {
     log::info!(
         target: "request",
         "event=request-refused status={} reason={}", refusal.status, refusal.reason
     );
-    Reply { closes: true, ..Reply::refuse(refusal, None) }
+    Reply::refuse(refusal, None)
 }
--- /dev/null
+++ b/crates/gateway/tests/directory_choice.rs
@@ -0,0 +1,58 @@
+//! Which entry hosts callers are told of.
+
+use std::net::SocketAddr;
+
+use gateway::{
+    directory::{Host, choose},
+    peer::Capacity,
+};
+
+fn host(number: u8, is_near: bool, link_mbps: f32, used_cores: f32) -> Host {
+    Host {
+        address: SocketAddr::from(([10, 0, 0, number], 80)),
+        is_near,
+        capacity: Capacity { link_mbps, cpu_cores: 0.5, used_cores },
+    }
+}
+
+fn check(hosts: &[Host], expected: &[u8]) {
+    let told = choose(hosts.to_vec(), 0);
+    let numbers = told.iter().map(|it| match it {
+        SocketAddr::V4(it) => it.ip().octets()[3],
+        SocketAddr::V6(_) => 0,
+    });
+    let mut numbers: Vec<_> = numbers.collect();
+    numbers.sort_unstable();
+    assert_eq!(numbers, expected, "{hosts:?}");
+}
+
+#[test]
+fn own_domain() {
+    let far = host(9, false, 200.0, 0.0);
+    check(&[], &[]);
+    check(std::slice::from_ref(&far), &[9]);
+    check(&[host(1, true, 200.0, 0.0), host(2, true, 200.0, 0.0), far.clone()], &[1, 2]);
+    check(&[host(1, true, 200.0, 0.0), far], &[1, 9]);
+}
+
+/// Pattern: most hosts have slow links, on which one large body holds up every other answer.
+#[test]
+fn good_links_first() {
+    let mut hosts: Vec<_> = (1..=2).map(|it| host(it, true, 200.0, 0.05)).collect();
+    hosts.extend((3..=9).map(|it| host(it, true, 10.0, 0.0)));
+    check(&hosts, &[1, 2]);
+}
+
+/// Pattern: a flood that the hosts with the best links can't carry alone.
+#[test]
+fn more_in_a_flood() {
+    let mut hosts: Vec<_> = (1..=2).map(|it| host(it, true, 200.0, 0.35)).collect();
+    hosts.extend((3..=9).map(|it| host(it, true, 10.0, 0.0)));
+    check(&hosts, &[1, 2, 3, 4]);
+}
+
+#[test]
+fn equal_hosts_share() {
+    let hosts: Vec<_> = (1..=5).map(|it| host(it, true, 100.0, 0.0)).collect();
+    check(&hosts, &[1, 2, 3, 4, 5]);
+}
--- /dev/null
+++ b/crates/gateway/tests/log_lines.rs
@@ -0,0 +1,65 @@
+//! Log lines tell of requests, hold nothing that callers could forge, and never hold up a request.
+
+use std::{
+    io::{self, Write},
+    sync::{Arc, Condvar, Mutex, mpsc},
+    thread,
+    time::{Duration, Instant},
+};
+
+use gateway::{
+    decision::{Journal, Trail},
+    logs,
+};
+use quickcheck::quickcheck;
+
+/// A reader that stands still until it is released.
+struct Stuck(Arc<(Mutex<bool>, Condvar)>);
+
+impl Write for Stuck {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let (released, changed) = &*self.0;
+        drop(changed.wait_while(released.lock().unwrap(), |it| !*it).unwrap());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn stuck_reader_costs_lines_only() {
+    let gate = Arc::new((Mutex::new(false), Condvar::new()));
+    logs::start(log::LevelFilter::Info, Stuck(Arc::clone(&gate))).unwrap();
+    let (done, finished) = mpsc::channel();
+    thread::spawn(move || {
+        (0..10_000).for_each(|it| log::info!("event=test number={it}"));
+        done.send(()).unwrap();
+    });
+    finished.recv_timeout(Duration::from_mins(1)).expect("lines don't wait for the reader");
+    assert!(logs::dropped() >= 5_000, "{} lines dropped", logs::dropped());
+    *gate.0.lock().unwrap() = true;
+    gate.1.notify_all();
+}
+
+#[test]
+fn rate_is_bounded() {
+    let now = Instant::now();
+    let mut journal = Journal::new(now);
+    let mut admitted =
+        |at, is_success| (0..1_000).filter(|_| journal.admits(at, is_success, (2, 50))).count();
+    assert_eq!(admitted(now, true), 2);
+    assert_eq!(admitted(now, false), 50);
+    assert_eq!(admitted(now + Duration::from_secs(1), false), 50);
+    assert_eq!(journal.take_omitted(), 998 + 950 + 950);
+}
+
+quickcheck! {
+    fn ids_forge_no_line(id: Vec<u8>) -> bool {
+        let now = Instant::now();
+        let line = Trail::new(Some(&id), now).line(503, now);
+        let shown = line.split("id=").nth(1).unwrap().split(" status=503").next().unwrap().to_owned();
+        shown.len() <= 64 && shown.bytes().all(|it| it.is_ascii_alphanumeric() || b"-_.:?".contains(&it))
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/peer_table.rs
@@ -0,0 +1,96 @@
+//! Daemons find one another and notice each other's end.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use gateway::peer::{Beat, Capacity, Event, Phase, Table};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7_200))
+}
+
+fn beat(number: u8, key: u64, phase: Phase) -> Beat {
+    Beat {
+        key,
+        host: format!("host-{number}"),
+        domain: "a".into(),
+        caller_address: SocketAddr::from(([10, 0, 0, number], 80)),
+        phase,
+        capacity: Capacity::default(),
+        is_active: false,
+        config: 1,
+        config_checked_ms: None,
+        registry_end: 0,
+        registry_digest: 0,
+        peers: Vec::new(),
+        asks: false,
+    }
+}
+
+#[test]
+fn silent_peer_is_lost_and_comes_back() {
+    let now = Instant::now();
+    let mut table = Table::new(address(1));
+    let joined = [Event::Joined("host-2".to_owned())];
+    assert_eq!(table.hear(now, address(2), beat(2, 7, Phase::Ready)), joined);
+    assert_eq!(table.live(now), 1);
+    assert!(table.tick(now + MS * 1_000).is_empty());
+    let later = now + MS * 1_500;
+    assert_eq!(table.tick(later), [Event::Lost("host-2".to_owned(), 7)]);
+    assert!(table.tick(later).is_empty(), "told once");
+    assert_eq!(table.live(later), 0);
+    assert_eq!(table.live_within(later, Duration::from_secs(10)), 1, "it may only be cut off");
+    assert_eq!(table.hear(later, address(2), beat(2, 7, Phase::Ready)), joined);
+}
+
+#[test]
+fn restart_is_noticed() {
+    let now = Instant::now();
+    let mut table = Table::new(address(1));
+    table.hear(now, address(2), beat(2, 7, Phase::Ready));
+    let events = table.hear(now, address(2), beat(2, 8, Phase::Starting));
+    let host = "host-2".to_owned();
+    assert_eq!(events, [Event::Lost(host.clone(), 7), Event::Joined(host)]);
+}
+
+#[test]
+fn leaving_is_told_once() {
+    let now = Instant::now();
+    let mut table = Table::new(address(1));
+    table.hear(now, address(2), beat(2, 7, Phase::Ready));
+    let leaving = [Event::Leaving("host-2".to_owned())];
+    assert_eq!(table.hear(now, address(2), beat(2, 7, Phase::Leaving)), leaving);
+    assert!(table.hear(now, address(2), beat(2, 7, Phase::Leaving)).is_empty());
+}
+
+#[test]
+fn gossip_spreads_addresses() {
+    let now = Instant::now();
+    let mut table = Table::new(address(1));
+    table.add(now, address(2));
+    let mut told = beat(2, 7, Phase::Ready);
+    told.peers = vec![address(1), address(3)];
+    table.hear(now, address(2), told);
+    let due: Vec<_> = table.due(now).into_iter().map(|(it, _)| it).collect();
+    assert_eq!(due, [address(2), address(3)], "never to itself");
+    assert!(table.due(now).is_empty());
+    let later = now + Duration::from_mins(2);
+    table.tick(later);
+    assert!(table.due(later).is_empty(), "addresses that never answer are given up");
+}
+
+#[test]
+fn places_are_one_order() {
+    let now = Instant::now();
+    let mut table = Table::new(address(3));
+    for it in [1, 2, 4] {
+        table.hear(now, address(it), beat(it, it.into(), Phase::Ready));
+    }
+    assert_eq!(table.place(now), 2);
+    table.hear(now, address(1), beat(1, 1, Phase::Leaving));
+    assert_eq!(table.place(now), 1, "a daemon that leaves reads no more");
+}
