--- a/crates/gateway/src/desk.rs
+++ b/crates/gateway/src/desk.rs
@@ -38,6 +38,10 @@
 /// Time for which a request waits for an upstream that works at its usual pace. Disturbances by
 /// neighbours last a fraction of a second.
 const PATIENCE: Duration = Duration::from_millis(150);
+/// Idle connections that a daemon keeps to one upstream at most.
+const MAX_IDLE: usize = 16;
+/// The idle connections of all daemons take one part in so many of those that an upstream accepts.
+const IDLE_PART: u32 = 2;
 /// Requests at the head of the queue that are considered for room; those behind wait for the same.
 const MAX_HEADS: usize = 8;
 /// Factor of the mean work that covers its spread.
@@ -74,6 +78,7 @@
     queue: RefCell<Queue>,
     waiting: RefCell<HashMap<u64, Waiting>>,
     daemons: Cell<u32>,
+    connection_limit: Cell<u32>,
     clock: Arc<dyn Clock>,
     changed: Rc<dyn Fn(&UpstreamId)>,
 }
@@ -95,6 +100,7 @@
             queue: RefCell::default(),
             waiting: RefCell::default(),
             daemons: Cell::new(1),
+            connection_limit: Cell::new(0),
             clock,
             changed,
         }
@@ -105,6 +111,22 @@
         self.daemons.set(daemons.max(1));
     }
 
+    /// Sets the connections that one upstream accepts from all daemons; 0 if it isn't known.
+    pub fn set_connection_limit(&self, limit: u32) {
+        self.connection_limit.set(limit);
+    }
+
+    /// Idle connections that this daemon may keep to one upstream.
+    #[must_use]
+    pub fn idle_limit(&self) -> usize {
+        let limit = self.connection_limit.get();
+        if limit == 0 {
+            return MAX_IDLE;
+        }
+        let share = limit / self.daemons.get() / IDLE_PART;
+        usize::try_from(share).unwrap_or(MAX_IDLE).clamp(1, MAX_IDLE)
+    }
+
     /// Requests that wait.
     #[must_use]
     pub fn queued(&self) -> usize {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -183,7 +183,7 @@
         }
         let (version, routes) = (config.version, config.routes.len());
         for it in &config.services {
-            self.open_desk(&it.id);
+            self.open_desk(&it.id).set_connection_limit(it.connection_limit);
         }
         *self.table.borrow_mut() = Some(Rc::new(Table::new(config)));
         log::info!(
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -132,7 +132,8 @@
 async fn probe(gateway: Rc<Gateway>, desk: Rc<Desk>, upstream: Registration, path: String) {
     gateway.metrics.probes.inc();
     let started = gateway.now();
-    let probing = tokio::time::timeout(TIMEOUT, exchange(&gateway, &upstream, &path));
+    let probing =
+        tokio::time::timeout(TIMEOUT, exchange(&gateway, &upstream, &path, desk.idle_limit()));
     let Ok(Some(answer)) = probing.await else { return };
     let load = answer.head.get(gateway.dialect.names.load);
     let Some(report) = load.and_then(|it| (gateway.dialect.parse_load)(it)) else { return };
@@ -145,7 +146,12 @@
     desk.pump(now);
 }
 
-async fn exchange(gateway: &Gateway, upstream: &Registration, path: &str) -> Option<Message> {
+async fn exchange(
+    gateway: &Gateway,
+    upstream: &Registration,
+    path: &str,
+    idle_limit: usize,
+) -> Option<Message> {
     let now = gateway.now();
     let id = &upstream.id;
     let taking = gateway.pool.take(id, upstream.address, now, TIMEOUT * 20, TIMEOUT);
@@ -154,7 +160,7 @@
     let names = &gateway.dialect.names;
     let exchange = Exchange { bytes: &bytes, method: b"GET", id_name: names.request_id, id: None };
     let answered = exchange.run(link).await.ok()?;
-    gateway.pool.put(id, gateway.now(), answered.link, answered.keep_time);
+    gateway.pool.put(id, gateway.now(), answered.link, answered.keep_time, idle_limit);
     Some(answered.message)
 }
 
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -364,7 +364,8 @@
         match exchange.run(link).await {
             Ok(it) => {
                 self.report(&upstream.id, &it.message);
-                gateway.pool.put(&upstream.id, gateway.now(), it.link, it.keep_time);
+                let idle = self.desk.idle_limit();
+                gateway.pool.put(&upstream.id, gateway.now(), it.link, it.keep_time, idle);
                 self.classify(it.message)
             }
             Err(Failure::NotSent(it)) => not_sent(it),
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -13,8 +13,6 @@
 
 use crate::{registry::UpstreamId, socket};
 
-/// Idle connections kept for each upstream.
-const MAX_IDLE: usize = 16;
 /// Longest time that a connection stays idle; upstreams close theirs a little later.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(8);
 
@@ -62,14 +60,21 @@
         Ok(Link { stream, buffer: BytesMut::new() })
     }
 
-    /// Keeps a connection, if any is left, for later use; `limit` is how long the upstream keeps it,
-    /// if it said so.
-    pub fn put(&self, id: &UpstreamId, now: Instant, link: Option<Link>, limit: Option<Duration>) {
+    /// Keeps a connection, if any is left, for later use, unless `count` are kept already; `limit` is
+    /// how long the upstream keeps it, if it said so.
+    pub fn put(
+        &self,
+        id: &UpstreamId,
+        now: Instant,
+        link: Option<Link>,
+        limit: Option<Duration>,
+        count: usize,
+    ) {
         let Some(link) = link else { return };
         let limit = limit.map_or(MAX_IDLE_TIME, |it| it.mul_f64(0.8).min(MAX_IDLE_TIME));
         let mut idle = self.idle.borrow_mut();
         let links = idle.entry(id.clone()).or_default();
-        if links.len() < MAX_IDLE {
+        if links.len() < count {
             links.push(Idle { link, since: now, limit });
         }
     }
