--- /dev/null
+++ b/crates/soak/src/fleet.rs
@@ -0,0 +1,131 @@
+//! Daemons as processes.
+
+use std::{
+    fs::{self, File, OpenOptions},
+    io::{self, Read, Write},
+    net::{IpAddr, SocketAddr, TcpListener, TcpStream},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use platform_standin::config;
+use rustix::process::{Pid, Signal, kill_process};
+
+/// Time in which a daemon answers whether it is ready.
+const READY_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// One daemon, its settings and its process.
+pub(crate) struct Daemon {
+    pub(crate) callers: SocketAddr,
+    program: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    ready: SocketAddr,
+    child: Option<Child>,
+    pub(crate) starts: u64,
+}
+
+impl Daemon {
+    /// A daemon on the loopback address of its `number`, which is not started yet.
+    pub(crate) fn new(
+        options: &crate::Options,
+        number: u8,
+        peer_port: u16,
+        store: SocketAddr,
+    ) -> io::Result<Self> {
+        let ip = host(number);
+        let [callers, ready, directory, metrics] = [free(ip)?, free(ip)?, free(ip)?, free(ip)?];
+        let peer = |it: u8| SocketAddr::new(host(it), peer_port).to_string();
+        let seeds: Vec<_> = (0..options.daemons).filter(|it| *it != number).map(peer).collect();
+        let settings = options.folder.join(format!("daemon-{number}.ini"));
+        let text = format!(
+            "[gateway]\nhost = daemon-{number}\ndomain = a\ncaller_address = {callers}\n\
+             ready_address = {ready}\ndirectory_address = {directory}\npeer_address = {}\n\
+             metrics_address = {metrics}\nseeds = {}\nstore_address = {store}\n\
+             failure_lines_per_s = 500\n",
+            peer(number),
+            seeds.join(",")
+        );
+        fs::write(&settings, text)?;
+        let log = options.folder.join(format!("daemon-{number}.log"));
+        let program = options.daemon.clone();
+        Ok(Self { callers, program, settings, log, ready, child: None, starts: 0 })
+    }
+
+    pub(crate) fn start(&mut self) -> io::Result<()> {
+        let log: File = OpenOptions::new().create(true).append(true).open(&self.log)?;
+        let errors = log.try_clone()?;
+        let child = Command::new(&self.program)
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors)
+            .spawn()?;
+        self.child = Some(child);
+        self.starts += 1;
+        Ok(())
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) -> io::Result<()> {
+        let Some(child) = &self.child else { return Ok(()) };
+        let pid = i32::try_from(child.id()).ok().and_then(Pid::from_raw);
+        pid.map_or(Ok(()), |it| kill_process(it, signal).map_err(io::Error::from))
+    }
+
+    /// Waits until the process has ended; kills it after `limit`. True if it ended by itself.
+    pub(crate) fn wait(&mut self, limit: Duration) -> io::Result<bool> {
+        let Some(mut child) = self.child.take() else { return Ok(true) };
+        let until = Instant::now() + limit;
+        while Instant::now() < until {
+            if child.try_wait()?.is_some() {
+                return Ok(true);
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        child.kill()?;
+        child.wait()?;
+        Ok(false)
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        let ask = || -> io::Result<bool> {
+            let mut stream = TcpStream::connect_timeout(&self.ready, READY_TIMEOUT)?;
+            stream.set_read_timeout(Some(READY_TIMEOUT))?;
+            let request = config::request("GET", "/fireflydrum/ready", "ready", true);
+            stream.write_all(request.as_bytes())?;
+            let mut answer = [0; 12];
+            stream.read_exact(&mut answer)?;
+            Ok(answer.ends_with(b"200"))
+        };
+        ask().unwrap_or(false)
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        if let Some(mut it) = self.child.take() {
+            // It may have ended already.
+            drop(it.kill());
+            drop(it.wait());
+        }
+    }
+}
+
+/// A port that is free on all hosts of the fleet.
+pub(crate) fn shared_port(daemons: u8) -> io::Result<u16> {
+    loop {
+        let port = free(host(0))?.port();
+        if (0..daemons).all(|it| TcpListener::bind((host(it), port)).is_ok()) {
+            return Ok(port);
+        }
+    }
+}
+
+fn host(number: u8) -> IpAddr {
+    [127, 0, 1, number + 1].into()
+}
+
+fn free(ip: IpAddr) -> io::Result<SocketAddr> {
+    TcpListener::bind((ip, 0))?.local_addr()
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -7,6 +7,7 @@
 mod orders;
 mod policy;
 mod slopes;
+mod soak;
 mod standins;
 mod tour;
 mod usage;
@@ -23,6 +24,7 @@
   orders    explores the order protocol's core under faults
   policy    compares the choice of upstreams with baselines and an oracle
   slopes    measures a daemon's cost against the size of the system
+  soak      runs real daemons as processes under faults from outside
   standins  runs the stand-ins, for daemons and command line started by hand
   tour      shows the whole path on loopback, in one process
   help      prints this page
@@ -41,6 +43,7 @@
         "orders" => orders::run(args),
         "policy" => policy::run(&mut lexopt::Parser::from_args(args)),
         "slopes" => slopes::run(args),
+        "soak" => soak::run(args),
         "standins" => standins::run(args),
         "tour" => tour::run(),
         "help" | "--help" | "-h" => {
