--- a/crates/gateway/src/follow/upstreams.rs
+++ b/crates/gateway/src/follow/upstreams.rs
@@ -88,7 +88,7 @@
                 let to = batch.end;
                 let changes = if from == 0 { self.replace(&batch) } else { self.take(&batch) };
                 gateway.set_registry_known();
-                if from > 0 {
+                if from > 0 && gateway.registry.borrow().is_undisturbed() {
                     self.mesh.relay(Relay { from, to, changes });
                 }
                 self.next = now + self.interval();
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -236,9 +236,20 @@
             }
         }
         gateway.registry.borrow_mut().advance(relay.to);
+        self.believe_doubted();
         gateway.registry_read.notify_one();
     }
 
+    /// Believes removals that were doubted only because this host could not reach the store.
+    fn believe_doubted(&self) {
+        let gateway = &self.gateway;
+        gateway.registry.borrow_mut().peer_is_calm();
+        let believed = gateway.registry.borrow_mut().tick(gateway.now());
+        for it in &believed {
+            gateway.apply(it, "doubt-ended");
+        }
+    }
+
     fn note(&self, events: &[Event]) {
         if !events.is_empty() {
             self.gateway.unplace();
--- a/crates/gateway/src/registry/fold.rs
+++ b/crates/gateway/src/registry/fold.rs
@@ -84,6 +84,19 @@
         }
     }
 
+    /// Notes that a peer has read the store undisturbed: calls from here failed for reasons of this
+    /// host, and no entry has lapsed.
+    pub fn peer_is_calm(&mut self) {
+        self.disturbed = false;
+        self.calm_since = None;
+    }
+
+    /// Whether removals are believed at once. A daemon that doubts them must not speak for others.
+    #[must_use]
+    pub fn is_undisturbed(&self) -> bool {
+        !self.disturbed
+    }
+
     /// Replaces the whole set by `registrations`, read up to `end`.
     ///
     /// Gives the changes that lead there, removals that are not believed yet left out.
--- a/crates/gateway/tests/registry_fold.rs
+++ b/crates/gateway/tests/registry_fold.rs
@@ -76,6 +76,22 @@
     assert_eq!(ids(&fold), ["u"]);
 }
 
+/// A host that alone could not reach the store doubted removals for so long that requests reached an
+/// upstream 2.6 s after it had left (grown gondar, hunt-0688-7).
+#[test]
+fn removal_is_believed_once_a_peer_is_calm() {
+    let now = Instant::now();
+    let mut fold = Fold::new(GRACE);
+    fold.apply(now, put("u", 1));
+    fold.store_failed();
+    fold.store_answered(now);
+    assert_eq!(fold.apply(now, removed("u")), None);
+    assert!(!fold.is_undisturbed(), "it must not tell others what it has read");
+    fold.peer_is_calm();
+    assert_eq!(fold.tick(now), [removed("u")]);
+    assert!(fold.is_undisturbed());
+}
+
 #[test]
 fn leaving_upstream_is_removed_also_in_an_outage() {
     let now = Instant::now();
