--- a/crates/gateway/src/load/service.rs
+++ b/crates/gateway/src/load/service.rs
@@ -128,12 +128,6 @@
         self.works.get(route).map_or(FIRST_WORK, |it| Duration::from_secs_f64(*it))
     }
 
-    /// Mean pace of the service's upstreams.
-    #[must_use]
-    pub fn mean_pace(&self) -> f64 {
-        self.pace
-    }
-
     /// The upstream with room where a request is expected to be done soonest, those in `tried`
     /// left out. One that fails often is chosen only when no other has room, and one that other
     /// daemons look after only when none of the own is fit.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,6 +6,7 @@
 mod attempts;
 mod refusal;
 mod reply;
+mod sending;
 mod work;
 
 use std::{
--- /dev/null
+++ b/crates/gateway/src/request/sending.rs
@@ -0,0 +1,156 @@
+//! One attempt at one upstream.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    config::Route,
+    decision::Attempt,
+    desk::{Desk, Flight},
+    gateway::Gateway,
+    http::{self, Message},
+    load::{self, Outcome},
+    registry::UpstreamId,
+    upstream::{Exchange, Failure},
+};
+
+/// Idle time after which a connection isn't used for a request that must not run twice: the
+/// upstream may just be closing it, and then nobody could tell whether the request has run.
+const FRESH_LINK: Duration = Duration::from_secs(1);
+/// Idle time after which a connection isn't used for any request.
+const USABLE_LINK: Duration = Duration::from_secs(8);
+/// Longest time to open a connection to an upstream.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How an attempt ended.
+pub(super) enum End {
+    /// An answer that the upstream made itself.
+    Answer(Message),
+    /// The request was not run there; `sent` if the upstream was given it.
+    NotRun { message: String, sent: bool },
+    /// The request may have run and no whole answer came.
+    Unknown(String),
+}
+
+/// An attempt that has ended.
+pub(super) struct Landed {
+    pub(super) end: End,
+    pub(super) record: Attempt,
+}
+
+/// One attempt.
+pub(super) struct Sending<'a> {
+    pub(super) gateway: &'a Rc<Gateway>,
+    pub(super) desk: &'a Rc<Desk>,
+    pub(super) route: &'a Route,
+    pub(super) message: &'a Message,
+    pub(super) deadline: Instant,
+}
+
+impl Sending<'_> {
+    /// Sends the request and tells the desk how it ended.
+    pub(super) async fn run(self, flight: Flight) -> Landed {
+        let id = flight.upstream().id.clone();
+        let started = flight.started();
+        let (report_age, pace) = self.known(&id, started);
+        let end = self.exchange(&flight).await;
+        let now = self.gateway.now();
+        let took = now.saturating_duration_since(started);
+        let (outcome, result) = judge(&end);
+        if outcome == Outcome::Success {
+            let mut service = self.desk.service.borrow_mut();
+            service.answered(&id, flight.serial(), &self.route.id, took);
+        }
+        flight.land(now, outcome);
+        Landed { end, record: Attempt { upstream: id, report_age, pace, result, took } }
+    }
+
+    fn known(&self, id: &str, at: Instant) -> (Option<Duration>, Option<f64>) {
+        let service = self.desk.service.borrow();
+        let upstream = service.get(id);
+        (
+            upstream.and_then(|it| it.report_age(at)),
+            upstream.and_then(load::Upstream::reported_pace),
+        )
+    }
+
+    async fn exchange(&self, flight: &Flight) -> End {
+        let upstream = flight.upstream();
+        let gateway = self.gateway;
+        let reuse = if self.route.kind.is_idempotent() { USABLE_LINK } else { FRESH_LINK };
+        let connect = CONNECT_TIMEOUT.min(self.deadline.saturating_duration_since(gateway.now()));
+        let taking =
+            gateway.pool.take(&upstream.id, upstream.address, gateway.now(), reuse, connect);
+        let link = match taking.await {
+            Ok(it) => it,
+            Err(e) => return not_sent(format!("no connection: {e}")),
+        };
+        // The upstream may have begun to leave while the connection was opened.
+        if !flight.is_open() {
+            return not_sent("the upstream leaves".to_owned());
+        }
+        let left = self.deadline.saturating_duration_since(gateway.now()).as_millis();
+        if left == 0 {
+            return not_sent("no time left".to_owned());
+        }
+        let names = gateway.dialect.names;
+        let left = left.to_string();
+        let extra = [(names.deadline_ms, &*left), (names.expected_instance, &*upstream.id)];
+        let bytes = http::request(self.message, &extra);
+        let exchange = Exchange {
+            bytes: &bytes,
+            method: &self.message.head.method,
+            id_name: names.request_id,
+            id: self.message.head.get(names.request_id),
+        };
+        match exchange.run(link).await {
+            Ok(it) => {
+                self.report(&upstream.id, &it.message);
+                let idle = self.desk.idle_limit();
+                gateway.pool.put(&upstream.id, gateway.now(), it.link, it.keep_time, idle);
+                self.classify(it.message)
+            }
+            Err(Failure::NotSent(it)) => not_sent(it),
+            Err(e) => End::Unknown(e.to_string()),
+        }
+    }
+
+    fn report(&self, id: &UpstreamId, answer: &Message) {
+        let load = answer.head.get(self.gateway.dialect.names.load);
+        let mut service = self.desk.service.borrow_mut();
+        match load.and_then(|it| (self.gateway.dialect.parse_load)(it)) {
+            Some(it) => service.report(self.gateway.now(), id, it),
+            None => service.not_reported(),
+        }
+    }
+
+    fn classify(&self, answer: Message) -> End {
+        let names = &self.gateway.dialect.names;
+        let head = &answer.head;
+        if head.status == 421 || head.get(names.not_run).is_some() {
+            return End::NotRun { message: format!("refused with {}", head.status), sent: true };
+        }
+        if (200..300).contains(&head.status) && head.get(names.signature).is_none() {
+            return End::Unknown("a success without the upstream's signature".to_owned());
+        }
+        End::Answer(answer)
+    }
+}
+
+fn not_sent(message: String) -> End {
+    End::NotRun { message, sent: false }
+}
+
+fn judge(end: &End) -> (Outcome, String) {
+    match end {
+        End::Answer(it) if it.head.status < 500 => (Outcome::Success, it.head.status.to_string()),
+        End::Answer(it) => (Outcome::Failure, it.head.status.to_string()),
+        End::NotRun { message, sent } => {
+            let outcome = if *sent { Outcome::Refused } else { Outcome::Failure };
+            (outcome, message.replace(' ', "-"))
+        }
+        End::Unknown(message) => (Outcome::Failure, message.replace(' ', "-")),
+    }
+}
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -76,7 +76,7 @@
     if is_success && !answer.body.ends_with(&format!(" to {id}")) {
         ledger.find(format!("{id} got the body \"{}\"", answer.body));
     }
-    if is_success && !answer.head.contains("X-Fireflydrum-Upstream-Seal: seal") {
+    if is_success && !answer.head.contains(config::SIGNATURE) {
         ledger.find(format!("{id} got a success without a signature"));
     }
     if matches!(answer.status, 300..=399 | 400 | 401 | 403 | 404) {
