gateway: derive which attempts go on, read header places in one way

Behaviour as before: attempts that ended leave the list of those that go on, so a second list is needless; both kinds of heads share the search for their headers' places. A doc comment named a parameter that no longer exists.

--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -1,5 +1,7 @@
 //! Heads of requests and answers.
 
+use std::ops::Range;
+
 use bytes::{Bytes, BytesMut};
 
 use super::{Error, Framing, Result};
@@ -59,11 +61,7 @@
         let method = place(base, parsed.method.unwrap_or_default().as_bytes());
         let target = place(base, parsed.path.unwrap_or_default().as_bytes());
         let minor_version = parsed.version.unwrap_or_default();
-        let places: Vec<_> = parsed
-            .headers
-            .iter()
-            .map(|it| (place(base, it.name.as_bytes()), place(base, it.value)))
-            .collect();
+        let places = places(base, parsed.headers);
         let bytes = buffer.split_to(len).freeze();
         Ok(Some(Self {
             method: bytes.slice(method),
@@ -87,11 +85,7 @@
         let base = buffer.as_ptr() as usize;
         let (status, minor_version) =
             (parsed.code.unwrap_or_default(), parsed.version.unwrap_or_default());
-        let places: Vec<_> = parsed
-            .headers
-            .iter()
-            .map(|it| (place(base, it.name.as_bytes()), place(base, it.value)))
-            .collect();
+        let places = places(base, parsed.headers);
         let bytes = buffer.split_to(len).freeze();
         let headers = slices(&bytes, places);
         Ok(Some(Self { status, minor_version, headers, ..Self::default() }))
@@ -198,15 +192,19 @@
     }
 }
 
-fn place(base: usize, part: &[u8]) -> std::ops::Range<usize> {
+fn place(base: usize, part: &[u8]) -> Range<usize> {
     let start = part.as_ptr() as usize - base;
     start..start + part.len()
 }
 
-fn slices(
-    bytes: &Bytes,
-    places: Vec<(std::ops::Range<usize>, std::ops::Range<usize>)>,
-) -> Vec<Header> {
+/// Places of a header's name and value in the bytes of its head.
+type Place = (Range<usize>, Range<usize>);
+
+fn places(base: usize, headers: &[httparse::Header<'_>]) -> Vec<Place> {
+    headers.iter().map(|it| (place(base, it.name.as_bytes()), place(base, it.value))).collect()
+}
+
+fn slices(bytes: &Bytes, places: Vec<Place>) -> Vec<Header> {
     let header = |(name, value)| Header { name: bytes.slice(name), value: bytes.slice(value) };
     places.into_iter().map(header).collect()
 }
--- a/crates/gateway/src/registry/fold.rs
+++ b/crates/gateway/src/registry/fold.rs
@@ -118,7 +118,7 @@
         res
     }
 
-    /// Takes in the change that the record at `offset` tells of; gives it back if it is news.
+    /// Takes in the change that a record tells of; gives it back if it is news and believed.
     pub fn apply(&mut self, now: Instant, change: Change) -> Option<Change> {
         match change {
             Change::Put(it) => self.put(it),
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -56,9 +56,8 @@
 struct Course<'a, 'b> {
     job: &'b Job<'a>,
     tried: Vec<UpstreamId>,
-    /// Attempts with the time of their start.
+    /// Attempts that go on, with the time of their start.
     going: Vec<(UpstreamId, Instant)>,
-    ended: Vec<UpstreamId>,
     sent: u32,
     unreachable: u32,
     may_have_run: bool,
@@ -75,7 +74,6 @@
         job,
         tried: Vec::new(),
         going: Vec::new(),
-        ended: Vec::new(),
         sent: 0,
         unreachable: 0,
         may_have_run: false,
@@ -97,7 +95,7 @@
             biased;
             Some(it) = running.next() => it,
             () = tokio::time::sleep_until(job.deadline.into()) => {
-                trail.attempts.extend(course.unfinished(running.len(), "unanswered"));
+                trail.attempts.extend(course.unfinished("unanswered"));
                 return course.time_out(running.len());
             }
             () = hedge => {
@@ -108,12 +106,12 @@
                 continue;
             }
         };
-        course.ended.push(landed.record.upstream.clone());
+        course.going.retain(|(id, _)| *id != landed.record.upstream);
         trail.attempts.push(landed.record);
         if let Some(res) = course.land(landed.end, running.len()).await {
             match res {
                 Ok(Step::Done(it)) => {
-                    trail.attempts.extend(course.unfinished(running.len(), "cancelled"));
+                    trail.attempts.extend(course.unfinished("cancelled"));
                     return Ok(it);
                 }
                 Ok(Step::Again(flight)) => running.push(course.send(flight, "retry")),
@@ -258,7 +256,7 @@
     }
 
     /// Records of the attempts that go on when the request ends.
-    fn unfinished(&self, count: usize, result: &str) -> Vec<Attempt> {
+    fn unfinished(&self, result: &str) -> Vec<Attempt> {
         let now = self.now();
         let record = |(id, sent): &(UpstreamId, Instant)| Attempt {
             upstream: id.clone(),
@@ -267,8 +265,7 @@
             result: result.to_owned(),
             took: now.saturating_duration_since(*sent),
         };
-        let going = self.going.iter().filter(|(id, _)| !self.ended.contains(id));
-        going.take(count).map(record).collect()
+        self.going.iter().map(record).collect()
     }
 }
 
