registry: look upstreams up by id, not by the hash that datagrams carry

Two ids with the same 32-bit hash shared one entry, so the removal of one could be lost and a leaving upstream would have gone on getting requests. Found by reading; the test equal_hashes finds two such ids by search. Placement of upstreams gets a type of its own beside it.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,10 +24,10 @@
     metrics::Metrics,
     peer::{
         self, Phase,
-        placement::{self, Daemon},
+        placement::{Daemon, Placement},
     },
     probe,
-    registry::{Change, Fold, Registration, UpstreamId},
+    registry::{Change, Fold, Index, Key, Registration, UpstreamId},
     upstream::Pool,
     wire::Dialect,
 };
@@ -84,10 +84,9 @@
     pub registry_read: Notify,
     table: RefCell<Option<Rc<Table>>>,
     desks: RefCell<HashMap<ServiceId, Rc<Desk>>>,
-    index: RefCell<HashMap<u32, (ServiceId, UpstreamId)>>,
+    index: RefCell<Index>,
     dirty: Rc<RefCell<BTreeSet<UpstreamId>>>,
-    keepers: RefCell<HashMap<UpstreamId, Rc<[SocketAddr]>>>,
-    is_placed: Cell<bool>,
+    placement: RefCell<Placement>,
     splits: RefCell<HashMap<RouteId, Vec<f64>>>,
     registry_known: Cell<bool>,
     seed: u64,
@@ -124,8 +123,7 @@
             desks: RefCell::default(),
             index: RefCell::default(),
             dirty: Rc::default(),
-            keepers: RefCell::default(),
-            is_placed: Cell::new(false),
+            placement: RefCell::default(),
             splits: RefCell::default(),
             registry_known: Cell::new(false),
             seed,
@@ -213,11 +211,18 @@
         }
     }
 
-    /// Service and id of the upstream whose id has the hash `key`.
+    /// Desk and id of the upstream that `key` stands for.
     #[must_use]
-    pub fn upstream_of(&self, key: u32) -> Option<(Rc<Desk>, UpstreamId)> {
-        let (service, id) = self.index.borrow().get(&key).cloned()?;
-        Some((self.desk(&service)?, id))
+    pub fn upstream_of(&self, key: Key) -> Option<(Rc<Desk>, UpstreamId)> {
+        let index = self.index.borrow();
+        let (id, service) = index.find(key)?;
+        Some((self.desk(service)?, id.clone()))
+    }
+
+    /// Desk of an upstream.
+    #[must_use]
+    pub fn desk_of(&self, id: &str) -> Option<Rc<Desk>> {
+        self.desk(self.index.borrow().service(id)?)
     }
 
     /// Marks an upstream as one whose load the peers are to be told.
@@ -248,44 +253,35 @@
 
     /// Notes that daemons or upstreams have come or gone.
     pub fn unplace(&self) {
-        self.is_placed.set(false);
+        self.placement.borrow_mut().expire();
     }
 
     /// Works out anew which daemons look after which upstreams, if any have come or gone.
     pub fn place(&self, now: Instant) {
-        if self.is_placed.replace(true) {
+        let settings = self.settings();
+        let mut placement = self.placement.borrow_mut();
+        if !placement.is_expired() {
             return;
         }
-        let settings = self.settings();
-        let own = settings.peer_address;
+        let own = Daemon { address: settings.peer_address, domain: settings.domain.clone() };
         let peers = self.peers.borrow();
         let active = peers.live_peers(now).filter(|(_, it)| it.beat.is_active);
         let mut daemons: Vec<_> = active
             .map(|(address, it)| Daemon { address, domain: it.beat.domain.clone() })
             .collect();
         if self.activity.borrow().is_active() || daemons.is_empty() {
-            daemons.push(Daemon { address: own, domain: settings.domain.clone() });
+            daemons.push(own.clone());
         }
-        let mut keepers = self.keepers.borrow_mut();
-        keepers.clear();
+        placement.begin(own, daemons);
         for desk in self.desks.borrow().values() {
-            let mut service = desk.service.borrow_mut();
-            let count = placement::keeper_count(daemons.len(), service.iter().count());
-            for it in service.iter_mut() {
-                let Registration { id, domain, .. } = &it.registration;
-                let mut found = placement::keepers(id, domain, &daemons, count);
-                let before = found.len();
-                found.retain(|it| *it != own);
-                it.is_preferred = found.len() < before;
-                keepers.insert(it.registration.id.clone(), found.into());
-            }
+            placement.add(&mut desk.service.borrow_mut());
         }
     }
 
     /// Peers that look after an upstream.
     #[must_use]
     pub fn keepers(&self, id: &str) -> Option<Rc<[SocketAddr]>> {
-        self.keepers.borrow().get(id).cloned()
+        self.placement.borrow().keepers(id)
     }
 
     /// The service that gets the next request of a route, so that each gets its share.
@@ -362,13 +358,10 @@
             "event=upstream-says upstream={} service={} address={} state={:?} born_ms={} source={source}",
             it.id, it.service, it.address, it.state, it.born_ms,
         );
-        let key = upstream_key(&it.id);
-        let old = self.index.borrow_mut().insert(key, (it.service.clone(), it.id.clone()));
-        if let Some((service, id)) = old
-            && service != it.service
-            && let Some(desk) = self.desk(&service)
-        {
-            desk.service.borrow_mut().remove(&id);
+        let old = self.index.borrow_mut().put(&it.id, &it.service);
+        let moved_from = old.filter(|old| *old != it.service);
+        if let Some(desk) = moved_from.and_then(|old| self.desk(&old)) {
+            desk.service.borrow_mut().remove(&it.id);
         }
         let Some(desk) = self.desk(&it.service) else { return };
         if desk.service.borrow_mut().put(now, it.clone()) {
@@ -379,20 +372,11 @@
     }
 
     fn remove(&self, id: &UpstreamId) {
-        let found = self.index.borrow_mut().remove(&upstream_key(id));
+        let service = self.index.borrow_mut().remove(id);
         self.pool.forget(id);
         self.unplace();
-        if let Some(desk) = found.and_then(|(service, _)| self.desk(&service)) {
+        if let Some(desk) = service.and_then(|it| self.desk(&it)) {
             desk.service.borrow_mut().remove(id);
         }
     }
 }
-
-/// Hash that stands for an upstream's id in datagrams.
-#[must_use]
-pub fn upstream_key(id: &str) -> u32 {
-    // The lower half of a good hash is one.
-    #[expect(clippy::cast_possible_truncation)]
-    let res = xxh3_64(id.as_bytes()) as u32;
-    res
-}
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -5,9 +5,9 @@
 use tokio::net::UdpSocket;
 
 use crate::{
-    gateway::{Gateway, upstream_key},
+    gateway::Gateway,
     peer::{Beat, Event, Load, Packet, Relay},
-    registry::UpstreamId,
+    registry::{self, UpstreamId},
 };
 
 /// Time for which loads are gathered before peers are told.
@@ -127,13 +127,13 @@
         let now = self.gateway.now();
         let changed = self.gateway.take_changed();
         let load = |id: &UpstreamId| {
-            let (desk, _) = self.gateway.upstream_of(upstream_key(id))?;
+            let desk = self.gateway.desk_of(id)?;
             let service = desk.service.borrow();
             let upstream = service.get(id)?;
             let report = upstream
                 .report_to_tell(now, REPORT_LIFE)
                 .map(|(report, age)| (report, u32::try_from(age.as_millis()).unwrap_or(u32::MAX)));
-            let load = Load { upstream: upstream_key(id), in_flight: upstream.own(), report };
+            let load = Load { upstream: registry::key(id), in_flight: upstream.own(), report };
             Some((id.clone(), load))
         };
         changed.iter().filter_map(load).collect()
--- a/crates/gateway/src/peer/packet.rs
+++ b/crates/gateway/src/peer/packet.rs
@@ -7,7 +7,7 @@
     config::Version,
     load::{HostKey, Report},
     platform::Offset,
-    registry::{Change, Domain},
+    registry::{Change, Domain, Key},
 };
 
 /// One datagram.
@@ -57,7 +57,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Load {
     /// Hash of the upstream's id.
-    pub upstream: u32,
+    pub upstream: Key,
     /// Requests that the sender has in flight there.
     pub in_flight: u32,
     /// Newest report that the sender was given, and its age in milliseconds.
--- a/crates/gateway/src/peer/placement.rs
+++ b/crates/gateway/src/peer/placement.rs
@@ -5,11 +5,14 @@
 //! then don't grow with the product of daemons and upstreams. Every daemon works out the same
 //! placement from the same members, without a word exchanged.
 
-use std::net::SocketAddr;
+use std::{collections::HashMap, net::SocketAddr, rc::Rc};
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::registry::Domain;
+use crate::{
+    load::Service,
+    registry::{Domain, Registration, UpstreamId},
+};
 
 /// Daemons up to which every one looks after every upstream.
 const SMALL_FLEET: usize = 6;
@@ -28,6 +31,55 @@
     pub domain: Domain,
 }
 
+/// Which peers look after which upstreams.
+#[derive(Debug, Default)]
+pub struct Placement {
+    own: Option<Daemon>,
+    daemons: Vec<Daemon>,
+    keepers: HashMap<UpstreamId, Rc<[SocketAddr]>>,
+    is_current: bool,
+}
+
+impl Placement {
+    /// Notes that daemons or upstreams have come or gone.
+    pub fn expire(&mut self) {
+        self.is_current = false;
+    }
+
+    /// Whether daemons or upstreams have come or gone since it was worked out.
+    #[must_use]
+    pub fn is_expired(&self) -> bool {
+        !self.is_current
+    }
+
+    /// Begins anew with the `daemons` that may look after upstreams, of which `own` may be one.
+    pub fn begin(&mut self, own: Daemon, daemons: Vec<Daemon>) {
+        (self.own, self.daemons) = (Some(own), daemons);
+        self.keepers.clear();
+        self.is_current = true;
+    }
+
+    /// Places the upstreams of a service, and tells it which of them this daemon looks after.
+    pub fn add(&mut self, service: &mut Service) {
+        let own = self.own.as_ref().map(|it| it.address);
+        let count = keeper_count(self.daemons.len(), service.iter().count());
+        for it in service.iter_mut() {
+            let Registration { id, domain, .. } = &it.registration;
+            let mut found = keepers(id, domain, &self.daemons, count);
+            let before = found.len();
+            found.retain(|it| Some(*it) != own);
+            it.is_preferred = found.len() < before;
+            self.keepers.insert(it.registration.id.clone(), found.into());
+        }
+    }
+
+    /// Peers that look after an upstream.
+    #[must_use]
+    pub fn keepers(&self, id: &str) -> Option<Rc<[SocketAddr]>> {
+        self.keepers.get(id).cloned()
+    }
+}
+
 /// Number of daemons, out of `daemons`, that look after each of a service's `upstreams`.
 #[must_use]
 pub fn keeper_count(daemons: usize, upstreams: usize) -> usize {
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -1,11 +1,13 @@
 //! Upstreams that register themselves, folded from the records that they write.
 
 mod fold;
+mod index;
 mod registration;
 
 use std::sync::Arc;
 
 pub use fold::{Change, Fold};
+pub use index::{Index, Key, key};
 pub use registration::{Registration, State};
 
 /// Id of one incarnation of an upstream.
--- /dev/null
+++ b/crates/gateway/tests/upstream_index.rs
@@ -0,0 +1,37 @@
+//! Upstreams are found by id and by the hash that datagrams carry.
+
+use gateway::registry::{Index, UpstreamId, key};
+
+/// Two ids whose hashes are equal, found by search.
+fn twins() -> (UpstreamId, UpstreamId) {
+    let mut seen = std::collections::HashMap::new();
+    for number in 0_u32.. {
+        let id = UpstreamId::from(format!("i-{number:x}"));
+        if let Some(other) = seen.insert(key(&id), id.clone()) {
+            return (other, id);
+        }
+    }
+    unreachable!("some two of all numbers have the same hash");
+}
+
+#[test]
+fn equal_hashes() {
+    let (one, other) = twins();
+    let mut index = Index::default();
+    index.put(&one, &"stock".into());
+    index.put(&other, &"orders".into());
+    assert_eq!(index.remove(&one).as_deref(), Some("stock"), "it leaves its own service");
+    assert_eq!(index.service(&other).map(|it| &**it), Some("orders"));
+    assert_eq!(index.find(key(&other)).map(|it| &**it.0), Some(&*other));
+    assert_eq!(index.remove(&other).as_deref(), Some("orders"));
+    assert_eq!(index.find(key(&other)), None);
+}
+
+#[test]
+fn moved_upstream() {
+    let mut index = Index::default();
+    let id = UpstreamId::from("i-1");
+    assert_eq!(index.put(&id, &"stock".into()), None);
+    assert_eq!(index.put(&id, &"orders".into()).as_deref(), Some("stock"));
+    assert_eq!(index.find(key(&id)).map(|it| &**it.1), Some("orders"));
+}
