gateway: notice a caller that leaves behind its last request

Cause: a request with Connection: close ended all reading of its connection, so its end was not seen while the request waited for an upstream. Ruled out: a slow or suspended host (no such line in its log). Reading goes on and what comes is passed over.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -69,7 +69,8 @@
     is_exclusive: bool,
     /// When the present request began, or the connection became idle.
     since: Instant,
-    is_broken: bool,
+    /// Whether no further request is taken; what else comes is passed over.
+    is_closing: bool,
 }
 
 /// Serves one connection to its end.
@@ -84,7 +85,7 @@
         pending: FuturesOrdered::new(),
         is_exclusive: false,
         since,
-        is_broken: false,
+        is_closing: false,
     };
     if let End::Finished = connection.run().await {
         connection.linger().await;
@@ -97,7 +98,8 @@
             let limits = self.gateway.limits();
             self.accept(&limits);
             let wake = self.wake_at(&limits);
-            let may_read = !self.is_broken && self.buffer.len() < READ_AHEAD_BYTES;
+            // A closing connection is still read, since its end tells that the caller has gone.
+            let may_read = self.buffer.len() < READ_AHEAD_BYTES;
             tokio::select! {
                 biased;
                 Some(reply) = self.pending.next(), if !self.pending.is_empty() => {
@@ -107,6 +109,7 @@
                 }
                 res = self.stream.read_buf(&mut self.buffer), if may_read => match res {
                     Ok(0) | Err(_) => return End::Gone,
+                    Ok(_) if self.is_closing => self.buffer.clear(),
                     Ok(_) if self.pending.is_empty() && self.is_between() => {
                         self.since = self.gateway.now();
                     }
@@ -123,7 +126,7 @@
 
     /// Starts work on the requests that have arrived whole.
     fn accept(&mut self, limits: &Limits) {
-        while !self.is_broken && !self.is_exclusive && self.pending.len() < MAX_PIPELINED {
+        while !self.is_closing && !self.is_exclusive && self.pending.len() < MAX_PIPELINED {
             if self.buffer.is_empty() {
                 return;
             }
@@ -133,7 +136,7 @@
                 Ok(None) => return,
                 Err(e) => {
                     // What follows can't be told apart, so this is the last answer.
-                    self.is_broken = true;
+                    self.close_behind();
                     let reply = broken(&e);
                     self.pending.push_back(Box::pin(async { reply }));
                 }
@@ -147,7 +150,9 @@
         let closes = !message.head.keeps_connection();
         let is_safe = matches!(&*message.head.method, b"GET" | b"HEAD" | b"OPTIONS");
         self.is_exclusive = !is_safe;
-        self.is_broken |= closes;
+        if closes {
+            self.close_behind();
+        }
         let Some(held) = Held::take(&self.gateway, message.body.len()) else {
             let reply = Reply { closes, ..no_memory() };
             self.pending.push_back(Box::pin(async { reply }));
@@ -162,6 +167,12 @@
         }));
     }
 
+    /// Takes no request behind those that were begun.
+    fn close_behind(&mut self) {
+        self.is_closing = true;
+        self.buffer.clear();
+    }
+
     async fn send(&mut self, reply: Reply) -> Result<(), End> {
         if self.pending.is_empty() {
             self.is_exclusive = false;
@@ -205,7 +216,7 @@
         if has_begun {
             let limit = if self.is_between() { limits.head_timeout } else { limits.idle_timeout };
             if idle >= limit {
-                self.is_broken = true;
+                self.close_behind();
                 let reply = too_slow();
                 self.pending.push_back(Box::pin(async { reply }));
             }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -36,6 +36,9 @@
 /// are alive have registered again by then.
 const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
 
+/// Time after which every peer has heard that callers use this daemon.
+const NEWS_TIME: Duration = Duration::from_secs(2);
+
 /// What the parts of a daemon share.
 pub struct Gateway {
     /// Settings in force.
@@ -306,15 +309,18 @@
     pub fn share_budgets(&self, now: Instant) {
         let settings = self.settings();
         let peers = self.peers.borrow();
-        let doubtful = peers.live_within(now, settings.retry_window) + 1;
+        let sharers = peers.sharers(now, settings.retry_window);
+        let settling = settings.retry_window + NEWS_TIME;
+        let is_settled = self.activity.borrow().is_active_for(now, settling);
+        let slack = settings.retry_slack * load::slack_part(sharers, is_settled);
         let live = peers.live(now) + 1;
         let mut upstreams = 0;
         for it in self.desks.borrow().values() {
             it.set_daemons(live);
-            it.budget.borrow_mut().set_slack(settings.retry_slack / f64::from(doubtful));
+            it.budget.borrow_mut().set(settings.retry_ratio, slack);
             upstreams += it.service.borrow().iter().count();
         }
-        let rate = settings.probe_rate * upstreams as f64 / f64::from(doubtful);
+        let rate = settings.probe_rate * upstreams as f64 / f64::from(sharers.all + 1);
         self.probes.borrow_mut().set_rate(rate);
     }
 
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -12,7 +12,7 @@
 mod settings;
 mod upstream;
 
-pub use budget::Budget;
+pub use budget::{Budget, slack_part};
 pub use care::Care;
 pub use outcome::Outcome;
 pub use queue::{Queue, Waiter};
--- a/crates/gateway/src/load/budget.rs
+++ b/crates/gateway/src/load/budget.rs
@@ -5,6 +5,8 @@
     time::{Duration, Instant},
 };
 
+use crate::peer::Sharers;
+
 /// Width of the steps in which requests are counted.
 const STEP: Duration = Duration::from_millis(100);
 /// Share of the allowance that is spent; the rest covers requests that are counted elsewhere at
@@ -13,10 +15,16 @@
 /// Share of the allowance that hedges may use; the rest is kept for retries.
 const HEDGE_SHARE: f64 = 0.75;
 
+/// Peers below which all daemons have equal parts of the fixed allowance: callers use them all.
+const SMALL_FLEET: u32 = 12;
+/// In larger fleets, share of the fixed allowance that is divided among all daemons; the rest goes to those that
+/// callers use.
+const IDLE_SHARE: f64 = 0.25;
+
 /// Bounds the attempts beyond the first in each sliding window.
 ///
-/// All entry hosts share the bound: each spends a share of its own requests and an equal part of
-/// the fixed allowance. A host that has just started has none of the latter for a whole window,
+/// All entry hosts share the bound: each spends a share of its own requests and its part of the
+/// fixed allowance, see [`slack_part`]. A host that has just started has none of the latter for a whole window,
 /// since its former incarnation may have spent it.
 #[derive(Debug)]
 pub struct Budget {
@@ -29,6 +37,19 @@
     extra: VecDeque<Instant>,
 }
 
+/// Part of a fixed allowance of all daemons that is this daemon's own, as a share. `peers` are the
+/// others; `is_settled` tells that callers have used this daemon for a whole window, so that every
+/// peer counts it by now.
+#[must_use]
+pub fn slack_part(peers: Sharers, is_settled: bool) -> f64 {
+    if peers.all < SMALL_FLEET {
+        return 1.0 / f64::from(peers.all + 1);
+    }
+    let idle = IDLE_SHARE / f64::from(peers.all + 1);
+    let active = (1.0 - IDLE_SHARE) / f64::from(peers.active + 1);
+    if is_settled { idle + active } else { idle }
+}
+
 impl Budget {
     /// A budget of `ratio` of the requests and this host's part `slack` in each `window`.
     #[must_use]
@@ -44,9 +65,9 @@
         }
     }
 
-    /// Changes this host's part of the fixed allowance.
-    pub fn set_slack(&mut self, slack: f64) {
-        self.slack = slack;
+    /// Changes the share of requests, and this host's part of the fixed allowance.
+    pub fn set(&mut self, ratio: f64, slack: f64) {
+        (self.ratio, self.slack) = (ratio, slack);
     }
 
     /// Counts a request of a caller.
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -14,4 +14,4 @@
 pub use capacity::Capacity;
 pub use packet::{Beat, Load, Packet, Relay};
 pub use phase::Phase;
-pub use table::{Event, Peer, Table};
+pub use table::{Event, Peer, Sharers, Table};
--- a/crates/gateway/src/peer/activity.rs
+++ b/crates/gateway/src/peer/activity.rs
@@ -20,14 +20,14 @@
     requests: u64,
     quiet: u32,
     used_cores: f64,
-    is_active: bool,
+    active_since: Option<Instant>,
 }
 
 impl Activity {
     /// A daemon that has done nothing yet.
     #[must_use]
     pub fn new(now: Instant) -> Self {
-        Self { since: now, requests: 0, quiet: 0, used_cores: 0.0, is_active: false }
+        Self { since: now, requests: 0, quiet: 0, used_cores: 0.0, active_since: None }
     }
 
     /// Takes in the requests taken since the start; true if the daemon has become active or quiet.
@@ -40,9 +40,10 @@
         self.used_cores = rate * REQUEST_CPU.as_secs_f64();
         (self.since, self.requests) = (now, requests);
         self.quiet = if rate < ACTIVE_RATE { self.quiet + 1 } else { 0 };
-        let was_active = self.is_active;
-        self.is_active = self.quiet == 0 || self.is_active && self.quiet < QUIET_PERIODS;
-        self.is_active != was_active
+        let was_active = self.is_active();
+        let is_active = self.quiet == 0 || was_active && self.quiet < QUIET_PERIODS;
+        self.active_since = is_active.then(|| self.active_since.unwrap_or(now));
+        is_active != was_active
     }
 
     /// Processor in use by the requests taken, in cores.
@@ -54,6 +55,12 @@
     /// Whether callers send more than single requests.
     #[must_use]
     pub fn is_active(&self) -> bool {
-        self.is_active
+        self.active_since.is_some()
+    }
+
+    /// Whether callers have used it for `time` without a break.
+    #[must_use]
+    pub fn is_active_for(&self, now: Instant, time: Duration) -> bool {
+        self.active_since.is_some_and(|it| now.saturating_duration_since(it) >= time)
     }
 }
--- a/crates/gateway/src/peer/table.rs
+++ b/crates/gateway/src/peer/table.rs
@@ -36,6 +36,17 @@
     pub beat_at: Instant,
     /// When anything was last heard of it.
     pub heard: Instant,
+    /// When it last said that callers use it.
+    pub active_at: Option<Instant>,
+}
+
+/// Peers that may be spending from the budgets that all daemons share.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Sharers {
+    /// All of them.
+    pub all: u32,
+    /// Those that callers use or used shortly before.
+    pub active: u32,
 }
 
 /// What a beat or the passing of time has changed.
@@ -99,7 +110,9 @@
         let mut res = Vec::new();
         let was_lost = self.lost.remove(&address);
         let host = beat.host.clone();
-        let old = self.peers.insert(address, Peer { beat, beat_at: now, heard: now });
+        let old_active = self.peers.get(&address).and_then(|it| it.active_at);
+        let active_at = if beat.is_active { Some(now) } else { old_active };
+        let old = self.peers.insert(address, Peer { beat, beat_at: now, heard: now, active_at });
         let beat = &self.peers[&address].beat;
         match old {
             None => res.push(Event::Joined(host)),
@@ -184,12 +197,21 @@
         u32::try_from(self.live_addresses(now).count()).unwrap_or(u32::MAX)
     }
 
-    /// Number of peers that were alive at some time within `window`; one that is only cut off from
-    /// here still counts.
+    /// Peers that share the budgets of each `window`. A peer that has fallen silent may only be cut off
+    /// from here and go on, so it counts as long as it is known; one that left as planned spends
+    /// nothing after the window.
     #[must_use]
-    pub fn live_within(&self, now: Instant, window: Duration) -> u32 {
-        let recent = self.peers.values().filter(|it| now.duration_since(it.heard) < window);
-        u32::try_from(recent.count()).unwrap_or(u32::MAX)
+    pub fn sharers(&self, now: Instant, window: Duration) -> Sharers {
+        let is_recent = |at: Instant| now.saturating_duration_since(at) < window;
+        let mut res = Sharers::default();
+        for it in self.peers.values() {
+            if it.beat.phase == Phase::Leaving && !is_recent(it.heard) {
+                continue;
+            }
+            res.all += 1;
+            res.active += u32::from(it.beat.is_active || it.active_at.is_some_and(is_recent));
+        }
+        res
     }
 
     /// Place of the daemon `own` among those alive, in an order that all of them share.
--- a/crates/gateway/tests/peer_table.rs
+++ b/crates/gateway/tests/peer_table.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use gateway::peer::{Beat, Capacity, Event, Phase, Table};
+use gateway::peer::{Beat, Capacity, Event, Phase, Sharers, Table};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -43,7 +43,8 @@
     assert_eq!(table.tick(later), [Event::Lost("host-2".to_owned(), 7)]);
     assert!(table.tick(later).is_empty(), "told once");
     assert_eq!(table.live(later), 0);
-    assert_eq!(table.live_within(later, Duration::from_secs(10)), 1, "it may only be cut off");
+    let sharers = table.sharers(later + MS * 20_000, Duration::from_secs(10));
+    assert_eq!(sharers.all, 1, "it may only be cut off");
     assert_eq!(table.hear(later, address(2), beat(2, 7, Phase::Ready)), joined);
 }
 
@@ -94,3 +95,22 @@
     table.hear(now, address(1), beat(1, 1, Phase::Leaving));
     assert_eq!(table.place(now), 1, "a daemon that leaves reads no more");
 }
+
+#[test]
+fn shares_of_budgets() {
+    let now = Instant::now();
+    let window = Duration::from_secs(10);
+    let mut table = Table::new(address(1));
+    let active = |number| Beat { is_active: true, ..beat(number, 7, Phase::Ready) };
+    table.hear(now, address(2), active(2));
+    table.hear(now, address(3), active(3));
+    table.hear(now, address(4), beat(4, 7, Phase::Ready));
+    table.hear(now, address(5), active(5));
+    table.hear(now + MS, address(5), beat(5, 7, Phase::Leaving));
+    table.hear(now + MS, address(3), beat(3, 7, Phase::Ready));
+    let check = |at: Instant, all, active| {
+        assert_eq!(table.sharers(at, window), Sharers { all, active });
+    };
+    check(now + MS * 2, 4, 3);
+    check(now + window + MS * 2, 3, 1);
+}
--- a/crates/gateway/tests/retry_budget.rs
+++ b/crates/gateway/tests/retry_budget.rs
@@ -6,7 +6,10 @@
     time::{Duration, Instant},
 };
 
-use gateway::load::Budget;
+use gateway::{
+    load::{Budget, slack_part},
+    peer::Sharers,
+};
 use quickcheck::quickcheck;
 
 const WINDOW: Duration = Duration::from_secs(10);
@@ -83,3 +86,61 @@
     assert!(hedges >= 10 && retries >= 3, "{hedges} hedges, {retries} retries");
     assert!(hedges + retries <= 20);
 }
+
+/// How long a daemon doesn't know yet that callers use another.
+const NEWS: Duration = Duration::from_secs(1);
+
+/// A daemon that callers use at some times and not at others.
+struct Daemon {
+    budget: Budget,
+    active_since: Option<Instant>,
+    active_at: Option<Instant>,
+}
+
+/// Pattern: callers move between the hosts of a large fleet, and everything fails. The daemons that
+/// they use have most of the allowance, and its parts never add up to more than the whole.
+#[test]
+fn callers_move_between_daemons() {
+    const DAEMONS: usize = 40;
+    let mut rng = fastrand::Rng::with_seed(5);
+    let start = Instant::now();
+    let daemon = |_| Daemon {
+        budget: Budget::new(start, WINDOW, 0.0, 0.0),
+        active_since: None,
+        active_at: None,
+    };
+    let mut daemons: Vec<_> = (0..DAEMONS).map(daemon).collect();
+    let mut spent = VecDeque::new();
+    let mut most = 0;
+    for step in 0..6_000_u32 {
+        let now = start + STEP * step;
+        for number in 0..DAEMONS {
+            if rng.u32(..1_500) == 0 {
+                let it = &mut daemons[number];
+                it.active_since = if it.active_since.is_none() { Some(now) } else { None };
+            }
+            let is_heard = |(other, it): &(usize, &Daemon)| {
+                *other != number
+                    && (it.active_since.is_some_and(|it| now.duration_since(it) >= NEWS)
+                        || it.active_at.is_some_and(|it| now.duration_since(it) < WINDOW))
+            };
+            let active = daemons.iter().enumerate().filter(is_heard).count();
+            let peers = Sharers { all: 39, active: u32::try_from(active).unwrap() };
+            let it = &mut daemons[number];
+            let is_active = it.active_since.is_some();
+            it.active_at = if is_active { Some(now) } else { it.active_at };
+            let is_settled =
+                it.active_since.is_some_and(|it| now.duration_since(it) >= WINDOW + NEWS * 2);
+            it.budget.set(0.0, SLACK * slack_part(peers, is_settled));
+            while is_active && it.budget.try_retry(now) {
+                spent.push_back(now);
+            }
+        }
+        while spent.front().is_some_and(|it| now.duration_since(*it) >= WINDOW) {
+            spent.pop_front();
+        }
+        most = most.max(spent.len());
+        assert!(spent.len() as f64 <= SLACK, "{} of {SLACK}", spent.len());
+    }
+    assert!(most as f64 > SLACK / 4.0, "most of the allowance lies idle: {most} of {SLACK}");
+}
