--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,8 +1,6 @@
 //! Faults in overlapping series, and the calm end.
 
 use std::{
-    io::{Read, Write},
-    net::TcpStream,
     sync::atomic::Ordering,
     thread,
     time::{Duration, Instant},
@@ -11,7 +9,7 @@
 use platform_standin::{config, store::Fault, upstream::Mode};
 use rustix::process::Signal;
 
-use crate::{Result, proxy::Harm, world::World};
+use crate::{Result, proxy::Harm, watcher, world::World};
 
 /// Time between the beginnings of two faults, in milliseconds.
 const GAP_MS: std::ops::Range<u64> = 100..500;
@@ -24,6 +22,9 @@
 /// Time in which a configuration or a leaving upstream must be known everywhere.
 const NEWS_LIMIT: Duration = Duration::from_secs(4);
 
+/// Memory of a daemon's host: the default of its settings.
+const MEMORY_LIMIT: u64 = 512 << 20;
+
 /// What ends a fault.
 enum End {
     Store,
@@ -72,7 +73,7 @@
             2 => Harm::OneWay,
             _ => Harm::Close,
         };
-        let (kind, end) = match self.rng.u8(..10) {
+        let (kind, end) = match self.rng.u8(..12) {
             0 => {
                 let fault = if self.rng.bool() { Fault::Refuse(503) } else { Fault::Garble };
                 world.store.set_fault(fault);
@@ -108,15 +109,23 @@
                 });
                 ("compact", None)
             }
-            7 if self.is_up(daemon) => {
+            7 => {
+                world.misplace(upstream);
+                ("address-reused", Some(End::Returning(upstream)))
+            }
+            8 => {
+                world.lapse(upstream);
+                ("lapsed", Some(End::Returning(upstream)))
+            }
+            9 if self.is_up(daemon) => {
                 world.daemons.borrow()[daemon].signal(Signal::STOP)?;
                 ("pause", Some(End::Paused(daemon)))
             }
-            8 if self.is_up(daemon) => {
+            10 if self.is_up(daemon) => {
                 world.daemons.borrow()[daemon].signal(Signal::TERM)?;
                 ("terminate", Some(End::Stopping(daemon)))
             }
-            9 if self.is_up(daemon) => {
+            11 if self.is_up(daemon) => {
                 world.daemons.borrow()[daemon].signal(Signal::KILL)?;
                 ("kill", Some(End::Down(daemon)))
             }
@@ -179,6 +188,16 @@
         Ok(())
     }
 
+    /// Checks that no daemon has held more memory than its settings allow.
+    fn check_memory(&self) {
+        for (number, it) in self.world.daemons.borrow().iter().enumerate() {
+            let peak = it.peak_bytes().unwrap_or_default();
+            if peak > MEMORY_LIMIT {
+                self.world.target.ledger.find(format!("daemon {number} held {peak} bytes"));
+            }
+        }
+    }
+
     /// Checks that everything recovers, that news are known everywhere in time, and that planned stops
     /// cut nothing.
     pub(crate) fn calm_end(&mut self) -> Result<()> {
@@ -192,10 +211,12 @@
         world.publish();
         thread::sleep(NEWS_LIMIT);
         for (number, it) in world.daemons.borrow().iter().enumerate() {
-            if !serves(it.callers, &world.newest_path()) {
+            let path = world.newest_path();
+            if !watcher::serves(it.callers, &path, "GET-check", NEWS_LIMIT).unwrap_or(false) {
                 ledger.find(format!("daemon {number} does not serve the newest configuration"));
             }
         }
+        self.check_memory();
         world.register(0, "draining");
         thread::sleep(NEWS_LIMIT);
         let before = world.upstreams[0].0.runs();
@@ -224,16 +245,3 @@
         Ok(())
     }
 }
-
-/// Whether a daemon answers a path with success.
-fn serves(address: std::net::SocketAddr, path: &str) -> bool {
-    let ask = || -> std::io::Result<bool> {
-        let mut stream = TcpStream::connect(address)?;
-        stream.set_read_timeout(Some(NEWS_LIMIT))?;
-        stream.write_all(config::request("GET", path, "GET-check", true).as_bytes())?;
-        let mut status = [0; 12];
-        stream.read_exact(&mut status)?;
-        Ok(status.ends_with(b"200"))
-    };
-    ask().unwrap_or(false)
-}
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -6,6 +6,10 @@
     net::{IpAddr, SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
     process::{Child, Command, Stdio},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -23,7 +27,7 @@
     log: PathBuf,
     ready: SocketAddr,
     child: Option<Child>,
-    pub(crate) starts: u64,
+    pub(crate) starts: Arc<AtomicU64>,
 }
 
 impl Daemon {
@@ -50,7 +54,7 @@
         fs::write(&settings, text)?;
         let log = options.folder.join(format!("daemon-{number}.log"));
         let program = options.daemon.clone();
-        Ok(Self { callers, program, settings, log, ready, child: None, starts: 0 })
+        Ok(Self { callers, program, settings, log, ready, child: None, starts: Arc::default() })
     }
 
     pub(crate) fn start(&mut self) -> io::Result<()> {
@@ -63,7 +67,7 @@
             .stderr(errors)
             .spawn()?;
         self.child = Some(child);
-        self.starts += 1;
+        self.starts.fetch_add(1, Ordering::Relaxed);
         Ok(())
     }
 
@@ -88,6 +92,15 @@
         Ok(false)
     }
 
+    /// The most memory that the process has held so far, in bytes; none if it doesn't run.
+    pub(crate) fn peak_bytes(&self) -> Option<u64> {
+        let id = self.child.as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"))?;
+        let kilobytes: u64 = line.trim().strip_suffix(" kB")?.parse().ok()?;
+        Some(kilobytes << 10)
+    }
+
     pub(crate) fn is_ready(&self) -> bool {
         let ask = || -> io::Result<bool> {
             let mut stream = TcpStream::connect_timeout(&self.ready, READY_TIMEOUT)?;
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -4,8 +4,13 @@
     collections::BTreeMap,
     fmt,
     sync::{Mutex, PoisonError},
+    time::Instant,
 };
 
+use platform_standin::Upstream;
+
+use crate::arrivals;
+
 /// Findings kept; more of the same say nothing new.
 const MAX_FINDINGS: usize = 50;
 
@@ -36,6 +41,7 @@
     report: Mutex<Report>,
     not_run: Mutex<Vec<String>>,
     cut: Mutex<Vec<String>>,
+    sent: Mutex<Vec<Instant>>,
 }
 
 impl Ledger {
@@ -51,6 +57,11 @@
         }
     }
 
+    /// Notes that a caller sends a request.
+    pub(crate) fn sent(&self, at: Instant) {
+        self.sent.lock().unwrap_or_else(PoisonError::into_inner).push(at);
+    }
+
     /// Notes a request whose connection broke in a calm time.
     pub(crate) fn cut(&self, id: &str) {
         self.cut.lock().unwrap_or_else(PoisonError::into_inner).push(id.to_owned());
@@ -69,9 +80,15 @@
     }
 
     /// Checks what was told against what has run, and gives the report.
-    pub(crate) fn close(&self, runs: &[String]) -> Report {
+    pub(crate) fn close(&self, upstreams: &[&Upstream]) -> Report {
+        let runs: Vec<_> = upstreams.iter().flat_map(|it| it.ids()).collect();
+        let arrived: Vec<_> = upstreams.iter().flat_map(|it| it.arrivals()).collect();
+        let sent = self.sent.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(it) = arrivals::check(&sent, &arrived) {
+            self.find(it);
+        }
         let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
-        for it in runs {
+        for it in &runs {
             *counts.entry(it).or_default() += 1;
         }
         for (id, count) in &counts {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,16 +5,19 @@
 //! silenced by loopback proxies; daemons that are killed, stopped as planned, paused and reloaded by
 //! signals; a store that refuses, garbles or forgets; upstreams that refuse, garble or leave; new
 //! configurations. Meanwhile callers use open connections until they break, and what they and the
-//! upstreams see is checked against the promises. A calm end checks planned stops and recovery.
+//! upstreams see is checked against the promises: answers, orders that run once, "not run", configurations that
+//! don't go back, the retry budget. A calm end checks planned stops and recovery.
 //!
 //! One seed gives one schedule of faults; how the processes interleave is up to the machine.
 
+pub mod arrivals;
 mod caller;
 mod faults;
 mod fleet;
 mod ledger;
 mod options;
 mod proxy;
+mod watcher;
 mod world;
 
 pub use ledger::Report;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -1,7 +1,7 @@
 //! The fleet and all that it speaks to.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::RefCell,
     fs,
     sync::{
         Arc,
@@ -22,6 +22,7 @@
     fleet::{self, Daemon},
     ledger::Ledger,
     proxy::Proxy,
+    watcher,
 };
 
 /// Upstreams of the one service.
@@ -38,8 +39,7 @@
     pub(crate) upstreams: Vec<(Upstream, Proxy)>,
     pub(crate) daemons: RefCell<Vec<Daemon>>,
     pub(crate) target: Arc<Target>,
-    version: Cell<u64>,
-    callers: RefCell<Vec<JoinHandle<()>>>,
+    threads: RefCell<Vec<JoinHandle<()>>>,
 }
 
 impl World {
@@ -68,6 +68,8 @@
             stop: AtomicBool::new(false),
             is_calm: AtomicBool::new(false),
             calm_requests: AtomicU64::new(0),
+            starts: daemons.iter().map(|it| Arc::clone(&it.starts)).collect(),
+            published: AtomicU64::new(0),
         });
         let res = Self {
             store,
@@ -75,19 +77,23 @@
             upstreams,
             daemons: RefCell::new(daemons),
             target,
-            version: Cell::new(0),
-            callers: RefCell::default(),
+            threads: RefCell::default(),
         };
         (0..UPSTREAMS).for_each(|it| res.register(it, "ready"));
         res.publish();
         if !res.wait_ready() {
             return Err(Error::NotReady);
         }
+        let mut threads = res.threads.borrow_mut();
         for number in 0..options.callers as u64 {
             let target = Arc::clone(&res.target);
-            let caller = thread::spawn(move || caller::run(&target, number));
-            res.callers.borrow_mut().push(caller);
+            threads.push(thread::spawn(move || caller::run(&target, number)));
         }
+        for daemon in 0..usize::from(options.daemons) {
+            let target = Arc::clone(&res.target);
+            threads.push(thread::spawn(move || watcher::run(&target, daemon)));
+        }
+        drop(threads);
         Ok(res)
     }
 
@@ -98,22 +104,35 @@
         self.store.put(config::UPSTREAMS, &upstream.id, &entry);
     }
 
+    /// Writes that an upstream is reached at the address of another one, as if it had been reused.
+    pub(crate) fn misplace(&self, number: usize) {
+        let other = &self.upstreams[(number + 1) % self.upstreams.len()].1;
+        let upstream = &self.upstreams[number].0;
+        let entry = upstream.entry_at(other.address, "stock", "ready");
+        self.store.put(config::UPSTREAMS, &upstream.id, &entry);
+    }
+
+    /// Removes the entry of an upstream that goes on.
+    pub(crate) fn lapse(&self, number: usize) {
+        self.store.remove(config::UPSTREAMS, &self.upstreams[number].0.id);
+    }
+
     /// Publishes the next configuration: the routes that are always there, and one of its own.
     pub(crate) fn publish(&self) {
-        let version = self.version.get() + 1;
-        self.version.set(version);
-        let own = format!("/version-{version}/");
+        let version = self.target.published.load(Ordering::Relaxed) + 1;
+        let own = config::own_path(version);
         let routes = [
             Route { name: "read", prefix: "/read/", is_idempotent: true },
             Route { name: "order", prefix: "/order/", is_idempotent: false },
             Route { name: "own", prefix: &own, is_idempotent: true },
         ];
         self.store.put(config::TOPIC, config::KEY, &config::text(version, &routes));
+        self.target.published.store(version, Ordering::Relaxed);
     }
 
     /// Path of the route that only the newest configuration has.
     pub(crate) fn newest_path(&self) -> String {
-        format!("/version-{}/1", self.version.get())
+        config::own_path(self.target.published.load(Ordering::Relaxed))
     }
 
     /// Waits until every daemon is ready; false if that takes too long.
@@ -131,13 +150,13 @@
     /// Stops the callers and checks what has run.
     pub(crate) fn finish(&self) -> Report {
         self.target.stop.store(true, Ordering::Relaxed);
-        for it in self.callers.borrow_mut().drain(..) {
+        for it in self.threads.borrow_mut().drain(..) {
             if it.join().is_err() {
-                self.target.ledger.find("a caller panicked".to_owned());
+                self.target.ledger.find("a caller or watcher panicked".to_owned());
             }
         }
         thread::sleep(SETTLE);
-        let runs: Vec<_> = self.upstreams.iter().flat_map(|(it, _)| it.ids()).collect();
-        self.target.ledger.close(&runs)
+        let upstreams: Vec<_> = self.upstreams.iter().map(|(it, _)| it).collect();
+        self.target.ledger.close(&upstreams)
     }
 }
