--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod publish;
 pub mod reader;
 pub mod settings;
+pub mod story;
 pub mod verb;
 
 pub use arguments::Arguments;
--- /dev/null
+++ b/crates/cli/src/story.rs
@@ -0,0 +1,123 @@
+//! What the log lines of one or more daemons tell of a request.
+//!
+//! Reading files is up to the verb; nothing here does input or output.
+
+mod cause;
+mod line;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+};
+
+pub use cause::cause;
+pub use line::Line;
+use serde::Serialize;
+
+/// Milliseconds before the end of a request of which lines are told. Whatever a daemon believed then
+/// was read within the bounds on configurations and leaving upstreams, which are shorter.
+const BEFORE_MS: u64 = 10_000;
+/// Milliseconds behind the end of a request of which lines are told: upstreams that crash vanish from
+/// the registry after three of their heartbeats.
+const AFTER_MS: u64 = 6_000;
+/// Milliseconds around the end of a request in which others at the same upstreams are counted.
+const NEIGHBOURS_MS: u64 = 5_000;
+/// Changes of belief that are told of every time.
+const HOST_EVENTS: [&str; 8] = [
+    "start",
+    "stopping",
+    "stop",
+    "reload",
+    "store-lost",
+    "store-regained",
+    "was-suspended",
+    "config-in-force",
+];
+
+/// What is known of a request.
+#[derive(Debug, Serialize)]
+pub struct Story {
+    /// Id of the request.
+    pub request: String,
+    /// The lines about the request, one for each entry host that it reached, each with its cause.
+    pub decisions: Vec<Decision>,
+    /// What the hosts believed shortly before and after, in the order of their clocks.
+    pub beliefs: Vec<Line>,
+    /// Results of other requests at the same upstreams in the seconds around, by upstream.
+    pub neighbours: BTreeMap<String, BTreeMap<String, usize>>,
+}
+
+/// What one entry host decided.
+#[derive(Debug, Serialize)]
+pub struct Decision {
+    /// Its log line.
+    pub line: Line,
+    /// What the line says in words.
+    pub cause: String,
+}
+
+impl Story {
+    /// The story of a request, from the lines of all hosts; none if no line names it.
+    ///
+    /// Clocks of hosts may differ, so beliefs are taken from the hosts that the request reached, and
+    /// compared by the clock of the same host.
+    #[must_use]
+    pub fn new(request: &str, lines: &[Line]) -> Option<Self> {
+        let is_own = |it: &&Line| it.event() == "request" && it.get("id") == Some(request);
+        let mut own: Vec<_> = lines.iter().filter(is_own).cloned().collect();
+        own.sort_by_key(|it| it.time_ms);
+        if own.is_empty() {
+            return None;
+        }
+        let upstreams: BTreeSet<_> = own.iter().flat_map(Line::upstreams).collect();
+        let is_near = |it: &Line, before: u64, after: u64| {
+            own.iter().any(|own| {
+                let from = own.time_ms.saturating_sub(before);
+                own.host == it.host && (from..=own.time_ms + after).contains(&it.time_ms)
+            })
+        };
+        let is_telling = |it: &&Line| {
+            let names_upstream = it.get("upstream").is_some_and(|it| upstreams.contains(it));
+            let is_belief = it.get("target") == Some("belief");
+            is_belief
+                && (names_upstream || HOST_EVENTS.contains(&it.event()))
+                && is_near(it, BEFORE_MS, AFTER_MS)
+        };
+        let mut beliefs: Vec<_> = lines.iter().filter(is_telling).cloned().collect();
+        beliefs.sort_by(|a, b| (a.time_ms, &a.host).cmp(&(b.time_ms, &b.host)));
+        let mut neighbours: BTreeMap<String, BTreeMap<String, usize>> = BTreeMap::new();
+        for it in lines.iter().filter(|it| is_near(it, NEIGHBOURS_MS, NEIGHBOURS_MS)) {
+            if it.event() != "request" || it.get("id") == Some(request) {
+                continue;
+            }
+            for (upstream, result) in it.attempts() {
+                if upstreams.contains(upstream) {
+                    let results = neighbours.entry(upstream.to_owned()).or_default();
+                    *results.entry(result.to_owned()).or_default() += 1;
+                }
+            }
+        }
+        let decide = |line: Line| Decision { cause: cause(&line), line };
+        let decisions = own.into_iter().map(decide).collect();
+        Some(Self { request: request.to_owned(), decisions, beliefs, neighbours })
+    }
+}
+
+impl fmt::Display for Story {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(out, "request {}", self.request)?;
+        for it in &self.decisions {
+            writeln!(out, "{}\n  {}", it.line, it.cause)?;
+        }
+        if !self.beliefs.is_empty() {
+            writeln!(out, "what these hosts believed around then:")?;
+            self.beliefs.iter().try_for_each(|it| writeln!(out, "  {it}"))?;
+        }
+        for (upstream, results) in &self.neighbours {
+            write!(out, "other logged attempts at {upstream} around then:")?;
+            results.iter().try_for_each(|(result, count)| write!(out, " {count} {result}"))?;
+            writeln!(out)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/cli/src/story/line.rs
@@ -0,0 +1,68 @@
+//! One log line of a daemon.
+
+use std::fmt;
+
+use serde::Serialize;
+
+/// One log line of a daemon: `key=value` pairs from `time=` on.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Line {
+    /// Host that wrote it: the word before the line, else the name of its file.
+    pub host: String,
+    /// Unix time in milliseconds, by the clock of the host.
+    pub time_ms: u64,
+    /// The line from `time=` on.
+    pub text: String,
+}
+
+impl Line {
+    /// Reads a line of the file of `host`; none if it isn't a daemon's.
+    #[must_use]
+    pub fn parse(host: &str, line: &str) -> Option<Self> {
+        let start = line.find("time=")?;
+        let (before, text) = line.split_at(start);
+        let host = before.split_whitespace().last().unwrap_or(host);
+        let time = text["time=".len()..].split(' ').next()?;
+        let (seconds, milliseconds) = time.split_once('.')?;
+        let milliseconds: u64 = milliseconds.get(..3)?.parse().ok()?;
+        let time_ms = seconds.parse::<u64>().ok()?.checked_mul(1_000)? + milliseconds;
+        Some(Self { host: host.to_owned(), time_ms, text: text.trim_end().to_owned() })
+    }
+
+    /// Value of a key outside of attempts.
+    #[must_use]
+    pub fn get(&self, key: &str) -> Option<&str> {
+        let text = self.text.split(" attempts=[").next().unwrap_or_default();
+        value(text, key)
+    }
+
+    /// What the line tells of.
+    #[must_use]
+    pub fn event(&self) -> &str {
+        self.get("event").unwrap_or_default()
+    }
+
+    /// Upstreams and results of the attempts that the line tells of.
+    pub fn attempts(&self) -> impl Iterator<Item = (&str, &str)> {
+        let attempts = self.text.split_once(" attempts=[").map_or("", |it| it.1);
+        attempts.split('(').skip(1).filter_map(|it| {
+            let it = it.split(')').next()?;
+            Some((value(it, "upstream")?, value(it, "result")?))
+        })
+    }
+
+    /// Upstreams of its attempts.
+    pub fn upstreams(&self) -> impl Iterator<Item = &str> {
+        self.attempts().map(|it| it.0)
+    }
+}
+
+impl fmt::Display for Line {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "{} {}", self.host, self.text)
+    }
+}
+
+fn value<'a>(text: &'a str, key: &str) -> Option<&'a str> {
+    text.split(' ').filter_map(|it| it.split_once('=')).find(|it| it.0 == key).map(|it| it.1)
+}
--- a/crates/cli/src/verb/explain.rs
+++ b/crates/cli/src/verb/explain.rs
@@ -1,25 +1,40 @@
 //! `explain`: why a request went where it went.
 
-use std::{fmt, net::SocketAddr};
+use std::{
+    fmt,
+    fs::File,
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::Path,
+};
 
 use serde::Serialize;
 use serde_json::Value;
 
-use crate::{Arguments, Code, Context, Error, Outcome, Result, admin, arguments::Spec, verb::Verb};
+use crate::{
+    Arguments, Code, Context, Error, Outcome, Result, admin,
+    arguments::Spec,
+    story::{Line, Story},
+    verb::Verb,
+};
 
 /// The verb.
 pub const VERB: Verb = Verb {
     name: "explain",
     summary: "show each decision that was made on a request",
     help: "\
-usage: fireflydrum explain REQUEST
+usage: fireflydrum explain REQUEST [--from FILE]…
 
 Asks the live hosts for the decisions on a request, by the id that its answer carries. Hosts keep the
 last decisions only; older ones are in their logs.
 
+  --from FILE       read the decisions from the log of a daemon instead, - for standard input; may be
+                    repeated, one file for each host or one with the host's name before each line
+
   fireflydrum explain 8c1d1f0a-42
+  fireflydrum explain 74f2fe12f01a117e --from edge-1.log --from edge-2.log
 ",
-    spec: Spec { min_values: 1, max_values: 1, options: &[], flags: &[] },
+    spec: Spec { min_values: 1, max_values: 1, options: &["from"], flags: &[] },
     run,
 };
 
@@ -42,6 +57,9 @@
     if !request.chars().all(is_plain) {
         return Err(Error::Usage(format!("`{}` is no id of a request", ini::excerpt(request))));
     }
+    if arguments.option("from").is_some() {
+        return from_logs(request, arguments.all("from"));
+    }
     let path = format!("/explain/{request}");
     for host in admin::live_hosts(cx.admin, cx.seeds()?) {
         let host = host.admin_address;
@@ -50,18 +68,44 @@
         }
     }
     let message = "no host that answers keeps decisions on the request";
-    let report = Missing { request, message };
-    Ok(Outcome::new(&report, Code::Failed))
+    Ok(Outcome::new(&Missing { request, message, starts: Vec::new() }, Code::Failed))
+}
+
+fn from_logs<'a>(request: &str, files: impl Iterator<Item = &'a str>) -> Result<Outcome> {
+    let mut lines = Vec::new();
+    for it in files {
+        let failed = |source| Error::File { name: it.to_owned(), source };
+        let host = Path::new(it).file_stem().unwrap_or_default().to_string_lossy();
+        let reader: Box<dyn BufRead> = match it {
+            "-" => Box::new(std::io::stdin().lock()),
+            path => Box::new(BufReader::new(File::open(path).map_err(failed)?)),
+        };
+        for line in reader.split(b'\n') {
+            // A byte that is no text spoils at most the value that it stands in.
+            let line = line.map_err(failed)?;
+            lines.extend(Line::parse(&host, &String::from_utf8_lossy(&line)));
+        }
+    }
+    if let Some(it) = Story::new(request, &lines) {
+        return Ok(Outcome::new(&it, Code::Done));
+    }
+    let message = "no line names the request; `event=lines-omitted` tells how many were left out, \
+                   and what a process worked on when it was killed has none";
+    let starts = lines.into_iter().filter(|it| it.event() == "start").collect();
+    Ok(Outcome::new(&Missing { request, message, starts }, Code::Failed))
 }
 
 #[derive(Serialize)]
 struct Missing<'a> {
     request: &'a str,
     message: &'a str,
+    /// Starts of processes.
+    starts: Vec<Line>,
 }
 
 impl fmt::Display for Missing<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(f, "{}: {}", self.request, self.message)
+        writeln!(f, "{}: {}", self.request, self.message)?;
+        self.starts.iter().try_for_each(|it| writeln!(f, "  {it}"))
     }
 }
--- a/crates/gateway/src/decision.rs
+++ b/crates/gateway/src/decision.rs
@@ -4,4 +4,4 @@
 mod trail;
 
 pub use journal::Journal;
-pub use trail::{Attempt, Trail};
+pub use trail::{Attempt, SUCCESS, Trail};
--- a/crates/gateway/src/decision/journal.rs
+++ b/crates/gateway/src/decision/journal.rs
@@ -1,16 +1,21 @@
 //! The rate at which requests are logged.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
 /// Time over which lines are counted.
 const PERIOD: Duration = Duration::from_secs(1);
 
 /// Bounds the lines about requests; what is left out is counted.
+///
+/// Lines are counted by kind, so that many requests that end in one way hide none that ends in
+/// another.
 #[derive(Debug)]
 pub struct Journal {
     since: Instant,
-    successes: u32,
-    failures: u32,
+    lines: HashMap<&'static str, u32>,
     omitted: u64,
 }
 
@@ -18,19 +23,16 @@
     /// A journal without lines.
     #[must_use]
     pub fn new(now: Instant) -> Self {
-        Self { since: now, successes: 0, failures: 0, omitted: 0 }
+        Self { since: now, lines: HashMap::new(), omitted: 0 }
     }
 
-    /// Whether a line may be written; the limits are in lines a second.
-    pub fn admits(&mut self, now: Instant, is_success: bool, limits: (u32, u32)) -> bool {
+    /// Whether a line of a kind may be written; `limit` is in lines a second.
+    pub fn admits(&mut self, now: Instant, kind: &'static str, limit: u32) -> bool {
         if now.saturating_duration_since(self.since) >= PERIOD {
-            (self.since, self.successes, self.failures) = (now, 0, 0);
+            self.since = now;
+            self.lines.clear();
         }
-        let (count, limit) = if is_success {
-            (&mut self.successes, limits.0)
-        } else {
-            (&mut self.failures, limits.1)
-        };
+        let count = self.lines.entry(kind).or_default();
         if *count >= limit {
             self.omitted += 1;
             return false;
--- a/crates/gateway/src/decision/trail.rs
+++ b/crates/gateway/src/decision/trail.rs
@@ -13,6 +13,9 @@
 /// Longest part of a caller's id that is logged.
 const MAX_ID: usize = 64;
 
+/// Kind of a request that was answered at the first attempt.
+pub const SUCCESS: &str = "success";
+
 /// One attempt at an upstream.
 #[derive(Clone, Debug)]
 pub struct Attempt {
@@ -68,6 +71,17 @@
         }
     }
 
+    /// In which way a request ended that was told `status`: the reason, or what an upstream answered.
+    #[must_use]
+    pub fn kind(&self, status: u16) -> &'static str {
+        match status {
+            _ if !self.reason.is_empty() => self.reason,
+            400.. => "upstream-error",
+            _ if self.attempts.len() > 1 => "repeated",
+            _ => SUCCESS,
+        }
+    }
+
     /// The line for a request that ended with `status`; 0 if its caller went away.
     #[must_use]
     pub fn line(&self, status: u16, now: Instant) -> String {
--- a/crates/gateway/src/request/work.rs
+++ b/crates/gateway/src/request/work.rs
@@ -2,7 +2,10 @@
 
 use std::rc::Rc;
 
-use crate::{decision::Trail, gateway::Gateway};
+use crate::{
+    decision::{SUCCESS, Trail},
+    gateway::Gateway,
+};
 
 /// A request in work; counted and logged when it ends, also when its caller goes away.
 pub struct Work {
@@ -34,9 +37,13 @@
         let route = self.trail.route.as_deref().unwrap_or_default();
         gateway.metrics.count(route, status, self.trail.reason, took);
         let settings = gateway.settings();
-        let is_success = self.trail.reason.is_empty() && self.trail.attempts.len() < 2;
-        let limits = (settings.success_lines_per_s, settings.failure_lines_per_s);
-        if gateway.journal.borrow_mut().admits(now, is_success, limits) {
+        let kind = self.trail.kind(status);
+        let limit = if kind == SUCCESS {
+            settings.success_lines_per_s
+        } else {
+            settings.failure_lines_per_s
+        };
+        if gateway.journal.borrow_mut().admits(now, kind, limit) {
             log::info!(target: "request", "{}", self.trail.line(status, now));
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -65,7 +65,7 @@
     pub directory_keep: Duration,
     /// Lines a second that are logged for requests that succeed.
     pub success_lines_per_s: u32,
-    /// Lines a second that are logged for requests that fail.
+    /// Lines a second that are logged for requests that fail or are repeated, for each reason.
     pub failure_lines_per_s: u32,
 }
 
--- a/crates/gateway/tests/log_lines.rs
+++ b/crates/gateway/tests/log_lines.rs
@@ -8,7 +8,7 @@
 };
 
 use gateway::{
-    decision::{Journal, Trail},
+    decision::{Attempt, Journal, SUCCESS, Trail},
     logs,
 };
 use quickcheck::quickcheck;
@@ -48,11 +48,35 @@
     let now = Instant::now();
     let mut journal = Journal::new(now);
     let mut admitted =
-        |at, is_success| (0..1_000).filter(|_| journal.admits(at, is_success, (2, 50))).count();
-    assert_eq!(admitted(now, true), 2);
-    assert_eq!(admitted(now, false), 50);
-    assert_eq!(admitted(now + Duration::from_secs(1), false), 50);
-    assert_eq!(journal.take_omitted(), 998 + 950 + 950);
+        |at, kind, limit| (0..1_000).filter(|_| journal.admits(at, kind, limit)).count();
+    assert_eq!(admitted(now, SUCCESS, 2), 2);
+    assert_eq!(admitted(now, "overload", 50), 50);
+    assert_eq!(admitted(now, "upstream-late", 50), 50, "hidden by refusals");
+    assert_eq!(admitted(now + Duration::from_secs(1), "overload", 50), 50);
+    assert_eq!(journal.take_omitted(), 998 + 3 * 950);
+}
+
+/// An upstream's own failure is no success, also when it is passed on at the first attempt.
+#[test]
+fn kinds_of_ends() {
+    let attempt = |result: &str| Attempt {
+        upstream: "u".into(),
+        report_age: None,
+        pace: None,
+        result: result.to_owned(),
+        took: Duration::ZERO,
+    };
+    let check = |reason, status, results: &[&str], kind| {
+        let mut trail = Trail::new(None, Instant::now());
+        trail.reason = reason;
+        trail.attempts.extend(results.iter().map(|it| attempt(it)));
+        assert_eq!(trail.kind(status), kind, "{status} after {results:?}");
+    };
+    check("", 200, &["200"], SUCCESS);
+    check("", 500, &["500"], "upstream-error");
+    check("", 504, &["504"], "upstream-error");
+    check("", 200, &["connection-broke", "200"], "repeated");
+    check("overload", 503, &[], "overload");
 }
 
 quickcheck! {
