gateway: let the traffic between daemons grow less than with the square of the fleet

Cause, from the logs of a scratch site of 141 hosts and 1,050 upstreams: at the start each daemon read the registry by itself and told all others of hundreds of upstreams in one datagram, which held up the 10 Mbit/s links for seconds, so that 87 of 140 peers seemed lost. Ruled out: processor time (0.0135 cores a host). Now news of the registry goes in small datagrams, whose loss leaves a gap that the next one shows; more than 16,000 changes times peers are left to own reading; hosts with the best links read first, the crowd behind them not all at once; and in fleets above 48 the daemons that callers don't use beat up to four times less often.

--- a/crates/gateway/src/follow/upstreams.rs
+++ b/crates/gateway/src/follow/upstreams.rs
@@ -2,7 +2,7 @@
 //!
 //! The registry changes at every heartbeat of every upstream, so it is read at intervals and by few:
 //! whoever has read it tells the peers, who then put off their own reading. The order in which
-//! daemons come to read is that of their addresses; the next one steps in when one is missing.
+//! daemons come to read is that of their links; the next one steps in when one is missing.
 
 use std::{
     rc::Rc,
@@ -23,7 +23,7 @@
 const READS_PER_DRAIN: u32 = 3;
 /// Time after which the next daemon in the order reads in place of one that is silent.
 const STAGGER: Duration = Duration::from_millis(150);
-/// Daemons that step in one after the other; all others follow together.
+/// Daemons that step in one after the other; all others follow within the same time again.
 const MAX_PLACE: u32 = 4;
 /// Pause after a failed call, for the first daemon in the order; the others wait for its news and try
 /// less often.
@@ -66,8 +66,13 @@
     }
 
     fn interval(&self) -> Duration {
-        let place = self.gateway.peers.borrow().place(self.gateway.now()).min(MAX_PLACE);
-        self.gateway.settings().drain / READS_PER_DRAIN + STAGGER * place
+        let place = self.gateway.peers.borrow().place(self.gateway.now());
+        let turn = self.gateway.settings().drain / READS_PER_DRAIN;
+        if place < MAX_PLACE {
+            return turn + STAGGER * place;
+        }
+        // Not all at once: whoever is first tells the others.
+        turn + STAGGER.mul_f64(f64::from(MAX_PLACE) + 2.0 * fastrand::f64())
     }
 
     async fn read(&mut self) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -106,7 +106,7 @@
             key: seed,
             phase: Cell::default(),
             registry: RefCell::new(Fold::new(LAPSE_GRACE)),
-            peers: RefCell::new(peer::Table::new(settings.peer_address)),
+            peers: RefCell::new(peer::Table::new(settings.peer_address, link_mbps(&settings))),
             pool: Pool::default(),
             probes: RefCell::new(probe::Bucket::new(now)),
             metrics: Metrics::default(),
@@ -247,7 +247,7 @@
         // Figures for people and for comparison; the precision of the smaller type is enough.
         #[expect(clippy::cast_possible_truncation)]
         let res = peer::Capacity {
-            link_mbps: settings.link_mbps as f32,
+            link_mbps: link_mbps(&settings),
             cpu_cores: settings.cpu_cores as f32,
             used_cores: self.activity.borrow().used_cores() as f32,
         };
@@ -386,3 +386,11 @@
         }
     }
 }
+
+/// Bandwidth of the host's link, as peers are told.
+fn link_mbps(settings: &Settings) -> f32 {
+    // The precision of the smaller type is enough for an order of hosts.
+    #[expect(clippy::cast_possible_truncation)]
+    let res = settings.link_mbps as f32;
+    res
+}
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -18,6 +18,10 @@
 const MAX_DATAGRAM: usize = 1_400;
 /// Loads in one datagram.
 const LOADS_PER_DATAGRAM: usize = 60;
+/// Changes of the registry in one datagram.
+const CHANGES_PER_DATAGRAM: usize = 10;
+/// Changes that one read may make this daemon tell, counted for each peer: 1 to 2 MB.
+const MAX_TOLD: usize = 16_000;
 /// Reports older than this are not passed on.
 const REPORT_LIFE: Duration = Duration::from_millis(150);
 
@@ -74,7 +78,8 @@
             self.note(&events);
             self.gateway.share_budgets(now);
             self.gateway.place(now);
-            let due = self.gateway.peers.borrow_mut().due(now);
+            let is_active = self.gateway.activity.borrow().is_active();
+            let due = self.gateway.peers.borrow_mut().due(now, is_active);
             for (address, asks) in due {
                 let beat = self.own_beat(asks);
                 self.send(address, &Packet::Beat(beat));
@@ -116,11 +121,19 @@
         }
     }
 
-    /// Tells peers what was read from the store.
+    /// Tells peers what was read from the store; too much to tell each of them is left to their own
+    /// reading.
     pub fn relay(&self, relay: Relay) {
         let peers: Vec<_> =
             self.gateway.peers.borrow().live_addresses(self.gateway.now()).collect();
-        self.send_all(&peers, &Packet::Relay(relay));
+        let changes = relay.changes.len();
+        if changes * peers.len() > MAX_TOLD {
+            log::info!(target: "belief", "event=relay-omitted changes={changes} peers={}", peers.len());
+            return;
+        }
+        for it in relay.split(CHANGES_PER_DATAGRAM) {
+            self.send_all(&peers, &Packet::Relay(it));
+        }
     }
 
     fn changed_loads(&self) -> Vec<(UpstreamId, Load)> {
--- a/crates/gateway/src/peer/packet.rs
+++ b/crates/gateway/src/peer/packet.rs
@@ -74,3 +74,28 @@
     /// What changed between the two.
     pub changes: Vec<Change>,
 }
+
+impl Relay {
+    /// Parts of at most `count` changes, to be sent in this order.
+    ///
+    /// Each change stands for a record at least, so each part but the last can stand for as many
+    /// offsets as it has changes. Whoever misses a part sees a gap before the next one, and finds all
+    /// that was missed by reading from its own end.
+    #[must_use]
+    pub fn split(self, count: usize) -> Vec<Self> {
+        let Self { from, to, changes } = self;
+        let parts = changes.len().div_ceil(count).max(1);
+        let mut res = Vec::with_capacity(parts);
+        let mut start = from;
+        for (number, part) in changes.chunks(count.max(1)).enumerate() {
+            let next = start + part.len() as Offset;
+            let end = if number + 1 == parts { to } else { next.min(to) };
+            res.push(Self { from: start, to: end, changes: part.to_vec() });
+            start = end;
+        }
+        if res.is_empty() {
+            res.push(Self { from, to, changes });
+        }
+        res
+    }
+}
--- a/crates/gateway/src/peer/table.rs
+++ b/crates/gateway/src/peer/table.rs
@@ -24,6 +24,11 @@
 /// Longest interval of beats: callers must not be told of a dead peer for much longer than they keep
 /// what they are told.
 const MAX_BEAT_INTERVAL: Duration = Duration::from_millis(800);
+/// Peers above which daemons that callers don't use send their beats less often: nobody waits for
+/// their news, and beats grow with the square of the fleet.
+const LARGE_FLEET: u32 = 48;
+/// Longest interval of beats of a daemon that callers don't use, in intervals of the others.
+const MAX_IDLE_FACTOR: f64 = 4.0;
 /// Addresses of other peers told in each beat.
 const GOSSIP: usize = 3;
 
@@ -72,6 +77,7 @@
 #[derive(Debug)]
 pub struct Table {
     own: SocketAddr,
+    own_link: f32,
     contacts: BTreeMap<SocketAddr, Contact>,
     peers: BTreeMap<SocketAddr, Peer>,
     lost: BTreeSet<SocketAddr>,
@@ -79,11 +85,12 @@
 }
 
 impl Table {
-    /// A table of the daemon that peers reach at `own`.
+    /// A table of the daemon that peers reach at `own`, on a host with a link of `own_link` Mbit/s.
     #[must_use]
-    pub fn new(own: SocketAddr) -> Self {
+    pub fn new(own: SocketAddr, own_link: f32) -> Self {
         Self {
             own,
+            own_link,
             contacts: BTreeMap::new(),
             peers: BTreeMap::new(),
             lost: BTreeSet::new(),
@@ -158,11 +165,11 @@
         res
     }
 
-    /// Addresses to which a beat is due; each given counts as sent, and whether it asks for a beat
-    /// in return.
-    pub fn due(&mut self, now: Instant) -> Vec<(SocketAddr, bool)> {
+    /// Addresses to which a beat is due, and whether it asks for a beat in return; each given counts
+    /// as sent. `is_active` tells whether callers use this daemon.
+    pub fn due(&mut self, now: Instant, is_active: bool) -> Vec<(SocketAddr, bool)> {
         let live: BTreeSet<_> = self.live_addresses(now).collect();
-        let usual = beat_interval(self.peers.len());
+        let usual = beat_interval(self.peers.len(), is_active);
         let mut res = Vec::new();
         for (address, contact) in &mut self.contacts {
             let is_live = live.contains(address);
@@ -187,7 +194,7 @@
 
     /// Whether a peer was heard lately. Peers send as often as this daemon does: they know as many.
     fn is_live(&self, it: &Peer, now: Instant) -> bool {
-        let limit = beat_interval(self.peers.len()).mul_f64(LIVE_BEATS);
+        let limit = beat_interval(self.peers.len(), it.beat.is_active).mul_f64(LIVE_BEATS);
         now.saturating_duration_since(it.heard) < limit
     }
 
@@ -214,12 +221,15 @@
         res
     }
 
-    /// Place of the daemon `own` among those alive, in an order that all of them share.
+    /// Place of the daemon `own` among those alive, in an order that all of them share: the hosts with
+    /// the best links come first, since the first ones read the store and tell the others.
     #[must_use]
     pub fn place(&self, now: Instant) -> u32 {
-        let before = self
-            .live_peers(now)
-            .filter(|(address, it)| *address < self.own && it.beat.phase != Phase::Leaving);
+        let is_before = |address: SocketAddr, it: &Peer| {
+            let order = it.beat.capacity.link_mbps.total_cmp(&self.own_link).reverse();
+            order.then(address.cmp(&self.own)).is_lt() && it.beat.phase != Phase::Leaving
+        };
+        let before = self.live_peers(now).filter(|(address, it)| is_before(*address, it));
         u32::try_from(before.count()).unwrap_or(u32::MAX)
     }
 
@@ -232,8 +242,14 @@
     }
 }
 
-fn beat_interval(known: usize) -> Duration {
+/// Time between two beats of a daemon that knows so many peers.
+fn beat_interval(known: usize, is_active: bool) -> Duration {
     let known = u32::try_from(known).unwrap_or(u32::MAX);
     let interval = BEAT_INTERVAL.saturating_mul(known.max(SMALL_FLEET)) / SMALL_FLEET;
-    interval.min(MAX_BEAT_INTERVAL)
+    let interval = interval.min(MAX_BEAT_INTERVAL);
+    if is_active {
+        return interval;
+    }
+    let factor = f64::from(known) / f64::from(LARGE_FLEET);
+    interval.mul_f64(factor.clamp(1.0, MAX_IDLE_FACTOR))
 }
--- a/crates/gateway/tests/peer_table.rs
+++ b/crates/gateway/tests/peer_table.rs
@@ -20,7 +20,7 @@
         domain: "a".into(),
         caller_address: SocketAddr::from(([10, 0, 0, number], 80)),
         phase,
-        capacity: Capacity::default(),
+        capacity: Capacity { link_mbps: 100.0, ..Capacity::default() },
         is_active: false,
         config: 1,
         config_checked_ms: None,
@@ -34,7 +34,7 @@
 #[test]
 fn silent_peer_is_lost_and_comes_back() {
     let now = Instant::now();
-    let mut table = Table::new(address(1));
+    let mut table = Table::new(address(1), 100.0);
     let joined = [Event::Joined("host-2".to_owned())];
     assert_eq!(table.hear(now, address(2), beat(2, 7, Phase::Ready)), joined);
     assert_eq!(table.live(now), 1);
@@ -51,7 +51,7 @@
 #[test]
 fn restart_is_noticed() {
     let now = Instant::now();
-    let mut table = Table::new(address(1));
+    let mut table = Table::new(address(1), 100.0);
     table.hear(now, address(2), beat(2, 7, Phase::Ready));
     let events = table.hear(now, address(2), beat(2, 8, Phase::Starting));
     let host = "host-2".to_owned();
@@ -61,7 +61,7 @@
 #[test]
 fn leaving_is_told_once() {
     let now = Instant::now();
-    let mut table = Table::new(address(1));
+    let mut table = Table::new(address(1), 100.0);
     table.hear(now, address(2), beat(2, 7, Phase::Ready));
     let leaving = [Event::Leaving("host-2".to_owned())];
     assert_eq!(table.hear(now, address(2), beat(2, 7, Phase::Leaving)), leaving);
@@ -71,36 +71,77 @@
 #[test]
 fn gossip_spreads_addresses() {
     let now = Instant::now();
-    let mut table = Table::new(address(1));
+    let mut table = Table::new(address(1), 100.0);
     table.add(now, address(2));
     let mut told = beat(2, 7, Phase::Ready);
     told.peers = vec![address(1), address(3)];
     table.hear(now, address(2), told);
-    let due: Vec<_> = table.due(now).into_iter().map(|(it, _)| it).collect();
+    let due: Vec<_> = table.due(now, false).into_iter().map(|(it, _)| it).collect();
     assert_eq!(due, [address(2), address(3)], "never to itself");
-    assert!(table.due(now).is_empty());
+    assert!(table.due(now, false).is_empty());
     let later = now + Duration::from_mins(2);
     table.tick(later);
-    assert!(table.due(later).is_empty(), "addresses that never answer are given up");
+    assert!(table.due(later, false).is_empty(), "addresses that never answer are given up");
 }
 
 #[test]
 fn places_are_one_order() {
     let now = Instant::now();
-    let mut table = Table::new(address(3));
+    let mut table = Table::new(address(3), 100.0);
     for it in [1, 2, 4] {
         table.hear(now, address(it), beat(it, it.into(), Phase::Ready));
     }
     assert_eq!(table.place(now), 2);
     table.hear(now, address(1), beat(1, 1, Phase::Leaving));
     assert_eq!(table.place(now), 1, "a daemon that leaves reads no more");
+    let slow = Capacity { link_mbps: 10.0, ..Capacity::default() };
+    table.hear(now, address(2), Beat { capacity: slow, ..beat(2, 2, Phase::Ready) });
+    assert_eq!(table.place(now), 0, "hosts with better links come first");
+}
+
+/// Pattern: hundreds of hosts of which callers use a few. The beats of the others take a quarter.
+#[test]
+fn idle_daemons_of_a_large_fleet() {
+    let start = Instant::now();
+    let sent = |peers: u32, is_active: bool| {
+        let mut table = Table::new(address(1), 100.0);
+        let peer = |it: u32| SocketAddr::from((std::net::Ipv4Addr::from(it + (11 << 24)), 7_200));
+        let mut count = 0;
+        for step in 0..200 {
+            let now = start + MS * 100 * step;
+            (0..peers).for_each(|it| drop(table.hear(now, peer(it), beat(2, 7, Phase::Ready))));
+            count += table.due(now, is_active).len();
+        }
+        count
+    };
+    let check = |peers, least, most| {
+        let share = sent(peers, false) as f64 / sent(peers, true) as f64;
+        assert!((least..=most).contains(&share), "{share} of the beats with {peers} peers");
+    };
+    check(6, 1.0, 1.0);
+    check(46, 1.0, 1.0);
+    check(300, 0.2, 0.3);
+}
+
+#[test]
+fn idle_peer_of_a_large_fleet_lives_on() {
+    let now = Instant::now();
+    let mut table = Table::new(address(1), 100.0);
+    for it in 2..=250 {
+        table.hear(now, address(it), beat(it, 7, Phase::Ready));
+    }
+    let active = Beat { is_active: true, ..beat(2, 7, Phase::Ready) };
+    table.hear(now, address(2), active);
+    let later = now + MS * 5_000;
+    assert_eq!(table.tick(later), [Event::Lost("host-2".to_owned(), 7)]);
+    assert_eq!(table.live(later), 248);
 }
 
 #[test]
 fn shares_of_budgets() {
     let now = Instant::now();
     let window = Duration::from_secs(10);
-    let mut table = Table::new(address(1));
+    let mut table = Table::new(address(1), 100.0);
     let active = |number| Beat { is_active: true, ..beat(number, 7, Phase::Ready) };
     table.hear(now, address(2), active(2));
     table.hear(now, address(3), active(3));
--- /dev/null
+++ b/crates/gateway/tests/registry_relay.rs
@@ -0,0 +1,80 @@
+//! What one daemon has read reaches the others in parts, of which any may be lost.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use gateway::{
+    peer::Relay,
+    registry::{Change, Registration, State, UpstreamId},
+};
+use quickcheck::quickcheck;
+
+fn put(number: usize) -> Change {
+    Change::Put(Registration {
+        id: format!("i-{number}").into(),
+        born_ms: 1,
+        service: "stock".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        domain: "a".into(),
+        slots: 6,
+        state: State::Ready,
+        cold_for: Duration::ZERO,
+    })
+}
+
+fn id(change: &Change) -> UpstreamId {
+    match change {
+        Change::Put(it) => it.id.clone(),
+        Change::Removed(it) => it.clone(),
+    }
+}
+
+#[test]
+fn parts_are_small_and_meet() {
+    let check = |records: u64, changes: usize, parts: usize| {
+        let changes: Vec<_> = (0..changes).map(put).collect();
+        let relay = Relay { from: 100, to: 100 + records, changes: changes.clone() };
+        let res = relay.split(10);
+        assert_eq!(res.len(), parts);
+        assert_eq!((res[0].from, res[parts - 1].to), (100, 100 + records));
+        assert!(res.windows(2).all(|it| it[0].to == it[1].from && it[0].to > it[0].from));
+        let told: Vec<_> = res.into_iter().flat_map(|it| it.changes).collect();
+        assert_eq!(told, changes);
+    };
+    check(50, 0, 1);
+    check(50, 10, 1);
+    check(50, 11, 2);
+    check(50, 50, 5);
+}
+
+quickcheck! {
+    /// Each record is a heartbeat or a change; parts get lost; whoever sees a gap reads the records
+    /// from where it stands.
+    fn lost_parts(records: Vec<bool>, lost: Vec<bool>) -> bool {
+        let changed = |from: usize| {
+            let changes = records.iter().enumerate().skip(from).filter(|(_, it)| **it);
+            changes.map(|(it, _)| put(it))
+        };
+        let relay = Relay { from: 0, to: records.len() as u64, changes: changed(0).collect() };
+        let (mut end, mut known) = (0, BTreeSet::new());
+        let read = |end: &mut u64, known: &mut BTreeSet<UpstreamId>| {
+            known.extend(changed(usize::try_from(*end).unwrap()).map(|it| id(&it)));
+            *end = records.len() as u64;
+        };
+        for (number, part) in relay.split(3).into_iter().enumerate() {
+            if lost.get(number) == Some(&true) {
+                continue;
+            }
+            if part.from > end {
+                read(&mut end, &mut known);
+            } else {
+                known.extend(part.changes.iter().map(id));
+                end = end.max(part.to);
+            }
+        }
+        // The next relay begins at the end of the records.
+        if end < records.len() as u64 {
+            read(&mut end, &mut known);
+        }
+        known == changed(0).map(|it| id(&it)).collect()
+    }
+}
