--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -30,6 +30,7 @@
     Store,
     StoreLink,
     Upstream(usize),
+    AllUpstreams,
     UpstreamLink(usize),
     Returning(usize),
     Paused(usize),
@@ -73,7 +74,7 @@
             2 => Harm::OneWay,
             _ => Harm::Close,
         };
-        let (kind, end) = match self.rng.u8(..12) {
+        let (kind, end) = match self.rng.u8(..13) {
             0 => {
                 let fault = if self.rng.bool() { Fault::Refuse(503) } else { Fault::Garble };
                 world.store.set_fault(fault);
@@ -109,6 +110,10 @@
                 });
                 ("compact", None)
             }
+            12 => {
+                world.upstreams.iter().for_each(|it| it.0.set_mode(Mode::Shed));
+                ("all-refuse", Some(End::AllUpstreams))
+            }
             7 => {
                 world.misplace(upstream);
                 ("address-reused", Some(End::Returning(upstream)))
@@ -169,6 +174,7 @@
             End::Store => world.store.set_fault(Fault::None),
             End::StoreLink => world.store_proxy.set(Harm::None),
             End::Upstream(it) => world.upstreams[*it].0.set_mode(Mode::Good),
+            End::AllUpstreams => world.upstreams.iter().for_each(|it| it.0.set_mode(Mode::Good)),
             End::UpstreamLink(it) => world.upstreams[*it].1.set(Harm::None),
             End::Returning(it) => world.register(*it, "ready"),
             End::Paused(it) => world.daemons.borrow()[*it].signal(Signal::CONT)?,
