directory: tell callers of good hosts elsewhere before slow ones nearby

All but three lines with upstream-late came from one host with a link of 11 Mbit/s, which callers of its domain were told of while one of the two hosts with good links was being restarted; uploads choked it. Ruled out: upstreams that turn slow (others got answers of the same ones in 290 to 450 ms). Test good_link_leaves failed before.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -43,33 +43,40 @@
     Reply::text(200, "application/json", (gateway.dialect.directory)(&addresses, keep))
 }
 
-/// The hosts to tell: those in the caller's failure domain that have the best links, more of them if
-/// their processors are in use, and others if these are too few.
+/// The hosts to tell: those in the caller's failure domain with good links, more of the domain if their
+/// processors are in use, and the best links of other domains if these are too few. A slow link nearby
+/// costs a caller more than the way to another domain.
 #[must_use]
-pub fn choose(mut hosts: Vec<Host>, hash: usize) -> Vec<SocketAddr> {
-    let order = |it: &Host| (!it.is_near, it.capacity.link_mbps, it.address);
-    hosts.sort_by(|a, b| {
-        let (a, b) = (order(a), order(b));
-        a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)).then(a.2.cmp(&b.2))
-    });
-    let near = hosts.iter().filter(|it| it.is_near).count();
-    if near < MIN_ADDRESSES && hosts.len() > near {
-        // Callers of a domain with few hosts spread over the rest, not all over the first of them.
-        let rest = hosts.len() - near;
-        hosts[near..].rotate_left(hash % rest);
+pub fn choose(hosts: Vec<Host>, hash: usize) -> Vec<SocketAddr> {
+    let best = hosts.iter().map(|it| it.capacity.link_mbps).fold(0.0, f32::max);
+    let is_good = |it: &Host| it.capacity.link_mbps >= best * LINK_SHARE;
+    let (mut near, far): (Vec<_>, Vec<_>) = hosts.into_iter().partition(|it| it.is_near);
+    let (mut far, mut far_slow): (Vec<_>, Vec<_>) = far.into_iter().partition(is_good);
+    for it in [&mut near, &mut far, &mut far_slow] {
+        it.sort_by(|a, b| {
+            let link = b.capacity.link_mbps.total_cmp(&a.capacity.link_mbps);
+            link.then(a.address.cmp(&b.address))
+        });
     }
-    let used: f32 = hosts[..near].iter().map(|it| it.capacity.used_cores).sum();
-    let best = hosts.first().map_or(0.0, |it| it.capacity.link_mbps);
+    // Callers of a domain with few hosts spread over the rest, not all over the first of them.
+    for it in [&mut far, &mut far_slow] {
+        let start = hash.checked_rem(it.len()).unwrap_or_default();
+        it.rotate_left(start);
+    }
+    let used: f32 = near.iter().map(|it| it.capacity.used_cores).sum();
     let mut cores = 0.0;
-    let mut is_told = |(place, it): &(usize, Host)| {
-        let is_needed = *place < MIN_ADDRESSES || cores * CPU_SHARE < used;
-        let is_good = it.capacity.link_mbps >= best * LINK_SHARE;
+    let is_told = |it: &Host| {
+        let is_needed = cores * CPU_SHARE < used;
         cores += it.capacity.cpu_cores;
-        is_needed || is_good
+        is_needed || is_good(it)
     };
-    let limit = near.clamp(MIN_ADDRESSES, MAX_ADDRESSES);
-    let told = hosts.into_iter().take(limit).enumerate().filter(|it| is_told(it));
-    told.map(|(_, it)| it.address).collect()
+    let (mut told, slow): (Vec<_>, Vec<_>) = near.into_iter().partition(is_told);
+    told.truncate(MAX_ADDRESSES);
+    // Without a good one nearby, callers spread over all good ones elsewhere.
+    let enough = if told.is_empty() { MIN_ADDRESSES.max(far.len()) } else { MIN_ADDRESSES };
+    let missing = enough.min(MAX_ADDRESSES).saturating_sub(told.len());
+    told.extend(far.into_iter().chain(slow).chain(far_slow).take(missing));
+    told.into_iter().map(|it| it.address).collect()
 }
 
 fn serving(gateway: &Gateway, domain: &str) -> Vec<Host> {
--- a/crates/gateway/tests/directory_choice.rs
+++ b/crates/gateway/tests/directory_choice.rs
@@ -56,3 +56,25 @@
     let hosts: Vec<_> = (1..=5).map(|it| host(it, true, 100.0, 0.0)).collect();
     check(&hosts, &[1, 2, 3, 4, 5]);
 }
+
+/// Pattern: one of a domain's hosts with good links stops as planned. Its callers go to a good one of
+/// another domain rather than all to a slow one nearby.
+#[test]
+fn good_link_leaves() {
+    let slow = (3..=9).map(|it| host(it, true, 10.0, 0.0));
+    let far = [host(11, false, 200.0, 0.1), host(12, false, 10.0, 0.0)];
+    let mut hosts: Vec<_> = slow.chain(far).collect();
+    hosts.push(host(1, true, 200.0, 0.1));
+    check(&hosts, &[1, 11]);
+    hosts.pop();
+    hosts.push(host(13, false, 200.0, 0.1));
+    check(&hosts, &[11, 13]);
+}
+
+/// Pattern: only slow links are left anywhere.
+#[test]
+fn slow_links_only() {
+    let mut hosts: Vec<_> = (1..=3).map(|it| host(it, true, 10.0, 0.0)).collect();
+    hosts.push(host(9, false, 10.0, 0.0));
+    check(&hosts, &[1, 2, 3]);
+}
