--- a/crates/cli/src/story.rs
+++ b/crates/cli/src/story.rs
@@ -70,39 +70,54 @@
             return None;
         }
         let upstreams: BTreeSet<_> = own.iter().flat_map(Line::upstreams).collect();
-        let is_near = |it: &Line, before: u64, after: u64| {
-            own.iter().any(|own| {
-                let from = own.time_ms.saturating_sub(before);
-                own.host == it.host && (from..=own.time_ms + after).contains(&it.time_ms)
-            })
-        };
-        let is_telling = |it: &&Line| {
-            let names_upstream = it.get("upstream").is_some_and(|it| upstreams.contains(it));
-            let is_belief = it.get("target") == Some("belief");
-            is_belief
-                && (names_upstream || HOST_EVENTS.contains(&it.event()))
-                && is_near(it, BEFORE_MS, AFTER_MS)
-        };
-        let mut beliefs: Vec<_> = lines.iter().filter(is_telling).cloned().collect();
-        beliefs.sort_by(|a, b| (a.time_ms, &a.host).cmp(&(b.time_ms, &b.host)));
-        let mut neighbours: BTreeMap<String, BTreeMap<String, usize>> = BTreeMap::new();
-        for it in lines.iter().filter(|it| is_near(it, NEIGHBOURS_MS, NEIGHBOURS_MS)) {
-            if it.event() != "request" || it.get("id") == Some(request) {
-                continue;
-            }
-            for (upstream, result) in it.attempts() {
-                if upstreams.contains(upstream) {
-                    let results = neighbours.entry(upstream.to_owned()).or_default();
-                    *results.entry(result.to_owned()).or_default() += 1;
-                }
-            }
-        }
+        let beliefs = beliefs(&own, &upstreams, lines);
+        let neighbours = neighbours(&own, &upstreams, lines);
         let decide = |line: Line| Decision { cause: cause(&line), line };
         let decisions = own.into_iter().map(decide).collect();
         Some(Self { request: request.to_owned(), decisions, beliefs, neighbours })
     }
 }
 
+/// Changes of belief on the hosts of `own` lines that bear on these, in the order of time.
+fn beliefs(own: &[Line], upstreams: &BTreeSet<&str>, lines: &[Line]) -> Vec<Line> {
+    let is_telling = |it: &&Line| {
+        let names_upstream = it.get("upstream").is_some_and(|it| upstreams.contains(it));
+        it.get("target") == Some("belief")
+            && (names_upstream || HOST_EVENTS.contains(&it.event()))
+            && is_near(own, it, BEFORE_MS, AFTER_MS)
+    };
+    let mut res: Vec<_> = lines.iter().filter(is_telling).cloned().collect();
+    res.sort_by(|a, b| (a.time_ms, &a.host).cmp(&(b.time_ms, &b.host)));
+    res
+}
+
+/// Results of other attempts at the same upstreams, by upstream.
+fn neighbours(
+    own: &[Line],
+    upstreams: &BTreeSet<&str>,
+    lines: &[Line],
+) -> BTreeMap<String, BTreeMap<String, usize>> {
+    let is_other = |it: &&Line| {
+        it.event() == "request"
+            && !own.contains(it)
+            && is_near(own, it, NEIGHBOURS_MS, NEIGHBOURS_MS)
+    };
+    let attempts = lines.iter().filter(is_other).flat_map(Line::attempts);
+    let mut res: BTreeMap<String, BTreeMap<String, usize>> = BTreeMap::new();
+    for (upstream, result) in attempts.filter(|it| upstreams.contains(it.0)) {
+        *res.entry(upstream.to_owned()).or_default().entry(result.to_owned()).or_default() += 1;
+    }
+    res
+}
+
+/// Whether a line was written by a host of one of the `own` lines, at most so long before or after it.
+fn is_near(own: &[Line], line: &Line, before_ms: u64, after_ms: u64) -> bool {
+    own.iter().any(|own| {
+        let times = own.time_ms.saturating_sub(before_ms)..=own.time_ms.saturating_add(after_ms);
+        own.host == line.host && times.contains(&line.time_ms)
+    })
+}
+
 impl fmt::Display for Story {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(out, "request {}", self.request)?;
--- a/crates/cli/src/story/line.rs
+++ b/crates/cli/src/story/line.rs
@@ -25,7 +25,8 @@
         let time = text["time=".len()..].split(' ').next()?;
         let (seconds, milliseconds) = time.split_once('.')?;
         let milliseconds: u64 = milliseconds.get(..3)?.parse().ok()?;
-        let time_ms = seconds.parse::<u64>().ok()?.checked_mul(1_000)? + milliseconds;
+        let whole = seconds.parse::<u64>().ok()?.checked_mul(1_000)?;
+        let time_ms = whole.checked_add(milliseconds)?;
         Some(Self { host: host.to_owned(), time_ms, text: text.trim_end().to_owned() })
     }
 
--- a/crates/cli/tests/log_stories.rs
+++ b/crates/cli/tests/log_stories.rs
@@ -70,4 +70,5 @@
     let named = Line::parse("file", "  13.0001 edge-7 time=1.500 event=x").map(|it| it.host);
     assert_eq!(named.as_deref(), Some("edge-7"));
     assert_eq!(Line::parse("file", "time=99999999999999999999.000 event=x"), None);
+    assert_eq!(Line::parse("file", "time=18446744073709551.999 event=x"), None);
 }
