directory: count the processors of all hosts told; a slow host nearby is told only if they don't suffice

Found on reading: with no good host left in a domain, the first sign of work on a slow one nearby took half of the callers there. The test has both cases now.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -43,42 +43,53 @@
     Reply::text(200, "application/json", (gateway.dialect.directory)(&addresses, keep))
 }
 
-/// The hosts to tell: those in the caller's failure domain with good links, more of the domain if their
-/// processors are in use, and the best links of other domains if these are too few. A slow link nearby
+/// The hosts to tell: those in the caller's failure domain with good links, some of other domains if these
+/// are too few, and slow ones of the domain if the processors of the others are in use. A slow link nearby
 /// costs a caller more than the way to another domain.
 #[must_use]
 pub fn choose(hosts: Vec<Host>, hash: usize) -> Vec<SocketAddr> {
     let best = hosts.iter().map(|it| it.capacity.link_mbps).fold(0.0, f32::max);
     let is_good = |it: &Host| it.capacity.link_mbps >= best * LINK_SHARE;
-    let (mut near, far): (Vec<_>, Vec<_>) = hosts.into_iter().partition(|it| it.is_near);
-    let (mut far, mut far_slow): (Vec<_>, Vec<_>) = far.into_iter().partition(is_good);
-    for it in [&mut near, &mut far, &mut far_slow] {
-        it.sort_by(|a, b| {
-            let link = b.capacity.link_mbps.total_cmp(&a.capacity.link_mbps);
-            link.then(a.address.cmp(&b.address))
-        });
-    }
+    let (near, far): (Vec<_>, Vec<_>) = hosts.into_iter().partition(|it| it.is_near);
+    let used: f32 = near.iter().map(|it| it.capacity.used_cores).sum();
+    let (near, near_slow): (Vec<_>, Vec<_>) = near.into_iter().partition(is_good);
+    let (far, far_slow): (Vec<_>, Vec<_>) = far.into_iter().partition(is_good);
     // Callers of a domain with few hosts spread over the rest, not all over the first of them.
-    for it in [&mut far, &mut far_slow] {
-        let start = hash.checked_rem(it.len()).unwrap_or_default();
-        it.rotate_left(start);
+    let mut far = rotated(far, hash);
+    let mut told = sorted(near);
+    // Without a good host nearby, they spread over all good ones elsewhere.
+    let enough = if told.is_empty() { far.len() } else { MIN_ADDRESSES };
+    let missing = enough.saturating_sub(told.len()).min(far.len());
+    told.extend(far.drain(..missing));
+    for it in sorted(near_slow) {
+        let cores: f32 = told.iter().map(|it| it.capacity.cpu_cores).sum();
+        if told.len() < MIN_ADDRESSES || cores * CPU_SHARE < used {
+            told.push(it);
+        }
     }
-    let used: f32 = near.iter().map(|it| it.capacity.used_cores).sum();
-    let mut cores = 0.0;
-    let is_told = |it: &Host| {
-        let is_needed = cores * CPU_SHARE < used;
-        cores += it.capacity.cpu_cores;
-        is_needed || is_good(it)
-    };
-    let (mut told, slow): (Vec<_>, Vec<_>) = near.into_iter().partition(is_told);
+    let missing = MIN_ADDRESSES.saturating_sub(told.len());
+    told.extend(rotated(far_slow, hash).into_iter().take(missing));
     told.truncate(MAX_ADDRESSES);
-    // Without a good one nearby, callers spread over all good ones elsewhere.
-    let enough = if told.is_empty() { MIN_ADDRESSES.max(far.len()) } else { MIN_ADDRESSES };
-    let missing = enough.min(MAX_ADDRESSES).saturating_sub(told.len());
-    told.extend(far.into_iter().chain(slow).chain(far_slow).take(missing));
     told.into_iter().map(|it| it.address).collect()
 }
 
+/// Hosts in the order of their links, the best first.
+fn sorted(mut hosts: Vec<Host>) -> Vec<Host> {
+    hosts.sort_by(|a, b| {
+        let link = b.capacity.link_mbps.total_cmp(&a.capacity.link_mbps);
+        link.then(a.address.cmp(&b.address))
+    });
+    hosts
+}
+
+/// The same, beginning at another one for each domain of callers.
+fn rotated(hosts: Vec<Host>, hash: usize) -> Vec<Host> {
+    let mut res = sorted(hosts);
+    let start = hash.checked_rem(res.len()).unwrap_or_default();
+    res.rotate_left(start);
+    res
+}
+
 fn serving(gateway: &Gateway, domain: &str) -> Vec<Host> {
     let settings = gateway.settings();
     let peers = gateway.peers.borrow();
--- a/crates/gateway/src/load/budget.rs
+++ b/crates/gateway/src/load/budget.rs
@@ -17,15 +17,15 @@
 
 /// Peers below which all daemons have equal parts of the fixed allowance: callers use them all.
 const SMALL_FLEET: u32 = 12;
-/// In larger fleets, share of the fixed allowance that is divided among all daemons; the rest goes to those that
-/// callers use.
+/// In larger fleets, share of the fixed allowance that is divided among all daemons; the rest goes to
+/// those that callers use.
 const IDLE_SHARE: f64 = 0.25;
 
 /// Bounds the attempts beyond the first in each sliding window.
 ///
 /// All entry hosts share the bound: each spends a share of its own requests and its part of the
-/// fixed allowance, see [`slack_part`]. A host that has just started has none of the latter for a whole window,
-/// since its former incarnation may have spent it.
+/// fixed allowance, see [`slack_part`]. A host that has just started has none of the latter for a whole
+/// window, since its former incarnation may have spent it.
 #[derive(Debug)]
 pub struct Budget {
     window: Duration,
--- a/crates/gateway/tests/directory_choice.rs
+++ b/crates/gateway/tests/directory_choice.rs
@@ -69,6 +69,10 @@
     hosts.pop();
     hosts.push(host(13, false, 200.0, 0.1));
     check(&hosts, &[11, 13]);
+    hosts[0].capacity.used_cores = 0.01;
+    check(&hosts, &[11, 13]);
+    hosts[0].capacity.used_cores = 0.5;
+    check(&hosts, &[3, 11, 13]);
 }
 
 /// Pattern: only slow links are left anywhere.
