daemon: say Connection: close when a request is answered before its body has arrived

Cause: a refusal drops the body unread; hyper then closes the connection once the reply is sent, but the reply didn't announce it, so a caller that reused the connection got no answer (malformed_key, 1 of 60 runs). Ruled out: the key parser, as the reply itself was always right.

--- a/crates/daemon/src/caller.rs
+++ b/crates/daemon/src/caller.rs
@@ -5,3 +5,4 @@
 pub mod header;
 pub mod listener;
 pub mod reply;
+pub mod upload;
--- a/crates/daemon/src/caller/directions.rs
+++ b/crates/daemon/src/caller/directions.rs
@@ -2,11 +2,14 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use hyper::{Method, Request, StatusCode, body::Incoming};
+use hyper::{Method, Request, StatusCode};
 use serde::Serialize;
 
 use crate::{
-    caller::reply::{self, Outcome, Refusal, Reply},
+    caller::{
+        reply::{self, Outcome, Refusal, Reply},
+        upload::Upload,
+    },
     id,
     proxy::plan,
     state::State,
@@ -37,7 +40,7 @@
 #[must_use]
 pub fn answer(
     state: &Arc<State>,
-    req: &Request<Incoming>,
+    req: &Request<Upload>,
     caller: SocketAddr,
     id: id::Request,
 ) -> Reply {
--- a/crates/daemon/src/caller/listener.rs
+++ b/crates/daemon/src/caller/listener.rs
@@ -1,15 +1,28 @@
 //! Accepts connections from callers, within limits, until it is stopped.
 
-use std::{convert::Infallible, future::Future, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    future::{Future, poll_fn},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
-use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    Request,
+    body::Incoming,
+    header::{self, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore, watch},
 };
 
-use crate::caller::reply::Reply;
+use crate::caller::{reply::Reply, upload::Upload};
 
 /// Maximum size of a request's head in bytes.
 const HEAD_LIMIT_BYTES: usize = 32 * 1024;
@@ -18,12 +31,15 @@
 /// Pause after a failed accept, to avoid a busy loop while no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time for a caller to read the last reply before its connection is closed.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Answers requests.
 pub trait Handler: Send + Sync + 'static {
     /// Answers one request from `caller`.
     fn handle(
         self: Arc<Self>,
-        req: Request<Incoming>,
+        req: Request<Upload>,
         caller: SocketAddr,
     ) -> impl Future<Output = Reply> + Send;
 }
@@ -96,20 +112,49 @@
     }
     let service = service_fn(move |req| {
         let handler = Arc::clone(&handler);
-        async move { Ok::<_, Infallible>(handler.handle(req, caller).await) }
+        Box::pin(async move { Ok::<_, Infallible>(answer(handler, req, caller).await) })
     });
-    let connection = protocol.serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
+    let mut connection = protocol.serve_connection(TokioIo::new(stream), service);
     let served = tokio::select! {
-        it = connection.as_mut() => it,
+        it = poll_fn(|cx| connection.poll_without_shutdown(cx)) => it,
         () = stopped(&mut stop) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            Pin::new(&mut connection).graceful_shutdown();
+            poll_fn(|cx| connection.poll_without_shutdown(cx)).await
         }
     };
-    if let Err(e) = served {
-        log::debug!("connection of caller {caller} failed: {e}");
+    match served {
+        Ok(()) => linger(connection.into_parts().io.into_inner()).await,
+        Err(e) => log::debug!("connection of caller {caller} failed: {e}"),
+    }
+}
+
+/// Answers a request. If the rest of its body is not worth reading, the reply says that the
+/// connection closes.
+async fn answer<H: Handler>(handler: Arc<H>, req: Request<Incoming>, caller: SocketAddr) -> Reply {
+    // Reading the rest would ask the caller to send it.
+    let is_held_back = req.headers().contains_key(header::EXPECT);
+    let (head, body) = req.into_parts();
+    let (upload, remainder) = Upload::new(body);
+    let mut reply = handler.handle(Request::from_parts(head, upload), caller).await;
+    let is_complete = if is_held_back { remainder.is_empty() } else { remainder.finish().await };
+    if !is_complete {
+        reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
+    reply
+}
+
+/// Gives the caller time to read the last reply. Closing a socket with unread bytes would reset the
+/// connection and discard the reply.
+async fn linger(mut stream: TcpStream) {
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    let drain = async {
+        let mut unread = [0; 4096];
+        while stream.read(&mut unread).await.is_ok_and(|it| it > 0) {}
+    };
+    // On timeout, the caller has had time enough to read.
+    let _elapsed = tokio::time::timeout(LINGER_TIMEOUT, drain).await;
 }
 
 /// Waits until `stop` is true or its sender is dropped.
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -16,7 +16,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, StatusCode, body::Incoming};
+use hyper::{Request, StatusCode};
 
 use crate::{
     caller::{
@@ -24,6 +24,7 @@
         directions, header,
         listener::Handler,
         reply::{self, Outcome, Refusal, Reply},
+        upload::Upload,
     },
     id,
     membership::Intake,
@@ -55,7 +56,7 @@
 }
 
 impl Handler for Proxy {
-    async fn handle(self: Arc<Self>, req: Request<Incoming>, caller: SocketAddr) -> Reply {
+    async fn handle(self: Arc<Self>, req: Request<Upload>, caller: SocketAddr) -> Reply {
         let id = self.state.ids.next();
         let _in_progress = InProgress::new(&self.state);
         if req.uri().path() == directions::PATH {
@@ -119,7 +120,7 @@
 
 async fn answer(
     state: &Arc<State>,
-    req: Request<Incoming>,
+    req: Request<Upload>,
     caller: SocketAddr,
     id: id::Request,
     draft: &mut Draft,
@@ -172,7 +173,7 @@
     }
 }
 
-async fn read_body(state: &State, body: Incoming, plan: &Plan) -> Result<Buffered> {
+async fn read_body(state: &State, body: Upload, plan: &Plan) -> Result<Buffered> {
     let limit = plan.limits.body_limit_bytes;
     let read = state.request_memory.read(body, limit, plan.deadline.at()).await;
     read.map_err(|e| {
