--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -12,7 +12,7 @@
 };
 
 use platform_standin::{
-    Store, Upstream,
+    Proxy, Store, Upstream,
     config::{self, Route},
 };
 
@@ -21,7 +21,6 @@
     caller::{self, Context},
     daemon::{self, Daemon},
     ledger::Ledger,
-    proxy::Proxy,
     watcher,
 };
 
@@ -48,11 +47,11 @@
         drop(fs::remove_dir_all(&options.folder));
         fs::create_dir_all(&options.folder)?;
         let store = Store::start();
-        let store_proxy = Proxy::start(store.address)?;
+        let store_proxy = Proxy::start(store.address);
         let mut upstreams = Vec::new();
         for number in 0..UPSTREAMS {
             let upstream = Upstream::start(&format!("upstream-{number}"));
-            let proxy = Proxy::start(upstream.address)?;
+            let proxy = Proxy::start(upstream.address);
             upstreams.push((upstream, proxy));
         }
         let peer_port = daemon::shared_port(options.daemons)?;
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -6,10 +6,10 @@
     time::{Duration, Instant},
 };
 
-use platform_standin::{config, store, upstream::Mode};
+use platform_standin::{config, proxy, store, upstream::Mode};
 use rustix::process::Signal;
 
-use crate::{Result, environment::Environment, proxy, watcher};
+use crate::{Result, environment::Environment, watcher};
 
 /// Time from the start of one fault to the start of the next, in milliseconds.
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 100..500;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -17,7 +17,6 @@
 mod faults;
 mod ledger;
 mod options;
-mod proxy;
 pub mod retry_budget;
 mod watcher;
 
