gateway: replace a held read of the configuration when confirmations stop

All four connections went silent without closing, and the configurations 6 and 7 were in force 20.9 s late; keep-alive sees nothing, as the other end acknowledges bytes.

Change: the first daemon in the order polls for 2 s and so confirms the configuration to the others; a daemon that hears no confirmation for 2.6 s drops its read and reads anew on another connection. The decision is config::Role, without input or output.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -2,6 +2,7 @@
 
 mod idempotence;
 mod limits;
+mod role;
 mod route;
 mod table;
 
@@ -9,6 +10,7 @@
 
 pub use idempotence::Idempotence;
 pub use limits::Limits;
+pub use role::Role;
 pub use route::{Part, Route};
 pub use table::Table;
 
--- a/crates/gateway/src/follow/configuration.rs
+++ b/crates/gateway/src/follow/configuration.rs
@@ -7,28 +7,16 @@
 
 use super::{Availability, CALL_TIMEOUT, call};
 use crate::{
+    config::Role,
     gateway::Gateway,
     platform::{Batch, Error, Offset, Platform, Topic},
     rpc,
 };
 
-/// Long-poll time of a read in a fleet where every daemon reads the store. TCP keep-alive detects
-/// dead connections well before.
-const LONG_POLL_TIME: Duration = Duration::from_secs(20);
-/// Number of live peers below which every daemon reads the store.
-const SMALL_FLEET: u32 = 8;
-/// Daemons that read the store in a larger fleet; the others learn of new configurations from them.
-const READERS: u32 = 3;
-/// Long-poll time of a read by one of these daemons, since the others rely on their confirmations.
-const READER_LONG_POLL_TIME: Duration = Duration::from_millis(1_500);
 /// Time after the start by which daemons have discovered each other.
 const DISCOVERY_TIME: Duration = Duration::from_secs(2);
-/// Interval at which a daemon that does not read the store checks whether the readers' confirmation
-/// is recent.
+/// Interval at which a daemon checks whether the last confirmation of the configuration is recent.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Part of the time limit for applying a configuration that is reserved for this daemon's own read
-/// of the store.
-const READ_RESERVE: Duration = Duration::from_millis(700);
 /// Pause after a failed call of a daemon that normally does not read the store.
 const STALE_READ_PAUSE: Duration = Duration::from_secs(3);
 /// First pause after a failed call.
@@ -65,10 +53,15 @@
     pub async fn run(mut self) {
         let gateway = Rc::clone(&self.gateway);
         loop {
-            if self.is_reader() {
+            let role = self.role();
+            if role.reads() {
+                let is_held = self.end.is_some();
+                let max_age = role.max_confirmation_age(gateway.settings().config_apply);
                 tokio::select! {
-                    () = self.read() => {}
+                    () = self.read(role.poll_time()) => {}
                     () = gateway.config_wanted.notified() => self.catch_up().await,
+                    // The connection of the read in progress may be dead: another one is used.
+                    () = unconfirmed(&gateway, max_age), if is_held => self.read(Duration::ZERO).await,
                 }
                 continue;
             }
@@ -77,9 +70,9 @@
                 tokio::time::timeout(CHECK_INTERVAL, gateway.config_wanted.notified()).await;
             if self.is_behind() {
                 self.catch_up().await;
-            } else if self.is_stale() && gateway.now() >= self.stale_read_from {
+            } else if self.is_stale(role) && gateway.now() >= self.stale_read_from {
                 self.end = None;
-                self.read().await;
+                self.read(Duration::ZERO).await;
                 if self.availability.is_unavailable() {
                     let pause = STALE_READ_PAUSE.mul_f64(0.75 + fastrand::f64() / 2.0);
                     self.stale_read_from = gateway.now() + pause;
@@ -88,30 +81,24 @@
         }
     }
 
-    /// Whether this daemon is one of those that always read the store.
-    fn is_reader(&self) -> bool {
-        let peers = self.gateway.peers.borrow();
+    fn role(&self) -> Role {
         let now = self.gateway.now();
-        peers.live_count(now) < SMALL_FLEET || peers.position(now) < READERS
+        if now.saturating_duration_since(self.started) < DISCOVERY_TIME {
+            return Role::undiscovered();
+        }
+        let peers = self.gateway.peers.borrow();
+        Role::new(peers.live_count(now), peers.position(now))
     }
 
     /// Whether neither this daemon nor a live peer has a recent confirmation of the newest
     /// configuration.
-    fn is_stale(&self) -> bool {
-        let gateway = &self.gateway;
-        let now = gateway.now();
-        let limit = gateway.settings().config_apply.saturating_sub(READ_RESERVE);
-        let own = gateway.config_confirmed.get().map(|it| now.saturating_duration_since(it));
-        let peers = gateway.peers.borrow();
-        let reported_ages = peers.live_peers(now).filter_map(|(_, it)| {
-            let age = Duration::from_millis(it.heartbeat.config_checked_ms?.into());
-            Some(age + now.saturating_duration_since(it.heartbeat_at))
-        });
-        reported_ages.chain(own).min().is_none_or(|it| it >= limit)
+    fn is_stale(&self, role: Role) -> bool {
+        let limit = role.max_confirmation_age(self.gateway.settings().config_apply);
+        confirmation_age(&self.gateway).is_none_or(|it| it >= limit)
     }
 
-    /// Reads the store once.
-    async fn read(&mut self) {
+    /// Reads the store once; it may hold the read back for up to `wait`.
+    async fn read(&mut self, wait: Duration) {
         let gateway = Rc::clone(&self.gateway);
         let res = match self.end {
             None => {
@@ -119,11 +106,6 @@
                 call(&gateway, "config-newest", CALL_TIMEOUT, newest).await
             }
             Some(from) => {
-                let now = gateway.now();
-                let is_discovered = now.saturating_duration_since(self.started) >= DISCOVERY_TIME;
-                let is_small =
-                    is_discovered && gateway.peers.borrow().live_count(now) < SMALL_FLEET;
-                let wait = if is_small { LONG_POLL_TIME } else { READER_LONG_POLL_TIME };
                 let poll = self.platform.read(Topic::Config, from, wait);
                 call(&gateway, "config-read", wait + CALL_TIMEOUT, poll).await
             }
@@ -149,9 +131,10 @@
     /// Fetches a configuration that a peer already has, unless this daemon's own read returns it
     /// within [`OWN_READ_TIMEOUT`].
     async fn catch_up(&mut self) {
-        if self.is_reader() {
+        if self.role().reads() {
             // A read that takes longer is cancelled: its connection may be dead.
-            let _elapsed = tokio::time::timeout(OWN_READ_TIMEOUT, self.read()).await;
+            let read = self.read(Duration::ZERO);
+            let _elapsed = tokio::time::timeout(OWN_READ_TIMEOUT, read).await;
         }
         if !self.is_behind() {
             return;
@@ -167,7 +150,7 @@
             self.apply_record(&record, &format!("peer:{from}"));
         }
         if self.is_behind() {
-            self.read().await;
+            self.read(Duration::ZERO).await;
         }
     }
 
@@ -209,3 +192,23 @@
         self.pause = (self.pause * 2).min(MAX_RETRY_PAUSE);
     }
 }
+
+/// Age of the newest confirmation that the store has no newer configuration, by this daemon or a
+/// live peer.
+fn confirmation_age(gateway: &Gateway) -> Option<Duration> {
+    let now = gateway.now();
+    let own = gateway.config_confirmed.get().map(|it| now.saturating_duration_since(it));
+    let peers = gateway.peers.borrow();
+    let reported = peers.live_peers(now).filter_map(|(_, it)| {
+        let age = Duration::from_millis(it.heartbeat.config_checked_ms?.into());
+        Some(age + now.saturating_duration_since(it.heartbeat_at))
+    });
+    reported.chain(own).min()
+}
+
+/// Waits until the newest confirmation of the configuration is older than `max_age`.
+async fn unconfirmed(gateway: &Gateway, max_age: Duration) {
+    while confirmation_age(gateway).is_some_and(|it| it < max_age) {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+    }
+}
