gateway: withdrawals said in answers, late copies, endless answers, odd entries, planned stops

Each case has a test that failed before: - Upstreams that leave or ask for a pause say so in answers (withdrawals, withdrawing_upstreams). Nothing is sent to such an incarnation any more, probes included, whatever store or peers list; departures go to the peers. If all upstreams pause, callers are refused at once with the time that is left. - A late copy of a health check's answer, which has no id, was taken for the answer to the next request on the connection (late_copies::copies_of_probes: body of another answer with 200). An answer must now carry the id of the request. - 408, 429 and 503 of an upstream that doesn't say that it didn't run the request were passed on, where they would promise that it has not run. Callers now get 502. - Endless answers: bodies were bounded one by one only (104 MB for 4 requests where the daemon may use 64; endless_bodies), interim answers not at all.

Looked for and not found: ends of the process by nested, too large or out-of-range entries.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -101,6 +101,10 @@
             let wake = self.wake_at(&limits);
             // A closing connection is still read, in order to detect that the caller has closed it.
             let may_read = self.buffer.len() < MAX_READ_AHEAD_BYTES;
+            if may_read {
+                let is_body = !self.is_between_requests();
+                http::reserve(&mut self.buffer, is_body);
+            }
             tokio::select! {
                 biased;
                 Some(reply) = self.pending.next(), if !self.pending.is_empty() => {
--- a/crates/gateway/src/caller/listener.rs
+++ b/crates/gateway/src/caller/listener.rs
@@ -41,10 +41,17 @@
     Ok(())
 }
 
+/// Accepts connections; callers' connections until the gateway's `callers_closed` is notified.
 async fn accept(gateway: Rc<Gateway>, port: Port, listener: TcpListener) {
     let open = Rc::new(Cell::new(0_usize));
     loop {
-        let stream = match listener.accept().await {
+        let accepted = tokio::select! {
+            biased;
+            // Connections that the kernel has accepted already come first.
+            it = listener.accept() => it,
+            () = gateway.callers_closed.notified(), if port == Port::Callers => return,
+        };
+        let stream = match accepted {
             Ok((it, _caller)) => it,
             Err(e) => {
                 log::warn!("event=accept-failed port={port:?} error={e}");
--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -159,10 +159,8 @@
     /// later if the request can no longer be answered in time.
     pub async fn wait(self: &Rc<Self>, now: Instant, request: &Request<'_>) -> Result<Reservation> {
         let service_time = self.expected_service_time(&request.route.id);
-        if !self.service.borrow().accepts_requests() {
-            return Err(Refusal::no_upstream());
-        }
-        let wait = self.expected_wait(request.route.priority, service_time);
+        self.check_open(now, request.tried)?;
+        let wait = self.expected_wait(now, request.route.priority, service_time);
         let time_left = request.deadline.saturating_duration_since(now);
         if wait > time_left.saturating_sub(service_time).mul_f64(MAX_WAIT_SHARE) {
             return Err(Refusal::overload(retry_after(wait)));
@@ -190,6 +188,10 @@
         for it in expired {
             self.reply(it, Err(Refusal::overload(MIN_RETRY_AFTER)));
         }
+        if let Err(refusal) = self.check_open(now, &[]) {
+            self.refuse_all(refusal);
+            return;
+        }
         // Upstreams that are unavailable to one request are unavailable to later ones of the same
         // kind.
         while let Some((priority, serial, reservation)) = self.next_reservation(now) {
@@ -198,6 +200,24 @@
         }
     }
 
+    /// Checks that an upstream outside `tried` accepts requests.
+    fn check_open(&self, now: Instant, tried: &[UpstreamId]) -> Result<()> {
+        match self.service.borrow().accepts_after(now, tried) {
+            Some(Duration::ZERO) => Ok(()),
+            Some(pause) => Err(Refusal::paused(pause.max(MIN_RETRY_AFTER))),
+            None => Err(Refusal::no_upstream()),
+        }
+    }
+
+    fn refuse_all(&self, refusal: Refusal) {
+        let waiting: Vec<_> =
+            self.queue.borrow().iter().map(|(serial, it)| (it.priority, serial)).collect();
+        for (priority, serial) in waiting {
+            self.queue.borrow_mut().remove(priority, serial);
+            self.reply(serial, Err(refusal));
+        }
+    }
+
     /// Reserves an upstream for the first waiting request that has one available.
     fn next_reservation(self: &Rc<Self>, now: Instant) -> Option<(u8, u64, Reservation)> {
         let candidates: Vec<_> = {
@@ -229,8 +249,8 @@
         self.service.borrow().service_time(route).mul_f64(SERVICE_TIME_MARGIN)
     }
 
-    fn expected_wait(&self, priority: u8, service_time: Duration) -> Duration {
-        let own_capacity = self.service.borrow().capacity() / f64::from(self.daemon_count.get());
+    fn expected_wait(&self, now: Instant, priority: u8, service_time: Duration) -> Duration {
+        let own_capacity = self.service.borrow().capacity(now) / f64::from(self.daemon_count.get());
         let ahead = self.queue.borrow().ahead(priority) as f64;
         service_time.mul_f64(ahead / own_capacity.max(0.5))
     }
--- a/crates/gateway/src/dispatcher/refusal.rs
+++ b/crates/gateway/src/dispatcher/refusal.rs
@@ -21,6 +21,12 @@
         Self { reason: "no-upstream", retry_after: NO_UPSTREAM_RETRY_AFTER }
     }
 
+    /// Every upstream has asked for a pause.
+    #[must_use]
+    pub fn paused(retry_after: Duration) -> Self {
+        Self { reason: "upstreams-pause", retry_after }
+    }
+
     /// Too many requests are waiting.
     #[must_use]
     pub fn overload(retry_after: Duration) -> Self {
--- a/crates/gateway/src/dispatcher/reservation.rs
+++ b/crates/gateway/src/dispatcher/reservation.rs
@@ -46,10 +46,10 @@
     /// Whether the upstream still accepts new requests; it may have begun to leave since the
     /// choice.
     #[must_use]
-    pub fn accepts_requests(&self) -> bool {
+    pub fn accepts_requests(&self, now: Instant) -> bool {
         let service = self.dispatcher.service.borrow();
         service.get(&self.registration.id).is_some_and(|it| {
-            it.accepts_requests() && it.registration.is_same_incarnation(&self.registration)
+            it.accepts_requests(now) && it.registration.is_same_incarnation(&self.registration)
         })
     }
 
--- a/crates/gateway/src/follow/upstreams.rs
+++ b/crates/gateway/src/follow/upstreams.rs
@@ -34,6 +34,11 @@
 /// Longest pause after a failed call, as a multiple of that of the first daemon.
 const MAX_PAUSE_FACTOR: u32 = 10;
 
+/// Maximum number of log lines per second about records that can't be decoded.
+const IGNORED_LINES_PER_S: u32 = 5;
+/// Maximum length of the parts of a record that are logged, in characters.
+const MAX_EXCERPT_CHARS: usize = 100;
+
 /// Follows the registrations of upstreams.
 pub struct Follower<P> {
     gateway: Rc<Gateway>,
@@ -122,8 +127,8 @@
     /// Replaces the registry by the newest record of each upstream.
     fn replace_all(&self, batch: &Batch) -> Vec<Change> {
         let decode = |it: &Record| match self.decode(it) {
-            Some(Change::Put(it)) => Some(it),
-            _ => None,
+            Change::Put(it) => Some(it),
+            Change::Removed(_) => None,
         };
         let registrations = batch.records.iter().filter_map(decode).collect();
         let now = self.gateway.now();
@@ -139,7 +144,7 @@
         let now = self.gateway.now();
         let mut res = Vec::new();
         for it in &batch.records {
-            let Some(change) = self.decode(it) else { continue };
+            let change = self.decode(it);
             res.extend(self.gateway.registry.borrow_mut().apply(now, change));
         }
         res.extend(self.gateway.registry.borrow_mut().tick(now));
@@ -150,16 +155,20 @@
         res
     }
 
-    /// Decodes the change of a record; a record that can't be decoded is ignored.
-    fn decode(&self, record: &Record) -> Option<Change> {
-        let Some(value) = &record.value else {
-            return Some(Change::Removed(UpstreamId::from(&*record.key)));
-        };
+    /// Decodes the change of a record. One that can't be decoded names no upstream, like a removed
+    /// one.
+    fn decode(&self, record: &Record) -> Change {
+        let removed = || Change::Removed(UpstreamId::from(&*record.key));
+        let Some(value) = &record.value else { return removed() };
         match self.platform.registration(&record.key, value) {
-            Ok(it) => Some(Change::Put(it)),
+            Ok(it) => Change::Put(it),
             Err(e) => {
-                log::debug!("event=record-ignored key_bytes={} error=\"{e}\"", record.key.len());
-                None
+                let (key, error) = (excerpt(&record.key), excerpt(&e));
+                let mut limiter = self.gateway.log_limiter.borrow_mut();
+                if limiter.allows(self.gateway.now(), "record-ignored", IGNORED_LINES_PER_S) {
+                    log::warn!(target: "belief", "event=record-ignored key={key:?} error={error:?}");
+                }
+                removed()
             }
         }
     }
@@ -184,3 +193,8 @@
         });
     }
 }
+
+/// The start of a text that another program wrote.
+fn excerpt(text: &str) -> String {
+    text.chars().take(MAX_EXCERPT_CHARS).collect()
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,15 +21,16 @@
     config::{self, Config, RouteId, ServiceId, Table, Version},
     decision::Limiter,
     dispatcher::Dispatcher,
+    http::Head,
     load::{self, Budget, HostKey, Service},
     metrics::Metrics,
     peer::{
-        self, Phase,
+        self, Departure, Phase,
         placement::{Daemon, Placement},
     },
     probe,
-    registry::{Change, Fold, Index, Key, Registration, UpstreamId},
-    upstream::Pool,
+    registry::{Change, Fold, Index, Key, Registration, UpstreamId, Withdrawals},
+    upstream::{Memory, Notice, Pool},
     wire::Protocol,
 };
 
@@ -64,6 +65,8 @@
     pub metrics: Metrics,
     /// Rate limit of the log lines about requests.
     pub log_limiter: RefCell<Limiter>,
+    /// Memory of the answers being read.
+    pub answer_memory: Memory,
     /// Bytes of request bodies in memory.
     pub body_bytes: Cell<usize>,
     /// Request rate and activity of the daemon.
@@ -76,6 +79,8 @@
     pub request_count: Cell<u64>,
     /// Requests in progress.
     pub in_progress: Cell<usize>,
+    /// Notified when no further connections of callers are to be accepted.
+    pub callers_closed: Notify,
     /// Notified when loads have changed that must be sent to peers.
     pub loads_changed: Notify,
     /// Notified when the registry must be read immediately.
@@ -84,11 +89,15 @@
     pub heartbeat_wanted: Notify,
     /// Notified when a peer has a newer configuration.
     pub config_wanted: Notify,
+    /// Notified when an upstream has said that it is leaving.
+    pub departure_noticed: Notify,
     /// Notified when a peer has relayed registry changes.
     pub registry_relayed: Notify,
     table: RefCell<Option<Rc<Table>>>,
     dispatchers: RefCell<HashMap<ServiceId, Rc<Dispatcher>>>,
     index: RefCell<Index>,
+    withdrawals: RefCell<Withdrawals>,
+    departures: RefCell<Vec<Departure>>,
     changed_loads: Rc<RefCell<BTreeSet<UpstreamId>>>,
     placement: RefCell<Placement>,
     split_credits: RefCell<HashMap<RouteId, Vec<f64>>>,
@@ -117,20 +126,25 @@
             probe_budget: RefCell::new(probe::Bucket::new(now)),
             metrics: Metrics::default(),
             log_limiter: RefCell::new(Limiter::new(now)),
+            answer_memory: Memory::new(settings.body_memory_bytes()),
             body_bytes: Cell::new(0),
             activity: RefCell::new(peer::Activity::new(now)),
             is_registered: Cell::new(false),
             config_confirmed: Cell::new(None),
             request_count: Cell::new(0),
             in_progress: Cell::new(0),
+            callers_closed: Notify::new(),
             loads_changed: Notify::new(),
             registry_wanted: Notify::new(),
             heartbeat_wanted: Notify::new(),
             config_wanted: Notify::new(),
+            departure_noticed: Notify::new(),
             registry_relayed: Notify::new(),
             table: RefCell::default(),
             dispatchers: RefCell::default(),
             index: RefCell::default(),
+            withdrawals: RefCell::default(),
+            departures: RefCell::default(),
             changed_loads: Rc::default(),
             placement: RefCell::default(),
             split_credits: RefCell::default(),
@@ -220,6 +234,73 @@
         }
     }
 
+    /// Records what an upstream says about itself in the head of an answer.
+    pub fn record_notice(&self, upstream: &Registration, head: &Head) {
+        let notice = Notice::parse(head, &self.protocol.names, &upstream.id);
+        if let Some(pause) = notice.pause {
+            log::info!(
+                target: "belief",
+                "event=upstream-pauses upstream={} pause_ms={}", upstream.id, pause.as_millis()
+            );
+            let until = self.now() + pause;
+            self.withdrawals.borrow_mut().pause(&upstream.id, upstream.born_ms, until);
+            self.update_withdrawal(upstream);
+        }
+        let departure = Departure { upstream: upstream.id.clone(), born_ms: upstream.born_ms };
+        if notice.is_leaving && self.record_departure(&departure, "answer") {
+            self.departures.borrow_mut().push(departure);
+            self.departure_noticed.notify_one();
+        }
+    }
+
+    /// Whether nothing speaks against sending to a registered incarnation now.
+    #[must_use]
+    pub fn accepts_requests(&self, upstream: &Registration) -> bool {
+        !self.withdrawals.borrow().get(upstream).is_in_force(self.now())
+    }
+
+    /// Records that an upstream is leaving; returns whether this is new.
+    pub fn record_departure(&self, departure: &Departure, source: &str) -> bool {
+        let Departure { upstream: id, born_ms } = departure;
+        if !self.withdrawals.borrow_mut().leave(id, *born_ms) {
+            return false;
+        }
+        log::info!(
+            target: "belief",
+            "event=upstream-leaving upstream={id} born_ms={born_ms} source={source}"
+        );
+        let dispatcher = self.dispatcher_of(id);
+        let registration =
+            dispatcher.and_then(|it| it.service.borrow().get(id).map(|it| it.registration.clone()));
+        if let Some(it) = registration {
+            self.update_withdrawal(&it);
+        }
+        true
+    }
+
+    /// Takes the departures that must be sent to peers.
+    #[must_use]
+    pub fn take_departures(&self) -> Vec<Departure> {
+        std::mem::take(&mut *self.departures.borrow_mut())
+    }
+
+    /// The newest departures, at most `count`.
+    #[must_use]
+    pub fn newest_departures(&self, count: usize) -> Vec<Departure> {
+        let newest = self.withdrawals.borrow().newest_leaving(count);
+        newest.into_iter().map(|(upstream, born_ms)| Departure { upstream, born_ms }).collect()
+    }
+
+    /// Passes the withdrawal of an upstream on to its service.
+    fn update_withdrawal(&self, upstream: &Registration) {
+        let withdrawal = self.withdrawals.borrow().get(upstream);
+        let Some(dispatcher) = self.dispatcher(&upstream.service) else { return };
+        dispatcher.service.borrow_mut().set_withdrawal(&upstream.id, withdrawal);
+        if withdrawal.is_in_force(self.now()) {
+            self.pool.remove(&upstream.id);
+        }
+    }
+
     /// Dispatcher and id of the upstream with the hash `key`.
     #[must_use]
     pub fn find_upstream(&self, key: Key) -> Option<(Rc<Dispatcher>, UpstreamId)> {
@@ -348,6 +429,7 @@
         let mut service = Service::new(load::Settings::default(), settings.domain.clone(), seed);
         for it in self.registry.borrow().entries().filter(|it| it.service == *id) {
             service.put(now, it.clone());
+            service.set_withdrawal(&it.id, self.withdrawals.borrow().get(it));
         }
         let budget = Budget::new(now, settings.retry_window, settings.retry_ratio, 0.0);
         let weak = Rc::downgrade(self);
@@ -381,6 +463,7 @@
             self.pool.remove(&it.id);
             self.invalidate_placement();
         }
+        self.update_withdrawal(it);
         dispatcher.serve_queue(now);
     }
 
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -9,11 +9,23 @@
 mod message;
 mod write;
 
+use bytes::BytesMut;
+
 pub use body::{Body, Framing};
 pub use head::{Head, Header};
 pub use message::{Message, Reader};
 pub use write::{answer, request};
 
+/// Bytes that a read of a head may return; usual heads are smaller.
+const HEAD_READ_BYTES: usize = 4 << 10;
+/// Bytes that a read of a body may return.
+const BODY_READ_BYTES: usize = 32 << 10;
+
+/// Makes room in `buffer` for the next read, so that a message takes few of them.
+pub fn reserve(buffer: &mut BytesMut, is_body: bool) {
+    buffer.reserve(if is_body { BODY_READ_BYTES } else { HEAD_READ_BYTES });
+}
+
 /// A value, or what is wrong with a message.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -79,6 +79,18 @@
         self.framing == Framing::UntilClose
     }
 
+    /// Number of bytes received.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Whether no bytes have been received.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
     /// The bytes received.
     #[must_use]
     pub fn into_bytes(self) -> Bytes {
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -8,6 +8,10 @@
 
 /// Maximum number of headers in a message.
 const MAX_HEADERS: usize = 100;
+/// Length up to which an incomplete head is parsed again when more of it arrives, in bytes.
+const MAX_REPARSED_BYTES: usize = 4 << 10;
+/// Last bytes of a head, with and without carriage returns.
+const ENDS_OF_HEAD: [&[u8]; 2] = [b"\n\r\n", b"\n\n"];
 /// Headers that apply to a single connection (RFC 9110, section 7.6.1).
 const HOP_BY_HOP: [&str; 10] = [
     "connection",
@@ -54,6 +58,9 @@
     ///
     /// Fails if the bytes are not a valid head or it exceeds `limit` bytes.
     pub fn parse_request(buffer: &mut BytesMut, limit: usize) -> Result<Option<Self>> {
+        if is_long_and_incomplete(buffer, limit)? {
+            return Ok(None);
+        }
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut parsed = httparse::Request::new(&mut headers);
         let status = parsed.parse(buffer).map_err(|e| Error::Malformed(e.to_string()))?;
@@ -80,6 +87,9 @@
     ///
     /// Fails if the bytes are not a valid head or it exceeds `limit` bytes.
     pub fn parse_answer(buffer: &mut BytesMut, limit: usize) -> Result<Option<Self>> {
+        if is_long_and_incomplete(buffer, limit)? {
+            return Ok(None);
+        }
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut parsed = httparse::Response::new(&mut headers);
         let status = parsed.parse(buffer).map_err(|e| Error::Malformed(e.to_string()))?;
@@ -186,6 +196,20 @@
     }
 }
 
+/// Whether `buffer` holds a long head without its end. Such a head is not parsed at each byte that
+/// arrives, since that would take time with the square of its length.
+fn is_long_and_incomplete(buffer: &[u8], limit: usize) -> Result<bool> {
+    if buffer.len() <= MAX_REPARSED_BYTES {
+        return Ok(false);
+    }
+    let has_end = (0..buffer.len().min(limit))
+        .any(|start| ENDS_OF_HEAD.iter().any(|it| buffer[start..].starts_with(it)));
+    match has_end {
+        false if buffer.len() > limit => Err(Error::HeadTooLarge(limit)),
+        has_end => Ok(!has_end),
+    }
+}
+
 fn complete_len(
     status: httparse::Status<usize>,
     received: usize,
--- a/crates/gateway/src/load/service.rs
+++ b/crates/gateway/src/load/service.rs
@@ -8,7 +8,7 @@
 use super::{Condition, Eligibility, HostKey, Outcome, Report, Settings, Upstream};
 use crate::{
     config::RouteId,
-    registry::{Domain, Registration, UpstreamId},
+    registry::{Domain, Registration, UpstreamId, Withdrawal},
 };
 
 /// Weight of a new sample in a running mean.
@@ -111,16 +111,25 @@
         self.upstreams.values_mut()
     }
 
-    /// Whether any upstream accepts new requests.
+    /// Time after which an upstream that is not in `tried` accepts new requests: zero if one does
+    /// now, `None` if none is known that will.
     #[must_use]
-    pub fn accepts_requests(&self) -> bool {
-        self.upstreams.values().any(Upstream::accepts_requests)
+    pub fn accepts_after(&self, now: Instant, tried: &[UpstreamId]) -> Option<Duration> {
+        let untried = self.upstreams.values().filter(|it| !tried.contains(&it.registration.id));
+        untried.filter_map(|it| it.accepts_after(now)).min()
+    }
+
+    /// Sets what an upstream has said about taking requests.
+    pub fn set_withdrawal(&mut self, id: &str, withdrawal: Withdrawal) {
+        if let Some(it) = self.upstreams.get_mut(id) {
+            it.withdrawal = withdrawal;
+        }
     }
 
     /// Number of requests that all entry hosts together may have in flight.
     #[must_use]
-    pub fn capacity(&self) -> f64 {
-        let open = self.upstreams.values().filter(|it| it.accepts_requests());
+    pub fn capacity(&self, now: Instant) -> f64 {
+        let open = self.upstreams.values().filter(|it| it.accepts_requests(now));
         let slows_when_full = self.slows_when_full();
         open.map(|it| it.limit(&self.settings, slows_when_full)).sum()
     }
@@ -260,7 +269,7 @@
 
     /// Whether too few upstreams have normal pace for requests to wait for one.
     fn is_mostly_degraded(&self, now: Instant) -> bool {
-        let open = || self.upstreams.values().filter(|it| it.accepts_requests());
+        let open = || self.upstreams.values().filter(|it| it.accepts_requests(now));
         let may_be_normal = |it: &&Upstream| {
             it.reported_pace().is_none_or(|pace| pace < self.settings.degraded_pace)
                 || it.report_age(now).is_none_or(|age| age > self.settings.pace_decay)
--- a/crates/gateway/src/load/upstream.rs
+++ b/crates/gateway/src/load/upstream.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{HostKey, Outcome, Report, Settings};
-use crate::registry::{Registration, State};
+use crate::registry::{Registration, State, Withdrawal};
 
 /// Weight of an attempt in an upstream's mean failure rate.
 const FAILURE_WEIGHT: f64 = 0.25;
@@ -63,6 +63,8 @@
     pub registration: Registration,
     /// Whether the upstream is assigned to this daemon, which then prefers it over others.
     pub is_assigned: bool,
+    /// What it has said in its answers about taking requests.
+    pub withdrawal: Withdrawal,
     added_at: Instant,
     has_been_used: bool,
     cold_until: Instant,
@@ -81,6 +83,7 @@
         Self {
             registration,
             is_assigned: true,
+            withdrawal: Withdrawal::default(),
             added_at: now,
             has_been_used: false,
             cold_until,
@@ -94,8 +97,18 @@
 
     /// Whether it accepts new requests.
     #[must_use]
-    pub fn accepts_requests(&self) -> bool {
-        self.registration.state == State::Ready
+    pub fn accepts_requests(&self, now: Instant) -> bool {
+        self.registration.state == State::Ready && !self.withdrawal.is_in_force(now)
+    }
+
+    /// Time after which it accepts new requests again, if it does not leave.
+    #[must_use]
+    pub fn accepts_after(&self, now: Instant) -> Option<Duration> {
+        if self.registration.state != State::Ready || self.withdrawal.is_leaving {
+            return None;
+        }
+        let until = self.withdrawal.paused_until.unwrap_or(now);
+        Some(until.saturating_duration_since(now))
     }
 
     /// Requests of this host in flight.
@@ -197,7 +210,7 @@
     /// Whether it may get another request.
     #[must_use]
     pub fn has_capacity(&self, now: Instant, settings: &Settings, slows_when_full: bool) -> bool {
-        self.accepts_requests()
+        self.accepts_requests(now)
             && self.total_in_flight(now, settings) + 0.5 < self.limit(settings, slows_when_full)
     }
 
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     gateway::Gateway,
-    peer::{Event, Heartbeat, Load, Packet, Relay},
+    peer::{Departure, Event, Heartbeat, Load, Packet, Relay},
     registry::{self, UpstreamId},
 };
 
@@ -23,6 +23,10 @@
 /// Maximum number of registry changes that this daemon relays after one read, counted once for each
 /// peer: 1 to 2 MB.
 const MAX_RELAYED_CHANGES: usize = 16_000;
+/// Time after which departures are sent a second time.
+const DEPARTURE_REPEAT_TIME: Duration = Duration::from_millis(200);
+/// Number of recent departures sent to a peer that has joined.
+const RECENT_DEPARTURES: usize = 100;
 /// Age from which reports are not sent to peers.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(150);
 
@@ -122,6 +126,28 @@
         }
     }
 
+    /// Sends departures of upstreams to all live peers, until the task is dropped. Each is sent
+    /// twice, since a datagram may be lost.
+    pub async fn send_departures(self: Rc<Self>) {
+        loop {
+            self.gateway.departure_noticed.notified().await;
+            tokio::time::sleep(LOAD_BATCH_TIME).await;
+            let departures = self.gateway.take_departures();
+            for delay in [Duration::ZERO, DEPARTURE_REPEAT_TIME] {
+                tokio::time::sleep(delay).await;
+                let peers: Vec<_> =
+                    self.gateway.peers.borrow().live_addresses(self.gateway.now()).collect();
+                self.send_departures_to(&peers, &departures);
+            }
+        }
+    }
+
+    fn send_departures_to(&self, peers: &[SocketAddr], departures: &[Departure]) {
+        for part in departures.chunks(CHANGES_PER_DATAGRAM) {
+            self.send_all(peers, &Packet::Departures(part.to_vec()));
+        }
+    }
+
     /// Sends registry changes read from the store to all live peers. If they are too many, peers
     /// read the store themselves.
     pub fn relay(&self, relay: Relay) {
@@ -192,6 +218,13 @@
                 self.gateway.peers.borrow_mut().record_datagram(now, from);
                 self.handle_relay(from, it);
             }
+            Packet::Departures(departures) => {
+                self.gateway.peers.borrow_mut().record_datagram(now, from);
+                let source = format!("peer:{from}");
+                for it in &departures {
+                    self.gateway.record_departure(it, &source);
+                }
+            }
         }
     }
 
@@ -203,6 +236,9 @@
             (heartbeat.registry_end, heartbeat.registry_digest, heartbeat.wants_reply);
         let events = gateway.peers.borrow_mut().record_heartbeat(now, from, heartbeat);
         self.handle_events(&events);
+        if events.iter().any(|it| matches!(it, Event::Joined(_))) {
+            self.send_departures_to(&[from], &gateway.newest_departures(RECENT_DEPARTURES));
+        }
         if wants_reply {
             self.send(from, &Packet::Heartbeat(self.own_heartbeat(false)));
         }
--- a/crates/gateway/src/peer/packet.rs
+++ b/crates/gateway/src/peer/packet.rs
@@ -7,7 +7,7 @@
     config::Version,
     load::{HostKey, Report},
     platform::Offset,
-    registry::{Change, Domain, Key},
+    registry::{Change, Domain, Key, UpstreamId},
 };
 
 /// A datagram.
@@ -20,6 +20,17 @@
     Loads(HostKey, Vec<Load>),
     /// Registry changes that the sender has read from the store.
     Relay(Relay),
+    /// Upstreams that have said in their answers that they are leaving.
+    Departures(Vec<Departure>),
+}
+
+/// That an incarnation of an upstream is leaving.
+#[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Departure {
+    /// Id of the upstream.
+    pub upstream: UpstreamId,
+    /// Unix time of its start in milliseconds.
+    pub born_ms: u64,
 }
 
 /// A heartbeat with the sender's state.
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -26,6 +26,8 @@
 const ROUND_INTERVAL: Duration = Duration::from_millis(15);
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Maximum size of the body of a probe's answer, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 10;
 /// Capacity of the token bucket: probes that may be sent in one burst.
 const BURST: f64 = 50.0;
 
@@ -145,7 +147,13 @@
         exchange(&gateway, &upstream, &path, dispatcher.idle_limit()),
     );
     let Ok(Some(answer)) = probing.await else { return };
-    let load = answer.head.get(gateway.protocol.names.load);
+    gateway.record_notice(&upstream, &answer.head);
+    let names = &gateway.protocol.names;
+    if answer.head.text(names.instance).is_some_and(|it| it != &*upstream.id) {
+        // The address belongs to another instance now, whose load says nothing about this one.
+        return;
+    }
+    let load = answer.head.get(names.load);
     let Some(report) = load.and_then(|it| (gateway.protocol.parse_load)(it)) else { return };
     let now = gateway.now();
     let mut service = dispatcher.service.borrow_mut();
@@ -166,9 +174,20 @@
     let id = &upstream.id;
     let taking = gateway.pool.take(id, upstream.address, now, PROBE_TIMEOUT * 20, PROBE_TIMEOUT);
     let connection = taking.await.ok()?;
+    // The upstream may have withdrawn while the connection was opened.
+    if !gateway.accepts_requests(upstream) {
+        return None;
+    }
     let bytes = http::request(&message(upstream, path), &[]);
     let names = &gateway.protocol.names;
-    let exchange = Exchange { bytes: &bytes, method: b"GET", id_name: names.request_id, id: None };
+    let exchange = Exchange {
+        bytes: &bytes,
+        method: b"GET",
+        id_name: names.request_id,
+        id: None,
+        body_limit: MAX_BODY_BYTES,
+        memory: &gateway.answer_memory,
+    };
     let completed = exchange.run(connection).await.ok()?;
     gateway.pool.put(id, gateway.now(), completed.connection, completed.keep_alive, idle_limit);
     Some(completed.message)
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -127,6 +127,7 @@
         spawn(Box::pin(Rc::clone(mesh).receive()));
         spawn(Box::pin(Rc::clone(mesh).send_heartbeats()));
         spawn(Box::pin(Rc::clone(mesh).send_loads()));
+        spawn(Box::pin(Rc::clone(mesh).send_departures()));
         spawn(Box::pin(follow::discover(Rc::clone(gateway), Rc::clone(platform))));
         spawn(Box::pin(tick(Rc::clone(gateway))));
         spawn(Box::pin(probe::watch(Rc::clone(gateway))));
@@ -189,7 +190,7 @@
     }
 
     /// Stops as planned: leaves the directory and deregisters, serves the requests in progress and
-    /// those that still arrive, then ends.
+    /// those that still arrive, closes the callers' port, and ends once every answer is sent.
     async fn stop(self, reason: &str) {
         let gateway = &self.gateway;
         let started = gateway.now();
@@ -197,13 +198,12 @@
         log::info!(target: "belief", "event=stopping reason={reason} in_work={}", gateway.in_progress.get());
         self.mesh.broadcast_heartbeat();
         follow::deregister(gateway, &*self.platform).await;
-        let grace = gateway.settings().grace.saturating_sub(STOP_RESERVE);
-        loop {
-            let elapsed = gateway.now().saturating_duration_since(started);
-            let is_done = elapsed >= MIN_DRAIN_TIME && gateway.in_progress.get() == 0;
-            if is_done || elapsed >= grace {
-                break;
-            }
+        let until = started + gateway.settings().grace.saturating_sub(STOP_RESERVE);
+        tokio::time::sleep_until(until.min(started + MIN_DRAIN_TIME).into()).await;
+        gateway.callers_closed.notify_one();
+        // An answer that is complete may still be on its way to a caller that reads slowly.
+        let is_busy = || gateway.in_progress.get() > 0 || gateway.metrics.connections.get() > 0;
+        while is_busy() && gateway.now() < until {
             tokio::time::sleep(STOP_CHECK_INTERVAL).await;
         }
         log::info!(target: "belief", "event=stop in_work={}", gateway.in_progress.get());
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -3,12 +3,14 @@
 mod fold;
 mod index;
 mod registration;
+mod withdrawal;
 
 use std::sync::Arc;
 
 pub use fold::{Change, Fold};
 pub use index::{Index, Key, key};
 pub use registration::{Registration, State};
+pub use withdrawal::{Withdrawal, Withdrawals};
 
 /// Id of an upstream.
 pub type UpstreamId = Arc<str>;
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -12,7 +12,7 @@
     gateway::Gateway,
     http::{self, Message},
     load::{self, Outcome},
-    registry::UpstreamId,
+    registry::Registration,
     upstream::{Exchange, Failure},
 };
 
@@ -21,6 +21,8 @@
 const MAX_IDLE_NON_IDEMPOTENT: Duration = Duration::from_secs(1);
 /// Longest idle time of a connection reused for an idempotent request.
 const MAX_IDLE_IDEMPOTENT: Duration = Duration::from_secs(8);
+/// Maximum size of the body of an answer, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 20;
 /// Timeout for opening a connection to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -92,8 +94,8 @@
             Err(e) => return not_sent(format!("no connection: {e}")),
         };
         // The upstream may have begun to leave while the connection was opened.
-        if !reservation.accepts_requests() {
-            return not_sent("the upstream leaves".to_owned());
+        if !reservation.accepts_requests(gateway.now()) {
+            return not_sent("the upstream takes no requests".to_owned());
         }
         let left = self.deadline.saturating_duration_since(gateway.now()).as_millis();
         if left == 0 {
@@ -108,10 +110,12 @@
             method: &self.message.head.method,
             id_name: names.request_id,
             id: self.message.head.get(names.request_id),
+            body_limit: MAX_BODY_BYTES,
+            memory: &gateway.answer_memory,
         };
         match exchange.run(connection).await {
             Ok(it) => {
-                self.report(&upstream.id, &it.message);
+                self.report(upstream, &it.message);
                 let idle = self.dispatcher.idle_limit();
                 gateway.pool.put(&upstream.id, gateway.now(), it.connection, it.keep_alive, idle);
                 self.classify(it.message)
@@ -121,11 +125,12 @@
         }
     }
 
-    fn report(&self, id: &UpstreamId, answer: &Message) {
+    fn report(&self, upstream: &Registration, answer: &Message) {
+        self.gateway.record_notice(upstream, &answer.head);
         let load = answer.head.get(self.gateway.protocol.names.load);
         let mut service = self.dispatcher.service.borrow_mut();
         match load.and_then(|it| (self.gateway.protocol.parse_load)(it)) {
-            Some(it) => service.record_report(self.gateway.now(), id, it),
+            Some(it) => service.record_report(self.gateway.now(), &upstream.id, it),
             None => service.record_missing_report(),
         }
     }
@@ -136,6 +141,13 @@
         if head.status == 421 || head.get(names.not_run).is_some() {
             return End::NotRun { message: format!("refused with {}", head.status), sent: true };
         }
+        if matches!(head.status, 408 | 429 | 503) {
+            // To the caller, these statuses would promise that the request has not run.
+            return End::Unknown(format!(
+                "status {} without a statement that it was not run",
+                head.status
+            ));
+        }
         if (200..300).contains(&head.status) && head.get(names.signature).is_none() {
             return End::Unknown("a success without the upstream's signature".to_owned());
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -13,7 +13,7 @@
 pub const SECTION: &str = "gateway";
 /// Longest duration accepted for a setting.
 const MAX_DURATION: Duration = Duration::from_mins(10);
-/// Request bodies may use one part in this many of the host's memory.
+/// Request bodies may use one part in this many of the host's memory, answers as much again.
 const BODY_MEMORY_DIVISOR: u64 = 4;
 
 /// Settings of one daemon.
@@ -132,7 +132,7 @@
         if findings.is_empty() { Ok(res) } else { Err(findings) }
     }
 
-    /// Memory that the bodies of requests may use, in bytes.
+    /// Memory that the bodies of requests may use, in bytes, and answers as much again.
     #[must_use]
     pub fn body_memory_bytes(&self) -> usize {
         usize::try_from(self.memory_bytes / BODY_MEMORY_DIVISOR).unwrap_or(usize::MAX)
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,9 +1,13 @@
 //! Connections to upstreams, and request-answer exchanges on them.
 
 mod exchange;
+mod memory;
+mod notice;
 mod pool;
 
 pub use exchange::{Completed, Exchange, Failure};
+pub use memory::{Memory, Share};
+pub use notice::Notice;
 pub use pool::{Connection, Pool};
 
 /// A complete answer, or why there is none.
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -2,16 +2,16 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-use super::{Connection, Result};
-use crate::http::{Body, Head, Message};
+use super::{Connection, Memory, Result};
+use crate::http::{self, Body, Head, Message};
 
 /// Maximum size of the head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
-/// Maximum size of the body of an answer, in bytes.
-const MAX_BODY_BYTES: usize = 64 << 20;
+/// Maximum number of interim answers (status 1xx) to a request.
+const MAX_INTERIM: usize = 16;
 /// Number of answers to other requests that are skipped before the exchange fails.
 const MAX_MISMATCHED: usize = 4;
 /// Value of `written` once the connection accepts no more bytes.
@@ -53,6 +53,10 @@
     pub id_name: &'a str,
     /// Id of this request; an answer with another id is skipped.
     pub id: Option<&'a Bytes>,
+    /// Maximum size of the body of the answer, in bytes.
+    pub body_limit: usize,
+    /// Memory that answers may use.
+    pub memory: &'a Memory,
 }
 
 impl Exchange<'_> {
@@ -65,13 +69,21 @@
     /// Fails if the connection breaks or the bytes received are not an answer to this request.
     pub async fn run(self, mut connection: Connection) -> Result<Completed> {
         let mut written = 0;
-        let mut mismatched = 0;
+        let (mut mismatched, mut interim) = (0, 0);
+        let mut share = self.memory.share();
         let mut partial: Option<(Head, Body)> = None;
         loop {
             if let Some((head, body)) = self.parse(&mut connection, &mut partial)? {
                 let is_own_answer = self.is_own_answer(&head);
-                if head.status < 200 || !is_own_answer && mismatched < MAX_MISMATCHED {
-                    mismatched += usize::from(!is_own_answer);
+                if head.status < 200 && interim < MAX_INTERIM {
+                    interim += 1;
+                    continue;
+                }
+                if head.status < 200 {
+                    return Err(Failure::Malformed("too many interim answers".to_owned()));
+                }
+                if !is_own_answer && mismatched < MAX_MISMATCHED {
+                    mismatched += 1;
                     continue;
                 }
                 if !is_own_answer {
@@ -81,6 +93,7 @@
                     && connection.buffer.is_empty()
                     && head.keeps_connection()
                     && !body.ends_with_connection();
+                connection.buffer = BytesMut::new();
                 let keep_alive = keep_alive(&head);
                 let message = Message { head, body: body.into_bytes() };
                 return Ok(Completed {
@@ -89,8 +102,13 @@
                     keep_alive,
                 });
             }
+            let body_bytes = partial.as_ref().map_or(0, |(_, body)| body.len());
+            if !share.resize(body_bytes + connection.buffer.len()) {
+                return Err(Failure::Malformed("answers use up the memory for them".to_owned()));
+            }
             let unwritten = self.bytes.get(written..).unwrap_or_default();
             let Connection { stream, buffer, .. } = &mut connection;
+            http::reserve(buffer, partial.is_some());
             let (mut reader, mut writer) = stream.split();
             tokio::select! {
                 res = reader.read_buf(buffer) => match res {
@@ -122,7 +140,7 @@
                 Head::parse_answer(&mut connection.buffer, MAX_HEAD_BYTES).map_err(malformed)?;
             let Some(head) = head else { return Ok(None) };
             let framing = head.answer_framing(self.method).map_err(malformed)?;
-            *partial = Some((head, Body::new(framing, MAX_BODY_BYTES).map_err(malformed)?));
+            *partial = Some((head, Body::new(framing, self.body_limit).map_err(malformed)?));
         }
         let Some((_, body)) = partial else { return Ok(None) };
         if body.feed(&mut connection.buffer).map_err(malformed)? {
@@ -148,19 +166,16 @@
         }
     }
 
-    /// Whether an answer belongs to this request. A refusal may lack an id.
+    /// Whether an answer belongs to this request. One without an id may be a late copy of the answer
+    /// to an earlier health check.
     fn is_own_answer(self, head: &Head) -> bool {
-        match (head.get(self.id_name), self.id) {
-            (Some(got), Some(sent)) => got == sent,
-            (Some(_), None) => false,
-            (None, _) => true,
-        }
+        head.get(self.id_name) == self.id
     }
 }
 
 // Used with `map_err`, which passes the error by value.
 #[expect(clippy::needless_pass_by_value)]
-fn malformed(e: crate::http::Error) -> Failure {
+fn malformed(e: http::Error) -> Failure {
     Failure::Malformed(e.to_string())
 }
 
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -17,6 +17,10 @@
     pub signature: &'static str,
     /// Load report of the upstream.
     pub load: &'static str,
+    /// Says that the answering upstream is leaving.
+    pub leaving: &'static str,
+    /// Instance that answers a health check.
+    pub instance: &'static str,
     /// Path of the directory of entry hosts.
     pub directory_path: &'static str,
     /// Path of the readiness check.
@@ -32,6 +36,8 @@
             not_run: "fireflydrum-shed",
             signature: "fireflydrum-signature",
             load: "fireflydrum-load",
+            leaving: "fireflydrum-leaving",
+            instance: "fireflydrum-instance",
             directory_path: "/fireflydrum/entry",
             ready_path: "/fireflydrum/ready",
         }
