gateway: restart tasks that panic; fetch from the peers that have read furthest

Cause, by hostile_peers: a relayed registration with an absurd slow start overflows the clock and ends the task that reads datagrams; the daemon then looked ready and answered no peer. Change: the sum is checked, every task of a daemon is supervised, panics are logged and counted (fireflydrum_panics). Also, a daemon without the store fetched the registry from any peer that had read further, now from the one furthest on, as an older list may name an upstream that has left (peer_table::furthest_peers).

--- a/crates/gateway/src/load/upstream.rs
+++ b/crates/gateway/src/load/upstream.rs
@@ -79,7 +79,8 @@
     /// Creates the state of an upstream without any observations.
     #[must_use]
     pub fn new(now: Instant, registration: Registration) -> Self {
-        let cold_until = now + registration.cold_for;
+        // A peer's datagram may carry any duration.
+        let cold_until = now.checked_add(registration.cold_for).unwrap_or(now);
         Self {
             registration,
             is_assigned: true,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -67,6 +67,8 @@
     pub calls: Family<Call, Counter>,
     /// Probes of upstreams.
     pub probes: Counter,
+    /// Panics of tasks.
+    pub panics: Counter,
     /// Omitted log lines about requests.
     pub lines_omitted: Counter,
     /// Connections of callers.
@@ -86,6 +88,7 @@
             attempts: Family::default(),
             calls: Family::default(),
             probes: Counter::default(),
+            panics: Counter::default(),
             lines_omitted: Counter::default(),
             connections: Gauge::default(),
             peers: Gauge::default(),
@@ -133,6 +136,7 @@
         it.register("attempts", "Attempts at upstreams", self.attempts.clone());
         it.register("store_calls", "Calls to the platform's store", self.calls.clone());
         it.register("probes", "Probes of upstreams", self.probes.clone());
+        it.register("panics", "Panics of tasks", self.panics.clone());
         it.register("log_lines_omitted", "Lines left out", self.lines_omitted.clone());
         it.register("connections", "Connections of callers", self.connections.clone());
         it.register("peers", "Peers that are alive", self.peers.clone());
--- a/crates/gateway/src/peer/table.rs
+++ b/crates/gateway/src/peer/table.rs
@@ -1,6 +1,7 @@
 //! Known peers and their liveness.
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     time::{Duration, Instant},
@@ -215,6 +216,22 @@
         now.saturating_duration_since(it.last_received) < limit
     }
 
+    /// Live peers whose `progress` is beyond `own`, the furthest first and equal ones in random
+    /// order: what others have not read yet may contain a removal.
+    #[must_use]
+    pub fn further(
+        &self,
+        now: Instant,
+        progress: impl Fn(&Heartbeat) -> u64,
+        own: u64,
+    ) -> Vec<SocketAddr> {
+        let live = self.live_peers(now).map(|(address, it)| (progress(&it.heartbeat), address));
+        let mut res: Vec<_> = live.filter(|(it, _)| *it > own).collect();
+        fastrand::shuffle(&mut res);
+        res.sort_by_key(|(progress, _)| Reverse(*progress));
+        res.into_iter().map(|(_, address)| address).collect()
+    }
+
     /// Number of live peers.
     #[must_use]
     pub fn live_count(&self, now: Instant) -> u32 {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -24,6 +24,7 @@
     peer::Phase,
     platform::Platform,
     probe, rpc,
+    supervisor::supervise,
 };
 
 /// Interval of periodic work: queue deadlines, decays, clock comparison.
@@ -121,26 +122,23 @@
 
     fn spawn(&self, shared: rpc::Shared) {
         let Self { gateway, platform, mesh, .. } = self;
-        let spawn = |task: std::pin::Pin<Box<dyn Future<Output = ()>>>| {
-            tokio::task::spawn_local(task);
-        };
-        spawn(Box::pin(Rc::clone(mesh).receive()));
-        spawn(Box::pin(Rc::clone(mesh).send_heartbeats()));
-        spawn(Box::pin(Rc::clone(mesh).send_loads()));
-        spawn(Box::pin(Rc::clone(mesh).send_departures()));
-        spawn(Box::pin(follow::discover(Rc::clone(gateway), Rc::clone(platform))));
-        spawn(Box::pin(tick(Rc::clone(gateway))));
-        spawn(Box::pin(probe::watch(Rc::clone(gateway))));
-        let configuration =
-            follow::Configuration::new(Rc::clone(gateway), Rc::clone(platform), shared.clone());
-        spawn(Box::pin(configuration.run()));
-        let upstreams = follow::Upstreams::new(
-            Rc::clone(gateway),
-            Rc::clone(platform),
-            Rc::clone(mesh),
-            shared,
-        );
-        spawn(Box::pin(upstreams.run()));
+        let tasks = Tasks { gateway: Rc::clone(gateway), mesh: Rc::clone(mesh) };
+        tasks.spawn("datagrams", |_, mesh| mesh.receive());
+        tasks.spawn("heartbeats", |_, mesh| mesh.send_heartbeats());
+        tasks.spawn("loads", |_, mesh| mesh.send_loads());
+        tasks.spawn("departures", |_, mesh| mesh.send_departures());
+        tasks.spawn("tick", |gateway, _| tick(gateway));
+        tasks.spawn("probes", |gateway, _| probe::watch(gateway));
+        let store = Rc::clone(platform);
+        tasks.spawn("hosts", move |gateway, _| follow::discover(gateway, Rc::clone(&store)));
+        let (store, content) = (Rc::clone(platform), shared.clone());
+        tasks.spawn("configuration", move |gateway, _| {
+            follow::Configuration::new(gateway, Rc::clone(&store), content.clone()).run()
+        });
+        let store = Rc::clone(platform);
+        tasks.spawn("upstreams", move |gateway, mesh| {
+            follow::Upstreams::new(gateway, Rc::clone(&store), mesh, shared.clone()).run()
+        });
     }
 
     async fn serve(mut self, mut signals: Signals) {
@@ -210,6 +208,26 @@
     }
 }
 
+/// Starts the tasks of a daemon.
+struct Tasks {
+    gateway: Rc<Gateway>,
+    mesh: Rc<Mesh>,
+}
+
+impl Tasks {
+    fn spawn<T: Future<Output = ()> + 'static>(
+        &self,
+        name: &'static str,
+        start: impl Fn(Rc<Gateway>, Rc<Mesh>) -> T + 'static,
+    ) {
+        let (gateway, mesh) = (Rc::clone(&self.gateway), Rc::clone(&self.mesh));
+        let supervised = supervise(Rc::clone(&gateway), name, move || {
+            start(Rc::clone(&gateway), Rc::clone(&mesh))
+        });
+        tokio::task::spawn_local(supervised);
+    }
+}
+
 struct Signals {
     terminate: Signal,
     interrupt: Signal,
--- a/crates/gateway/src/rpc.rs
+++ b/crates/gateway/src/rpc.rs
@@ -14,7 +14,7 @@
 };
 use jsonrpsee_http_client::HttpClientBuilder;
 
-use crate::{gateway::Gateway, platform::Offset, registry::Registration};
+use crate::{gateway::Gateway, peer::Heartbeat, platform::Offset, registry::Registration};
 
 /// Method that returns the newest configuration.
 const CONFIG_METHOD: &str = "config";
@@ -122,7 +122,7 @@
 /// Fetches the configuration from a peer that has a newer one.
 pub async fn fetch_config(gateway: &Gateway) -> Option<(Record, SocketAddr)> {
     let version = gateway.version();
-    let addresses = candidates(gateway, |it| it.config > version);
+    let addresses = candidates(gateway, |it| it.config, version);
     for address in addresses {
         if let Some(it) = call::<Option<Record>>(address, CONFIG_METHOD).await.flatten() {
             return Some((it, address));
@@ -134,7 +134,7 @@
 /// Fetches the registry from a peer that has read further.
 pub async fn fetch_registry(gateway: &Gateway) -> Option<(Snapshot, SocketAddr)> {
     let end = gateway.registry.borrow().end();
-    let addresses = candidates(gateway, |it| it.registry_end > end);
+    let addresses = candidates(gateway, |it| it.registry_end, end);
     for address in addresses {
         if let Some(it) = call::<Option<Snapshot>>(address, REGISTRY_METHOD)
             .await
@@ -149,16 +149,10 @@
 
 fn candidates(
     gateway: &Gateway,
-    is_candidate: impl Fn(&crate::peer::Heartbeat) -> bool,
+    progress: impl Fn(&Heartbeat) -> u64,
+    own: u64,
 ) -> Vec<SocketAddr> {
-    let now = gateway.now();
-    let peers = gateway.peers.borrow();
-    let mut res: Vec<_> = peers
-        .live_peers(now)
-        .filter(|(_, it)| is_candidate(&it.heartbeat))
-        .map(|(at, _)| at)
-        .collect();
-    fastrand::shuffle(&mut res);
+    let mut res = gateway.peers.borrow().further(gateway.now(), progress, own);
     res.truncate(MAX_CALLED_PEERS);
     res
 }
--- a/crates/gateway/tests/peer_table.rs
+++ b/crates/gateway/tests/peer_table.rs
@@ -170,3 +170,20 @@
     check(now + MS * 2, 4, 3);
     check(now + window + MS * 2, 3, 1);
 }
+
+/// The registry and the configuration are fetched from the peers that have read furthest: another
+/// one may still list an upstream that has been removed.
+#[test]
+fn furthest_peers() {
+    let now = Instant::now();
+    let mut table = Table::new(address(1), 100.0);
+    for (number, registry_end) in [(2, 30), (3, 50), (4, 20), (5, 40), (6, 10)] {
+        let heartbeat = Heartbeat { registry_end, ..heartbeat(number, 1, Phase::Ready) };
+        table.record_heartbeat(now, address(number), heartbeat);
+    }
+    let further = |own| table.further(now, |it| it.registry_end, own);
+    assert_eq!(further(20), [3, 5, 2].map(address));
+    assert!(further(50).is_empty());
+    let later = now + MS * 10_000;
+    assert!(table.further(later, |it| it.registry_end, 0).is_empty(), "nobody is live");
+}
