--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -6,7 +6,10 @@
     time::{Duration, Instant},
 };
 
-use platform_standin::{config, proxy, store, upstream::Mode};
+use platform_standin::{
+    config, proxy, store,
+    upstream::{Endless, Mode},
+};
 use rustix::process::Signal;
 
 use crate::{Result, environment::Environment, watcher};
@@ -22,6 +25,13 @@
 /// Time within which every daemon must apply a new configuration or an upstream's change of state.
 const PROPAGATION_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Time by which every daemon has heard that an upstream leaves or pauses.
+const WITHDRAWAL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause that an upstream asks for.
+const PAUSE: Duration = Duration::from_secs(4);
+/// Requests that a daemon may send to an upstream during its pause.
+const PAUSED_REQUESTS: usize = 2;
+
 /// Maximum resident memory of a daemon, in bytes. Default of its settings.
 const MEMORY_LIMIT_BYTES: u64 = 512 << 20;
 
@@ -86,7 +96,19 @@
                 ("store-link", Some(End::StoreLink))
             }
             2 => {
-                let modes = [Mode::Shed, Mode::Unsigned, Mode::Garble, Mode::Slow];
+                let endless = Endless::ALL[self.rng.usize(..Endless::ALL.len())];
+                let pause = Duration::from_millis(self.rng.u64(FAULT_DURATION_MS));
+                let modes = [
+                    Mode::Shed,
+                    Mode::Unsigned,
+                    Mode::Garble,
+                    Mode::Slow,
+                    Mode::Leaving,
+                    Mode::Pause(pause),
+                    Mode::Repeat,
+                    Mode::RepeatProbes,
+                    Mode::Endless(endless),
+                ];
                 env.upstreams[upstream].0.set_mode(modes[self.rng.usize(..modes.len())]);
                 ("upstream", Some(End::Upstream(upstream)))
             }
@@ -170,7 +192,11 @@
         match end {
             End::Store => env.store.set_fault(store::Fault::None),
             End::StoreLink => env.store_proxy.set_fault(proxy::Fault::None),
-            End::Upstream(it) => env.upstreams[*it].0.set_mode(Mode::Good),
+            // It may have said that it leaves, so it starts again.
+            End::Upstream(it) => {
+                env.upstreams[*it].0.restart();
+                env.register(*it, "ready");
+            }
             End::AllUpstreams => env.upstreams.iter().for_each(|it| it.0.set_mode(Mode::Good)),
             End::UpstreamLink(it) => env.upstreams[*it].1.set_fault(proxy::Fault::None),
             End::Registration(it) => env.register(*it, "ready"),
@@ -201,6 +227,30 @@
         }
     }
 
+    /// Checks that upstreams that say in their answers that they leave or pause are left alone.
+    fn check_withdrawals(&self) {
+        let env = self.env;
+        let (leaving, pausing) = (&env.upstreams[1].0, &env.upstreams[2].0);
+        leaving.set_mode(Mode::Leaving);
+        pausing.set_mode(Mode::Pause(PAUSE));
+        thread::sleep(WITHDRAWAL_TIMEOUT);
+        let (at_leaving, at_pausing) = (leaving.arrivals().len(), pausing.arrivals().len());
+        thread::sleep(PAUSE / 2);
+        if leaving.arrivals().len() > at_leaving {
+            let finding = "an upstream that said that it leaves got new requests";
+            env.context.ledger.add_finding(finding.to_owned());
+        }
+        let sent = pausing.arrivals().len() - at_pausing;
+        if sent > PAUSED_REQUESTS * env.daemons.borrow().len() {
+            let finding = format!("an upstream that asked for a pause got {sent} requests");
+            env.context.ledger.add_finding(finding);
+        }
+        for number in [1, 2] {
+            env.upstreams[number].0.restart();
+            env.register(number, "ready");
+        }
+    }
+
     /// Checks that the daemons recover, that they apply a new configuration and an upstream's
     /// change of state in time, and that planned stops break no request in flight.
     pub(crate) fn check_recovery(&mut self) -> Result<()> {
@@ -224,6 +274,7 @@
             }
         }
         self.check_memory();
+        self.check_withdrawals();
         env.register(0, "draining");
         thread::sleep(PROPAGATION_TIMEOUT);
         let before = env.upstreams[0].0.runs();
