gateway: on the first start of a fleet only the seeds read the store

Change: settings say whether the whole system starts for the first time (first_start). Then daemons that are no seeds take configuration and registry from peers, of their failure domain first, and read the store after 3 to 4 s only if nobody has it. The registry is passed on in a third of the bytes. A daemon that starts later has no second and third read of a configuration that it has just read. The soak also lets every upstream pause at once, since the removal of that guard was not found while others could serve.

--- a/crates/gateway/src/config/role.rs
+++ b/crates/gateway/src/config/role.rs
@@ -45,10 +45,11 @@
         if position < READERS { Self::Confirming(READER_POLL_TIME) } else { Self::Relying }
     }
 
-    /// Role of a daemon that has not yet discovered its peers.
+    /// Role of a daemon that has not yet discovered its peers. With a configuration that it has just
+    /// read it needs no other confirmation yet.
     #[must_use]
-    pub fn undiscovered() -> Self {
-        Self::Confirming(READER_POLL_TIME)
+    pub fn undiscovered(has_config: bool) -> Self {
+        if has_config { Self::Relying } else { Self::Confirming(READER_POLL_TIME) }
     }
 
     /// Whether it always has a read in progress.
--- a/crates/gateway/src/follow/configuration.rs
+++ b/crates/gateway/src/follow/configuration.rs
@@ -70,7 +70,10 @@
                 tokio::time::timeout(CHECK_INTERVAL, gateway.config_wanted.notified()).await;
             if self.is_behind() {
                 self.catch_up().await;
-            } else if self.is_stale(role) && gateway.now() >= self.stale_read_from {
+            } else if !gateway.waits_for_peers()
+                && self.is_stale(role)
+                && gateway.now() >= self.stale_read_from
+            {
                 self.end = None;
                 self.read(Duration::ZERO).await;
                 if self.availability.is_unavailable() {
@@ -83,8 +86,11 @@
 
     fn role(&self) -> Role {
         let now = self.gateway.now();
+        if self.gateway.waits_for_peers() {
+            return Role::Relying;
+        }
         if now.saturating_duration_since(self.started) < DISCOVERY_TIME {
-            return Role::undiscovered();
+            return Role::undiscovered(self.gateway.version() > 0);
         }
         let peers = self.gateway.peers.borrow();
         Role::new(peers.live_count(now), peers.position(now))
@@ -149,7 +155,7 @@
             };
             self.apply_record(&record, &format!("peer:{from}"));
         }
-        if self.is_behind() {
+        if self.is_behind() && !gateway.waits_for_peers() {
             self.read(Duration::ZERO).await;
         }
     }
--- a/crates/gateway/src/follow/upstreams.rs
+++ b/crates/gateway/src/follow/upstreams.rs
@@ -39,6 +39,9 @@
 /// Maximum length of the parts of a record that are logged, in characters.
 const MAX_EXCERPT_CHARS: usize = 100;
 
+/// Mean interval at which a daemon that starts looks for the registry at its peers.
+const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(400);
+
 /// Follows the registrations of upstreams.
 pub struct Follower<P> {
     gateway: Rc<Gateway>,
@@ -53,7 +56,7 @@
     /// Creates a follower that has read nothing yet.
     #[must_use]
     pub fn new(gateway: Rc<Gateway>, platform: Rc<P>, mesh: Rc<Mesh>, shared: rpc::Shared) -> Self {
-        let next_read = gateway.now();
+        let next_read = gateway.store_from();
         Self { gateway, platform, mesh, shared, availability: Availability::default(), next_read }
     }
 
@@ -69,6 +72,7 @@
                     self.update_shared();
                 }
                 () = tokio::time::sleep_until(self.next_read.into()) => self.read().await,
+                () = peer_check(), if gateway.waits_for_peers() => self.read_from_peer().await,
             }
         }
     }
@@ -85,6 +89,10 @@
 
     async fn read(&mut self) {
         let gateway = Rc::clone(&self.gateway);
+        if gateway.waits_for_peers() {
+            self.read_from_peer().await;
+            return;
+        }
         let from = gateway.registry.borrow().end();
         let res = if from == 0 {
             let newest = self.platform.newest(Topic::Upstreams);
@@ -173,7 +181,7 @@
         }
     }
 
-    async fn read_from_peer(&self) {
+    async fn read_from_peer(&mut self) {
         let Some((snapshot, from)) = rpc::fetch_registry(&self.gateway).await else { return };
         let now = self.gateway.now();
         let changes =
@@ -183,6 +191,8 @@
             self.gateway.apply(it, &source);
         }
         self.gateway.mark_registry_read();
+        self.next_read = now + self.interval();
+        self.update_shared();
     }
 
     /// Updates the registry served to peers that can't read the store.
@@ -194,6 +204,12 @@
     }
 }
 
+/// Waits until a daemon without a registry should look for one at its peers. Randomized, so that a
+/// fleet that starts doesn't ask the first peers that have it all at once.
+async fn peer_check() {
+    tokio::time::sleep(PEER_CHECK_INTERVAL.mul_f64(0.5 + fastrand::f64())).await;
+}
+
 /// The start of a text that another program wrote.
 fn excerpt(text: &str) -> String {
     text.chars().take(MAX_EXCERPT_CHARS).collect()
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -38,6 +38,11 @@
 /// are alive have registered again by then.
 const EXPIRY_GRACE: Duration = Duration::from_millis(2_300);
 
+/// Longest time for which a daemon that starts waits for its peers before it reads the store.
+const PEER_START_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time over which the daemons that have waited in vain start to read the store.
+const PEER_START_SPREAD_MS: u64 = 1_000;
+
 /// Time after which every peer has been informed that this daemon is active.
 const ACTIVITY_PROPAGATION_TIME: Duration = Duration::from_secs(2);
 
@@ -102,6 +107,8 @@
     placement: RefCell<Placement>,
     split_credits: RefCell<HashMap<RouteId, Vec<f64>>>,
     registry_read_once: Cell<bool>,
+    /// Until when configuration and registry come from peers only.
+    store_from: Cell<Instant>,
     seed: u64,
 }
 
@@ -149,6 +156,11 @@
             placement: RefCell::default(),
             split_credits: RefCell::default(),
             registry_read_once: Cell::new(false),
+            store_from: Cell::new(if settings.starts_from_peers() {
+                now + PEER_START_TIMEOUT + Duration::from_millis(seed % PEER_START_SPREAD_MS)
+            } else {
+                now
+            }),
             seed,
             settings: RefCell::new(Rc::new(settings)),
         })
@@ -166,6 +178,18 @@
         self.clock.now()
     }
 
+    /// When this daemon may read the store: on the first start of a fleet it waits for its peers.
+    #[must_use]
+    pub fn store_from(&self) -> Instant {
+        self.store_from.get()
+    }
+
+    /// Whether configuration and registry come from peers only.
+    #[must_use]
+    pub fn waits_for_peers(&self) -> bool {
+        self.now() < self.store_from.get()
+    }
+
     /// The routing table, once there is a configuration.
     #[must_use]
     pub fn table(&self) -> Option<Rc<Table>> {
@@ -415,6 +439,7 @@
         let is_ready = self.table.borrow().is_some() && self.registry_read_once.get();
         if is_ready && self.phase.get() == Phase::Starting {
             self.phase.set(Phase::Ready);
+            self.store_from.set(self.now());
             log::info!(target: "belief", "event=ready version={}", self.version());
         }
     }
--- a/crates/gateway/src/peer/table.rs
+++ b/crates/gateway/src/peer/table.rs
@@ -216,19 +216,23 @@
         now.saturating_duration_since(it.last_received) < limit
     }
 
-    /// Live peers whose `progress` is beyond `own`, the furthest first and equal ones in random
-    /// order: what others have not read yet may contain a removal.
+    /// Live peers whose `progress` is beyond `own`, the furthest first, of equal ones those in
+    /// `domain` first, and otherwise in random order: what others have not read yet may contain a removal.
     #[must_use]
     pub fn further(
         &self,
         now: Instant,
         progress: impl Fn(&Heartbeat) -> u64,
         own: u64,
+        domain: &str,
     ) -> Vec<SocketAddr> {
-        let live = self.live_peers(now).map(|(address, it)| (progress(&it.heartbeat), address));
-        let mut res: Vec<_> = live.filter(|(it, _)| *it > own).collect();
+        let order = |(address, it): (SocketAddr, &Peer)| {
+            ((Reverse(progress(&it.heartbeat)), &*it.heartbeat.domain != domain), address)
+        };
+        let live = self.live_peers(now).map(order);
+        let mut res: Vec<_> = live.filter(|((Reverse(it), _), _)| *it > own).collect();
         fastrand::shuffle(&mut res);
-        res.sort_by_key(|(progress, _)| Reverse(*progress));
+        res.sort_by_key(|(order, _)| *order);
         res.into_iter().map(|(_, address)| address).collect()
     }
 
--- a/crates/gateway/src/rpc.rs
+++ b/crates/gateway/src/rpc.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use base64::{Engine, prelude::BASE64_STANDARD};
 use jsonrpsee::{
     RpcModule,
     core::{RegisterMethodError, client::ClientT, params::ArrayParams},
@@ -19,7 +20,10 @@
 /// Method that returns the newest configuration.
 const CONFIG_METHOD: &str = "config";
 /// Method that returns the registry.
-const REGISTRY_METHOD: &str = "registry";
+const REGISTRY_METHOD: &str = "snapshot";
+/// Peers whose registries are fewer records apart count as equally far: upstreams write hundreds of
+/// records a second, most of them without a change.
+const RECORDS_APART: Offset = 1_024;
 /// Timeout of a call to a peer.
 const TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest answer, in bytes; configurations with many routes stay below.
@@ -114,7 +118,7 @@
         shared.with(|it| it.config.clone())
     })?;
     module.register_method(REGISTRY_METHOD, |_params, shared, _extensions| {
-        shared.with(|it| Some(it.snapshot.clone()))
+        shared.with(|it| encode(&it.snapshot))
     })?;
     Ok(module)
 }
@@ -134,25 +138,46 @@
 /// Fetches the registry from a peer that has read further.
 pub async fn fetch_registry(gateway: &Gateway) -> Option<(Snapshot, SocketAddr)> {
     let end = gateway.registry.borrow().end();
-    let addresses = candidates(gateway, |it| it.registry_end, end);
+    let addresses = candidates(
+        gateway,
+        |it| it.registry_end.div_ceil(RECORDS_APART),
+        end.div_ceil(RECORDS_APART),
+    );
     for address in addresses {
-        if let Some(it) = call::<Option<Snapshot>>(address, REGISTRY_METHOD)
-            .await
-            .flatten()
-            .filter(|it| it.end > 0)
-        {
+        let text = call::<Option<String>>(address, REGISTRY_METHOD).await.flatten();
+        let snapshot = text.and_then(|it| decode(&it, address));
+        if let Some(it) = snapshot.filter(|it| it.end > 0) {
             return Some((it, address));
         }
     }
     None
 }
 
+/// Encodes a registry in a third of the bytes that JSON takes.
+fn encode(snapshot: &Snapshot) -> Option<String> {
+    let bytes = postcard::to_allocvec(snapshot)
+        .inspect_err(|e| log::error!("event=registry-not-shared error=\"{e}\""))
+        .ok()?;
+    Some(BASE64_STANDARD.encode(bytes))
+}
+
+fn decode(text: &str, from: SocketAddr) -> Option<Snapshot> {
+    let bytes = BASE64_STANDARD
+        .decode(text)
+        .inspect_err(|e| log::warn!("event=registry-malformed peer={from} error=\"{e}\""))
+        .ok()?;
+    postcard::from_bytes(&bytes)
+        .inspect_err(|e| log::warn!("event=registry-malformed peer={from} error=\"{e}\""))
+        .ok()
+}
+
 fn candidates(
     gateway: &Gateway,
     progress: impl Fn(&Heartbeat) -> u64,
     own: u64,
 ) -> Vec<SocketAddr> {
-    let mut res = gateway.peers.borrow().further(gateway.now(), progress, own);
+    let domain = &gateway.settings().domain;
+    let mut res = gateway.peers.borrow().further(gateway.now(), progress, own, domain);
     res.truncate(MAX_CALLED_PEERS);
     res
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -38,6 +38,8 @@
     /// Hosts on which daemons may already be running. The port is replaced by that of
     /// `peer_address`.
     pub seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time, so that no callers wait for it.
+    pub is_first_start: bool,
     /// Address of the platform's store.
     pub store_address: SocketAddr,
     /// Memory of the host, in bytes.
@@ -83,6 +85,7 @@
             peer_address: any,
             metrics_address: any,
             seeds: Vec::new(),
+            is_first_start: false,
             store_address: any,
             memory_bytes: 512 << 20,
             link_mbps: 1_000.0,
@@ -138,6 +141,14 @@
         usize::try_from(self.memory_bytes / BODY_MEMORY_DIVISOR).unwrap_or(usize::MAX)
     }
 
+    /// Whether this daemon takes configuration and registry from its peers when it starts: on the
+    /// first start of a fleet only the seeds read the store, and the others have time to wait.
+    #[must_use]
+    pub fn starts_from_peers(&self) -> bool {
+        let is_seed = self.seeds.iter().any(|it| it.ip() == self.peer_address.ip());
+        self.is_first_start && !self.seeds.is_empty() && !is_seed
+    }
+
     fn read(&mut self, section: &ini::Section) -> Vec<Finding> {
         let mut keys = Keys::new(section);
         keys.require(&[
@@ -186,6 +197,10 @@
         if let Some(it) = keys.read("seeds", parse_addresses) {
             self.seeds = it;
         }
+        // The platform's own words for it.
+        if let Some(it) = keys.one_of("first_start", &["true", "false"]) {
+            self.is_first_start = it == "true";
+        }
     }
 
     fn read_durations(&mut self, keys: &mut Keys<'_>) {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -7,7 +7,7 @@
 };
 
 use platform_standin::{
-    config, proxy, store,
+    Proxy, Upstream, config, proxy, store,
     upstream::{Endless, Mode},
 };
 use rustix::process::Signal;
@@ -230,23 +230,31 @@
     /// Checks that upstreams that say in their answers that they leave or pause are left alone.
     fn check_withdrawals(&self) {
         let env = self.env;
-        let (leaving, pausing) = (&env.upstreams[1].0, &env.upstreams[2].0);
-        leaving.set_mode(Mode::Leaving);
-        pausing.set_mode(Mode::Pause(PAUSE));
+        let (leaving, pausing) = env.upstreams.split_at(1);
+        let arrivals = |upstreams: &[(Upstream, Proxy)]| -> usize {
+            upstreams.iter().map(|it| it.0.arrivals().len()).sum()
+        };
+        for (it, _) in leaving {
+            it.set_mode(Mode::Leaving);
+        }
+        thread::sleep(WITHDRAWAL_TIMEOUT);
+        for (it, _) in pausing {
+            it.set_mode(Mode::Pause(PAUSE));
+        }
         thread::sleep(WITHDRAWAL_TIMEOUT);
-        let (at_leaving, at_pausing) = (leaving.arrivals().len(), pausing.arrivals().len());
+        let (at_leaving, at_pausing) = (arrivals(leaving), arrivals(pausing));
         thread::sleep(PAUSE / 2);
-        if leaving.arrivals().len() > at_leaving {
+        if arrivals(leaving) > at_leaving {
             let finding = "an upstream that said that it leaves got new requests";
             env.context.ledger.add_finding(finding.to_owned());
         }
-        let sent = pausing.arrivals().len() - at_pausing;
-        if sent > PAUSED_REQUESTS * env.daemons.borrow().len() {
-            let finding = format!("an upstream that asked for a pause got {sent} requests");
+        let sent = arrivals(pausing) - at_pausing;
+        if sent > PAUSED_REQUESTS * env.daemons.borrow().len() * pausing.len() {
+            let finding = format!("upstreams that asked for a pause got {sent} requests");
             env.context.ledger.add_finding(finding);
         }
-        for number in [1, 2] {
-            env.upstreams[number].0.restart();
+        for (number, (upstream, _)) in env.upstreams.iter().enumerate() {
+            upstream.restart();
             env.register(number, "ready");
         }
     }
