gateway: log the attempts in progress when a caller leaves, and when each began

Cause: the record of an attempt was written when it ended, and a caller that leaves ends none of them, so 308 of 325 lines with reason=caller-left named no upstream. Change: what is in progress when a request ends is recorded with the reason; each attempt has its start (at_ms).

--- a/crates/gateway/src/decision/trace.rs
+++ b/crates/gateway/src/decision/trace.rs
@@ -25,6 +25,8 @@
     pub report_age: Option<Duration>,
     /// Pace in that report, as a factor of the usual time.
     pub pace: Option<f64>,
+    /// Time from reading the request to the choice of the upstream.
+    pub at: Duration,
     /// Result of the attempt.
     pub result: String,
     /// Time from the choice to the result.
@@ -107,9 +109,10 @@
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             out,
-            "(upstream={} result={} took_ms={}",
+            "(upstream={} result={} at_ms={} took_ms={}",
             self.upstream,
             self.result,
+            self.at.as_millis(),
             self.took.as_millis()
         )?;
         if let (Some(age), Some(pace)) = (self.report_age, self.pace) {
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -52,9 +52,13 @@
     pub deadline: Instant,
 }
 
-/// Attempts made for a request so far.
+/// Attempts made for a request so far. Those still in progress when it is dropped are recorded in the
+/// trace.
 struct Progress<'a, 'b> {
     context: &'b Context<'a>,
+    trace: &'b mut Trace,
+    /// How attempts end that are in progress when this is dropped.
+    end: &'static str,
     tried: Vec<UpstreamId>,
     /// Attempts in progress, with the times of their start.
     active: Vec<(UpstreamId, Instant)>,
@@ -73,6 +77,8 @@
 pub(super) async fn run(context: &Context<'_>, trace: &mut Trace) -> Result<Message> {
     let mut progress = Progress {
         context,
+        trace,
+        end: "caller-left",
         tried: Vec::new(),
         active: Vec::new(),
         sent: 0,
@@ -82,7 +88,7 @@
     };
     let mut running = FuturesUnordered::new();
     let first = progress.admit().await?;
-    trace.waited = context.gateway.now().saturating_duration_since(trace.received);
+    progress.trace.waited = context.gateway.now().saturating_duration_since(context.received);
     running.push(progress.send(first, "first"));
     let mut hedge_at = progress.hedge_at();
     loop {
@@ -96,7 +102,7 @@
             biased;
             Some(it) = running.next() => it,
             () = tokio::time::sleep_until(context.deadline.into()) => {
-                trace.attempts.extend(progress.active_attempts("unanswered"));
+                progress.end = "unanswered";
                 return progress.time_out(running.len());
             }
             () = hedge => {
@@ -108,11 +114,11 @@
             }
         };
         progress.active.retain(|(id, _)| *id != finished.record.upstream);
-        trace.attempts.push(finished.record);
+        progress.trace.attempts.push(finished.record);
         if let Some(res) = progress.handle_end(finished.end, running.len()).await {
             match res {
                 Ok(Next::Answer(it)) => {
-                    trace.attempts.extend(progress.active_attempts("cancelled"));
+                    progress.end = "cancelled";
                     return Ok(it);
                 }
                 Ok(Next::Retry(reservation)) => running.push(progress.send(reservation, "retry")),
@@ -192,9 +198,9 @@
         self.tried.push(reservation.upstream().id.clone());
         self.active.push((reservation.upstream().id.clone(), reservation.started()));
         self.sent += 1;
-        let Context { gateway, dispatcher, route, message, deadline, .. } = *self.context;
+        let Context { gateway, dispatcher, route, message, received, deadline, .. } = *self.context;
         gateway.metrics.attempt(&dispatcher.id, cause);
-        let forward = Forward { gateway, dispatcher, route, message, deadline };
+        let forward = Forward { gateway, dispatcher, route, message, received, deadline };
         Box::pin(forward.run(reservation))
     }
 
@@ -263,18 +269,21 @@
             None => Err(deadline_passed()),
         }
     }
+}
 
-    /// Records of the attempts still in progress when the request ends.
-    fn active_attempts(&self, result: &str) -> Vec<Attempt> {
+impl Drop for Progress<'_, '_> {
+    fn drop(&mut self) {
         let now = self.now();
-        let record = |(id, sent): &(UpstreamId, Instant)| Attempt {
-            upstream: id.clone(),
+        let record = |(id, sent): (UpstreamId, Instant)| Attempt {
+            upstream: id,
             report_age: None,
             pace: None,
-            result: result.to_owned(),
-            took: now.saturating_duration_since(*sent),
+            at: sent.saturating_duration_since(self.context.received),
+            result: self.end.to_owned(),
+            took: now.saturating_duration_since(sent),
         };
-        self.active.iter().map(record).collect()
+        let records: Vec<_> = std::mem::take(&mut self.active).into_iter().map(record).collect();
+        self.trace.attempts.extend(records);
     }
 }
 
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -48,6 +48,7 @@
     pub(super) dispatcher: &'a Rc<Dispatcher>,
     pub(super) route: &'a Route,
     pub(super) message: &'a Message,
+    pub(super) received: Instant,
     pub(super) deadline: Instant,
 }
 
@@ -60,13 +61,14 @@
         let end = self.exchange(&reservation).await;
         let now = self.gateway.now();
         let took = now.saturating_duration_since(started);
+        let at = started.saturating_duration_since(self.received);
         let (outcome, result) = outcome_of(&end);
         if outcome == Outcome::Success {
             let mut service = self.dispatcher.service.borrow_mut();
             service.record_answer(&id, reservation.serial(), &self.route.id, took);
         }
         reservation.finish(now, outcome);
-        Finished { end, record: Attempt { upstream: id, report_age, pace, result, took } }
+        Finished { end, record: Attempt { upstream: id, report_age, pace, at, result, took } }
     }
 
     fn last_report(&self, id: &str, at: Instant) -> (Option<Duration>, Option<f64>) {
--- a/crates/gateway/tests/log_lines.rs
+++ b/crates/gateway/tests/log_lines.rs
@@ -67,6 +67,7 @@
         upstream: "u".into(),
         report_age: None,
         pace: None,
+        at: Duration::ZERO,
         result: result.to_owned(),
         took: Duration::ZERO,
     };
