gateway: seeds confirm the configuration until the fleet's first start is over

Cause: with the wait for peers ending as soon as a daemon was ready, the seeds stopped reading after 2 s, before the readers of the fleet had begun, and most daemons read once in between (757 calls of 188 daemons).

Change: the wait lasts 3 to 4 s for everybody, and seeds go on confirming for 5 s.

--- a/crates/gateway/src/follow/configuration.rs
+++ b/crates/gateway/src/follow/configuration.rs
@@ -15,6 +15,9 @@
 
 /// Time after the start by which daemons have discovered each other.
 const DISCOVERY_TIME: Duration = Duration::from_secs(2);
+/// Time after the first start of a fleet for which its seeds confirm the configuration to the others,
+/// until these read the store as well.
+const FIRST_START_TIME: Duration = Duration::from_secs(5);
 /// Interval at which a daemon checks whether the last confirmation of the configuration is recent.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Pause after a failed call of a daemon that normally does not read the store.
@@ -89,7 +92,12 @@
         if self.gateway.waits_for_peers() {
             return Role::Relying;
         }
-        if now.saturating_duration_since(self.started) < DISCOVERY_TIME {
+        let age = now.saturating_duration_since(self.started);
+        let settings = self.gateway.settings();
+        if settings.is_first_start && !settings.starts_from_peers() && age < FIRST_START_TIME {
+            return Role::undiscovered(false);
+        }
+        if age < DISCOVERY_TIME {
             return Role::undiscovered(self.gateway.version() > 0);
         }
         let peers = self.gateway.peers.borrow();
--- a/crates/gateway/src/follow/upstreams.rs
+++ b/crates/gateway/src/follow/upstreams.rs
@@ -72,11 +72,16 @@
                     self.update_shared();
                 }
                 () = tokio::time::sleep_until(self.next_read.into()) => self.read().await,
-                () = peer_check(), if gateway.waits_for_peers() => self.read_from_peer().await,
+                () = peer_check(), if self.lacks_registry() => self.read_from_peer().await,
             }
         }
     }
 
+    /// Whether peers are expected to have the registry that this daemon lacks.
+    fn lacks_registry(&self) -> bool {
+        self.gateway.waits_for_peers() && self.gateway.registry.borrow().end() == 0
+    }
+
     fn interval(&self) -> Duration {
         let position = self.gateway.peers.borrow().position(self.gateway.now());
         let interval = self.gateway.settings().drain / READS_PER_DRAIN_TIME;
@@ -90,6 +95,7 @@
     async fn read(&mut self) {
         let gateway = Rc::clone(&self.gateway);
         if gateway.waits_for_peers() {
+            self.next_read = gateway.now() + self.interval();
             self.read_from_peer().await;
             return;
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -108,7 +108,7 @@
     split_credits: RefCell<HashMap<RouteId, Vec<f64>>>,
     registry_read_once: Cell<bool>,
     /// Until when configuration and registry come from peers only.
-    store_from: Cell<Instant>,
+    store_from: Instant,
     seed: u64,
 }
 
@@ -156,11 +156,11 @@
             placement: RefCell::default(),
             split_credits: RefCell::default(),
             registry_read_once: Cell::new(false),
-            store_from: Cell::new(if settings.starts_from_peers() {
+            store_from: if settings.starts_from_peers() {
                 now + PEER_START_TIMEOUT + Duration::from_millis(seed % PEER_START_SPREAD_MS)
             } else {
                 now
-            }),
+            },
             seed,
             settings: RefCell::new(Rc::new(settings)),
         })
@@ -181,13 +181,13 @@
     /// When this daemon may read the store: on the first start of a fleet it waits for its peers.
     #[must_use]
     pub fn store_from(&self) -> Instant {
-        self.store_from.get()
+        self.store_from
     }
 
     /// Whether configuration and registry come from peers only.
     #[must_use]
     pub fn waits_for_peers(&self) -> bool {
-        self.now() < self.store_from.get()
+        self.now() < self.store_from
     }
 
     /// The routing table, once there is a configuration.
@@ -439,7 +439,6 @@
         let is_ready = self.table.borrow().is_some() && self.registry_read_once.get();
         if is_ready && self.phase.get() == Phase::Starting {
             self.phase.set(Phase::Ready);
-            self.store_from.set(self.now());
             log::info!(target: "belief", "event=ready version={}", self.version());
         }
     }
