--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -230,6 +230,8 @@
     /// Checks that upstreams that say in their answers that they leave or pause are left alone.
     fn check_withdrawals(&self) {
         let env = self.env;
+        // While every upstream withdraws, callers are refused.
+        env.context.is_fault_free.store(false, Ordering::Relaxed);
         let (leaving, pausing) = env.upstreams.split_at(1);
         let arrivals = |upstreams: &[(Upstream, Proxy)]| -> usize {
             upstreams.iter().map(|it| it.0.arrivals().len()).sum()
@@ -257,6 +259,8 @@
             upstream.restart();
             env.register(number, "ready");
         }
+        thread::sleep(PROPAGATION_TIMEOUT);
+        env.context.is_fault_free.store(true, Ordering::Relaxed);
     }
 
     /// Checks that the daemons recover, that they apply a new configuration and an upstream's
