gateway: write the queued log lines before the process ends

Change: the process waits up to 100 ms for the queue; a reader that stands still holds it up no longer.

--- a/crates/gateway/src/logs.rs
+++ b/crates/gateway/src/logs.rs
@@ -10,13 +10,18 @@
         mpsc::{Receiver, SyncSender, sync_channel},
     },
     thread,
-    time::SystemTime,
+    time::{Duration, Instant, SystemTime},
 };
 
 /// Maximum number of queued lines.
 const QUEUE_LIMIT: usize = 4_096;
 
+/// Interval at which [`flush`] checks whether the queue is empty.
+const FLUSH_INTERVAL: Duration = Duration::from_millis(1);
+
 static DROPPED: AtomicU64 = AtomicU64::new(0);
+static QUEUED: AtomicU64 = AtomicU64::new(0);
+static WRITTEN: AtomicU64 = AtomicU64::new(0);
 
 /// Starts writing log lines of `level` and above to `out`.
 ///
@@ -38,6 +43,16 @@
     DROPPED.load(Ordering::Relaxed)
 }
 
+/// Waits until all queued lines are written, at most for `timeout`. Lines still queued when the
+/// process ends are lost.
+pub fn flush(timeout: Duration) {
+    let until = Instant::now() + timeout;
+    while WRITTEN.load(Ordering::Acquire) < QUEUED.load(Ordering::Acquire) && Instant::now() < until
+    {
+        thread::sleep(FLUSH_INTERVAL);
+    }
+}
+
 fn formatter(level: log::LevelFilter) -> fern::Dispatch {
     fern::Dispatch::new().level(level).format(|out, message, record| {
         let now = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
@@ -53,6 +68,8 @@
     fern::Output::call(move |record| {
         if sender.try_send(format!("{}\n", record.args())).is_err() {
             DROPPED.fetch_add(1, Ordering::Relaxed);
+        } else {
+            QUEUED.fetch_add(1, Ordering::Release);
         }
     })
 }
@@ -61,5 +78,6 @@
     while let Ok(line) = receiver.recv() {
         // If standard output is closed, the error can't be reported anywhere.
         let _lost = out.write_all(line.as_bytes());
+        WRITTEN.fetch_add(1, Ordering::Release);
     }
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -41,6 +41,8 @@
 const STOP_RESERVE: Duration = Duration::from_millis(400);
 /// Interval at which a leaving daemon checks whether it may stop.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time for the last log lines to be written when the process ends.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
 /// Interval at which the settings file is checked for changes without a signal.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -71,7 +73,9 @@
         .build()
         .map_err(|source| Error::Io { what: "cannot start the runtime", source })?;
     let local = LocalSet::new();
-    local.block_on(&runtime, Process::start(settings, path.to_owned(), platform))
+    let res = local.block_on(&runtime, Process::start(settings, path.to_owned(), platform));
+    logs::flush(FLUSH_TIMEOUT);
+    res
 }
 
 struct Process<P> {
