--- a/crates/gateway/src/follow/upstreams.rs
+++ b/crates/gateway/src/follow/upstreams.rs
@@ -36,8 +36,6 @@
 
 /// Maximum number of log lines per second about records that can't be decoded.
 const IGNORED_LINES_PER_S: u32 = 5;
-/// Maximum length of the parts of a record that are logged, in characters.
-const MAX_EXCERPT_CHARS: usize = 100;
 
 /// Mean interval at which a daemon that starts looks for the registry at its peers.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(400);
@@ -177,7 +175,7 @@
         match self.platform.registration(&record.key, value) {
             Ok(it) => Change::Put(it),
             Err(e) => {
-                let (key, error) = (excerpt(&record.key), excerpt(&e));
+                let (key, error) = (ini::excerpt(&record.key), ini::excerpt(&e));
                 let mut limiter = self.gateway.log_limiter.borrow_mut();
                 if limiter.allows(self.gateway.now(), "record-ignored", IGNORED_LINES_PER_S) {
                     log::warn!(target: "belief", "event=record-ignored key={key:?} error={error:?}");
@@ -215,8 +213,3 @@
 async fn peer_check() {
     tokio::time::sleep(PEER_CHECK_INTERVAL.mul_f64(0.5 + fastrand::f64())).await;
 }
-
-/// The start of a text that another program wrote.
-fn excerpt(text: &str) -> String {
-    text.chars().take(MAX_EXCERPT_CHARS).collect()
-}
