gateway, daemon: one lingering close for both paths

Cause: the older path got a copy of the gateway's lingering close when it learned to answer before a body has arrived. Change: socket::linger, called by both; behaviour, timeout and tests are as they were.

--- a/crates/daemon/src/caller/listener.rs
+++ b/crates/daemon/src/caller/listener.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use gateway::socket;
 use hyper::{
     Request,
     body::Incoming,
@@ -17,7 +18,6 @@
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore, watch},
 };
@@ -31,9 +31,6 @@
 /// Pause after a failed accept, to avoid a busy loop while no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Time for a caller to read the last reply before its connection is closed.
-const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Answers requests.
 pub trait Handler: Send + Sync + 'static {
     /// Answers one request from `caller`.
@@ -123,7 +120,7 @@
         }
     };
     match served {
-        Ok(()) => linger(connection.into_parts().io.into_inner()).await,
+        Ok(()) => socket::linger(connection.into_parts().io.into_inner()).await,
         Err(e) => log::debug!("connection of caller {caller} failed: {e}"),
     }
 }
@@ -143,20 +140,6 @@
     reply
 }
 
-/// Gives the caller time to read the last reply. Closing a socket with unread bytes would reset the
-/// connection and discard the reply.
-async fn linger(mut stream: TcpStream) {
-    if stream.shutdown().await.is_err() {
-        return;
-    }
-    let drain = async {
-        let mut unread = [0; 4096];
-        while stream.read(&mut unread).await.is_ok_and(|it| it > 0) {}
-    };
-    // On timeout, the caller has had time enough to read.
-    let _elapsed = tokio::time::timeout(LINGER_TIMEOUT, drain).await;
-}
-
 /// Waits until `stop` is true or its sender is dropped.
 async fn stopped(stop: &mut watch::Receiver<bool>) {
     let _stopped = stop.wait_for(|it| *it).await;
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -30,6 +30,7 @@
     http::{self, Message, Reader},
     peer::Phase,
     request::{Refusal, Reply},
+    socket,
 };
 
 /// Maximum number of requests of one connection in progress.
@@ -39,8 +40,6 @@
 const MAX_READ_AHEAD_BYTES: usize = 256 << 10;
 /// Timeout for sending an answer to a caller that does not read.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Time for a caller to read the last answer before its connection is closed.
-const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Idle time after which a leaving daemon closes a connection.
 const LEAVING_IDLE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// `Retry-After` for a request whose body exceeds the available memory.
@@ -89,7 +88,7 @@
         is_closing: false,
     };
     if let Close::Finished = connection.run().await {
-        connection.linger().await;
+        socket::linger(connection.stream).await;
     }
 }
 
@@ -231,20 +230,6 @@
         let leaves = self.gateway.phase.get() == Phase::Leaving && idle >= LEAVING_IDLE_TIMEOUT;
         (leaves || idle >= limits.idle_timeout).then_some(Close::Finished)
     }
-
-    /// Gives the caller time to read the last answer. Closing a socket with unread bytes would
-    /// reset the connection and discard the answer.
-    async fn linger(&mut self) {
-        if self.stream.shutdown().await.is_err() {
-            return;
-        }
-        let drain = async {
-            let mut unread = [0; 4096];
-            while self.stream.read(&mut unread).await.is_ok_and(|it| it > 0) {}
-        };
-        // On timeout, the caller has had time enough to read.
-        let _elapsed = tokio::time::timeout(LINGER_TIMEOUT, drain).await;
-    }
 }
 
 fn parse_error(e: &http::Error) -> Reply {
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -3,7 +3,10 @@
 use std::{io, time::Duration};
 
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 /// Idle time before the first keep-alive probe.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
@@ -14,6 +17,9 @@
 /// Longest time that sent bytes may remain unacknowledged.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Time for a caller to read the last answer before its connection is closed.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Sets the options of a connection: sends small messages without delay, and detects within seconds
 /// that the other end has vanished without closing it.
 ///
@@ -30,3 +36,17 @@
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
+
+/// Gives a caller time to read the last answer, then closes its connection. Closing a socket with
+/// unread bytes would reset the connection and discard the answer.
+pub async fn linger(mut stream: TcpStream) {
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    let drain = async {
+        let mut unread = [0; 4096];
+        while stream.read(&mut unread).await.is_ok_and(|it| it > 0) {}
+    };
+    // On timeout, the caller has had time enough to read.
+    let _elapsed = tokio::time::timeout(LINGER_TIMEOUT, drain).await;
+}
