review: case 2 with uploads of 6 MiB, and a store that can be silent

Cause: ten uploads of 60 MiB were further from the usual ones than the case needs. Change: 100 uploads of 6 MiB, a number that stays inside the largest burst; the stand-ins of the store and the upstreams can be silent, leave and exit, for the script of case 5.

--- a/review/standin/case_memory.rs
+++ b/review/standin/case_memory.rs
@@ -1,5 +1,4 @@
-//! Several clients upload large bodies at once. The platform kills a process that exceeds its
-//! memory.
+//! Many clients upload at once. The platform kills a process that exceeds its memory.
 
 use std::{
     collections::BTreeSet,
@@ -22,13 +21,18 @@
 };
 
 /// Size of an upload; the configuration allows 64 MiB.
-const UPLOAD_BYTES: usize = 60 << 20;
-/// Parts in which a client sends its upload, and the time for all of them: all uploads together take
-/// less than the 2,000 Mbit/s of the machine's link.
+const UPLOAD_BYTES: usize = 6 << 20;
+/// Parts in which a client sends its upload.
 const PARTS: usize = 24;
-const UPLOAD_TIME: Duration = Duration::from_millis(2_600);
-/// Uploads at once.
-const UPLOADS: usize = 10;
+/// Uploads. With the disruption they come at once: in a burst up to 109 clients upload within the
+/// 3,000 ms that each has.
+const UPLOADS: usize = 100;
+/// Time that each upload takes in the burst: together they need less than the 2,000 Mbit/s of the
+/// machine's link.
+const BURST_UPLOAD_TIME: Duration = Duration::from_millis(2_600);
+/// Time that an upload takes otherwise, and the usual interval between uploads.
+const USUAL_UPLOAD_TIME: Duration = Duration::from_millis(50);
+const USUAL_INTERVAL: Duration = Duration::from_millis(68);
 /// Clients that read the stock on connections that they keep.
 const READERS: usize = 10;
 /// Mean work of a `stock-check`.
@@ -63,9 +67,9 @@
     let peak = AtomicU64::new(0);
     let has_killed = AtomicBool::new(false);
     let mut failed_uploads = 0;
-    let upload = |number: usize| {
+    let upload = |number: usize, time: Duration| {
         let id = format!("upload-{number}");
-        let res = send_upload(address, &id);
+        let res = send_upload(address, &id, time);
         let text = match &res {
             Ok(head) => head.first.clone(),
             Err(e) => format!("no answer: {e}"),
@@ -89,16 +93,18 @@
             }
         });
         thread::sleep(Duration::from_millis(500));
-        if with_trouble {
-            let uploads: Vec<_> =
-                (0..UPLOADS).map(|number| scope.spawn(move || upload(number))).collect();
-            for it in uploads {
-                failed_uploads += usize::from(it.join().unwrap_or(true));
-            }
+        let (interval, time) = if with_trouble {
+            (Duration::ZERO, BURST_UPLOAD_TIME)
         } else {
-            for number in 0..UPLOADS {
-                failed_uploads += usize::from(upload(number));
-            }
+            (USUAL_INTERVAL, USUAL_UPLOAD_TIME)
+        };
+        let mut uploads = Vec::new();
+        for number in 0..UPLOADS {
+            uploads.push(scope.spawn(move || upload(number, time)));
+            thread::sleep(interval);
+        }
+        for it in uploads {
+            failed_uploads += usize::from(it.join().unwrap_or(true));
         }
         thread::sleep(Duration::from_millis(500));
         is_over.store(true, Ordering::Relaxed);
@@ -156,7 +162,7 @@
     None
 }
 
-fn send_upload(address: SocketAddr, id: &str) -> io::Result<Head> {
+fn send_upload(address: SocketAddr, id: &str, time: Duration) -> io::Result<Head> {
     let stream = TcpStream::connect(address)?;
     stream.set_read_timeout(Some(Duration::from_secs(4)))?;
     let mut writer = stream.try_clone()?;
@@ -169,7 +175,7 @@
     let started = Instant::now();
     for number in 1..=PARTS {
         writer.write_all(&part)?;
-        let due = UPLOAD_TIME * number as u32 / PARTS as u32;
+        let due = time * number as u32 / PARTS as u32;
         thread::sleep(due.saturating_sub(started.elapsed()));
     }
     let mut reader = Reader::new(stream);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 
 mod case_memory;
 mod case_pipeline;
+mod case_removal;
 mod case_reset;
 mod case_stop;
 mod daemon;
@@ -29,6 +30,7 @@
     record.line(&format!("case {name}, trouble {}", u8::from(with_trouble)));
     daemon::watch();
     let result = match name.as_str() {
+        "removal" => case_removal::run(&record, with_trouble),
         "reset" => case_reset::run(&record, with_trouble),
         "pipeline" => case_pipeline::run(&record, with_trouble),
         "stop" => case_stop::run(&record, with_trouble),
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -4,7 +4,10 @@
     collections::BTreeMap,
     io,
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -20,13 +23,15 @@
 pub struct Store {
     pub address: SocketAddr,
     topics: Arc<(Mutex<BTreeMap<String, Records>>, Condvar)>,
+    /// Whether calls get no answer. Their connections give none later either.
+    is_silent: Arc<AtomicBool>,
 }
 
 impl Store {
     pub fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("an address for the store");
-        let store =
-            Self { address: listener.local_addr().expect("an address"), topics: Arc::default() };
+        let address = listener.local_addr().expect("an address");
+        let store = Self { address, topics: Arc::default(), is_silent: Arc::default() };
         let serving = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -37,6 +42,13 @@
         store
     }
 
+    /// Makes the store silent, or ends that.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.is_silent.store(is_silent, Ordering::SeqCst);
+        // Held reads notice it.
+        self.topics.1.notify_all();
+    }
+
     /// Appends a record; an empty value removes the key.
     pub fn put(&self, topic: &str, key: &str, value: &str) {
         self.append(topic, key.as_bytes().to_vec(), value.as_bytes().to_vec());
@@ -57,9 +69,23 @@
         while let Ok(Some(head)) = reader.head() {
             let Ok(body) = reader.body(head.length().unwrap_or(0)) else { return };
             if self.call(&head, &body, &mut writer).is_err() {
-                return;
+                break;
             }
         }
+        // The connection stays open until the client closes it.
+        while let Ok(Some(_)) = reader.head() {}
+    }
+
+    pub fn is_silent(&self) -> bool {
+        self.is_silent.load(Ordering::SeqCst)
+    }
+
+    /// Fails if the store is silent.
+    fn check(&self) -> io::Result<()> {
+        if self.is_silent() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        Ok(())
     }
 
     fn call(&self, head: &Head, body: &[u8], writer: &mut TcpStream) -> io::Result<()> {
@@ -67,7 +93,9 @@
         let query: BTreeMap<_, _> = query.split('&').filter_map(|it| it.split_once('=')).collect();
         let topic = query.get("topic").copied().unwrap_or("").to_owned();
         let number = |name: &str| query.get(name).and_then(|it| it.parse().ok()).unwrap_or(0_u64);
+        self.check()?;
         thread::sleep(ANSWER_TIME);
+        self.check()?;
         match path {
             "/fireflydrum/log-newest" => {
                 let text = self.newest(&topic, query.get("after").copied());
@@ -75,7 +103,7 @@
             }
             "/fireflydrum/log-read" => {
                 let wait = Duration::from_millis(number("wait_ms").min(30_000));
-                let bytes = self.read(&topic, number("from") as usize, wait);
+                let bytes = self.read(&topic, number("from") as usize, wait)?;
                 answer(writer, "200 OK", &[], &bytes)
             }
             "/fireflydrum/log-append" if body.len() > 4 => {
@@ -114,10 +142,11 @@
         format!("{{\"items\":[{}],\"has_more\":false,\"end\":{}}}", items.join(","), records.len())
     }
 
-    fn read(&self, topic: &str, from: usize, wait: Duration) -> Vec<u8> {
+    fn read(&self, topic: &str, from: usize, wait: Duration) -> io::Result<Vec<u8>> {
         let until = Instant::now() + wait;
         let mut topics = self.topics.0.lock().unwrap();
         loop {
+            self.check()?;
             let records = topics.get(topic).map(Vec::as_slice).unwrap_or_default();
             let new = records.get(from..).unwrap_or_default();
             let left = until.saturating_duration_since(Instant::now());
@@ -131,7 +160,7 @@
                     out.extend(key);
                     out.extend(value);
                 }
-                return out;
+                return Ok(out);
             }
             topics = self.topics.1.wait_timeout(topics, left).unwrap().0;
         }
--- a/review/standin/upstream.rs
+++ b/review/standin/upstream.rs
@@ -2,8 +2,11 @@
 
 use std::{
     io,
-    net::{TcpListener, TcpStream},
-    sync::{Arc, Mutex},
+    net::{Shutdown, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, SystemTime},
 };
@@ -25,6 +28,10 @@
     pub id: String,
     /// Ids of the requests that it has begun to work on.
     pub run: Arc<Mutex<Vec<String>>>,
+    /// Whether its entry in the store is no longer written.
+    is_removed: Arc<Mutex<bool>>,
+    has_exited: Arc<AtomicBool>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
     handler: Arc<Handler>,
 }
 
@@ -34,14 +41,26 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("an address for an upstream");
         let address = listener.local_addr().expect("an address");
         let id = format!("i-{service}-{number}");
-        let upstream = Self { id, run: Arc::default(), handler };
+        let upstream = Self {
+            id,
+            run: Arc::default(),
+            is_removed: Arc::default(),
+            has_exited: Arc::default(),
+            connections: Arc::default(),
+            handler,
+        };
         let serving = upstream.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let upstream = serving.clone();
+                if upstream.has_exited.load(Ordering::SeqCst) {
+                    return;
+                }
+                upstream.connections.lock().unwrap().extend(stream.try_clone());
                 thread::spawn(move || upstream.serve(stream));
             }
         });
+        let (is_removed, silence) = (Arc::clone(&upstream.is_removed), store.clone());
         let (store, id, service) = (store.clone(), upstream.id.clone(), service.to_owned());
         let born = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default().as_millis();
         let beat = move |seq: u64| {
@@ -57,12 +76,33 @@
         thread::spawn(move || {
             for seq in 2.. {
                 thread::sleep(BEAT_INTERVAL);
-                beat(seq);
+                let is_removed = is_removed.lock().unwrap();
+                if *is_removed {
+                    return;
+                }
+                if !silence.is_silent() {
+                    beat(seq);
+                }
             }
         });
         upstream
     }
 
+    /// Takes its entry out of the store. It goes on serving until [`Self::exit`].
+    pub fn remove(&self, store: &Store) {
+        let mut is_removed = self.is_removed.lock().unwrap();
+        *is_removed = true;
+        store.put("keyed.servers", &self.id, "");
+    }
+
+    /// Ends it, with all its connections.
+    pub fn exit(&self) {
+        self.has_exited.store(true, Ordering::SeqCst);
+        for it in self.connections.lock().unwrap().drain(..) {
+            let _ = it.shutdown(Shutdown::Both);
+        }
+    }
+
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut reader = Reader::new(stream);
