review: stand-in upstreams close their connections again

Cause: since the upstreams of case 5 can exit, each kept a second handle of its connections, so case 1 no longer reset any and held wrongly. Change: the handle is dropped when the connection has been served.

--- a/review/standin/upstream.rs
+++ b/review/standin/upstream.rs
@@ -1,8 +1,9 @@
 //! Stand-ins for upstreams.
 
 use std::{
+    collections::HashMap,
     io,
-    net::{Shutdown, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -31,7 +32,8 @@
     /// Whether its entry in the store is no longer written.
     is_removed: Arc<Mutex<bool>>,
     has_exited: Arc<AtomicBool>,
-    connections: Arc<Mutex<Vec<TcpStream>>>,
+    /// Open connections by the address of the client.
+    connections: Arc<Mutex<HashMap<SocketAddr, TcpStream>>>,
     handler: Arc<Handler>,
 }
 
@@ -56,8 +58,14 @@
                 if upstream.has_exited.load(Ordering::SeqCst) {
                     return;
                 }
-                upstream.connections.lock().unwrap().extend(stream.try_clone());
-                thread::spawn(move || upstream.serve(stream));
+                let Ok(client) = stream.peer_addr() else { continue };
+                if let Ok(it) = stream.try_clone() {
+                    upstream.connections.lock().unwrap().insert(client, it);
+                }
+                thread::spawn(move || {
+                    upstream.serve(stream);
+                    upstream.connections.lock().unwrap().remove(&client);
+                });
             }
         });
         let (is_removed, silence) = (Arc::clone(&upstream.is_removed), store.clone());
@@ -98,7 +106,7 @@
     /// Ends it, with all its connections.
     pub fn exit(&self) {
         self.has_exited.store(true, Ordering::SeqCst);
-        for it in self.connections.lock().unwrap().drain(..) {
+        for (_, it) in self.connections.lock().unwrap().drain() {
             let _ = it.shutdown(Shutdown::Both);
         }
     }
