soak: planned stops only, under callers in every state of a request

Cause: the soak checked planned stops one daemon at a time, with callers that send one request after the other; the reported cut requests didn't show. Whatever reached an upstream must be answered. Stand-in upstreams take the time and size of an answer from the request.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -42,14 +42,16 @@
     pub(crate) published: AtomicU64,
 }
 
-struct Answer {
-    status: u16,
-    head: String,
-    body: String,
+/// An answer of a daemon.
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) head: String,
+    pub(crate) body: String,
 }
 
-struct Connection {
-    stream: TcpStream,
+/// A connection to a daemon.
+pub(crate) struct Connection {
+    pub(crate) stream: TcpStream,
     unread: String,
 }
 
@@ -104,7 +106,7 @@
             if is_open { connection.read() } else { Err(io::ErrorKind::NotConnected.into()) };
         if let Ok(it) = answer {
             check(context, id, &it, is_fault_free);
-            is_open = !it.head.to_ascii_lowercase().contains("connection: close");
+            is_open = !it.is_last();
         } else {
             is_open = false;
             context.ledger.record_answer(id, 0);
@@ -118,7 +120,8 @@
     is_open
 }
 
-fn check(context: &Context, id: &str, answer: &Answer, is_fault_free: bool) {
+/// Checks an answer and records it.
+pub(crate) fn check(context: &Context, id: &str, answer: &Answer, is_fault_free: bool) {
     let ledger = &context.ledger;
     ledger.record_answer(id, answer.status);
     let is_success = (200..300).contains(&answer.status);
@@ -136,7 +139,8 @@
     }
 }
 
-fn connect(context: &Context, rng: &mut fastrand::Rng) -> io::Result<Connection> {
+/// Opens a connection to a random daemon.
+pub(crate) fn connect(context: &Context, rng: &mut fastrand::Rng) -> io::Result<Connection> {
     let address = context.addresses[rng.usize(..context.addresses.len())];
     let stream = TcpStream::connect_timeout(&address, Duration::from_millis(500))?;
     stream.set_read_timeout(Some(READ_TIMEOUT))?;
@@ -144,9 +148,16 @@
     Ok(Connection { stream, unread: String::new() })
 }
 
+impl Answer {
+    /// Whether the daemon closes the connection after it.
+    pub(crate) fn is_last(&self) -> bool {
+        self.head.to_ascii_lowercase().contains("connection: close")
+    }
+}
+
 impl Connection {
     /// Reads the next answer.
-    fn read(&mut self) -> io::Result<Answer> {
+    pub(crate) fn read(&mut self) -> io::Result<Answer> {
         let mut buffer = [0; 4096];
         loop {
             if let Some((answer, length)) = parse(&self.unread) {
@@ -166,7 +177,7 @@
 
 /// Parses the answer at the start of `text` and returns it with its length, or `None` if it is
 /// incomplete.
-fn parse(text: &str) -> Option<(Answer, usize)> {
+pub(crate) fn parse(text: &str) -> Option<(Answer, usize)> {
     let (head, rest) = text.split_once("\r\n\r\n")?;
     let length = head.lines().find_map(|it| it.strip_prefix("Content-Length: "))?;
     let body = rest.get(..length.parse().ok()?)?;
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -20,19 +20,27 @@
 const READY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A daemon's process and settings.
-pub(crate) struct Daemon {
-    pub(crate) caller_address: SocketAddr,
+///
+/// Its process is killed when this is dropped.
+pub struct Daemon {
+    /// Address that callers connect to.
+    pub caller_address: SocketAddr,
     program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
     ready_address: SocketAddr,
     child: Option<Child>,
+    /// Number of starts.
     pub(crate) starts: Arc<AtomicU64>,
 }
 
 impl Daemon {
     /// Writes the settings of a daemon on the loopback address for `number`, without starting it.
-    pub(crate) fn new(
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file can't be written or there is no free port.
+    pub fn new(
         options: &crate::Options,
         number: u8,
         peer_port: u16,
@@ -66,7 +74,12 @@
         })
     }
 
-    pub(crate) fn start(&mut self) -> io::Result<()> {
+    /// Starts the process; its output is appended to a file in the folder of the settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the program can't be started.
+    pub fn start(&mut self) -> io::Result<()> {
         let log: File = OpenOptions::new().create(true).append(true).open(&self.log)?;
         let errors = log.try_clone()?;
         let child = Command::new(&self.program)
@@ -80,21 +93,41 @@
         Ok(())
     }
 
-    pub(crate) fn signal(&self, signal: Signal) -> io::Result<()> {
+    /// Sends a signal to the process, if it runs.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the signal can't be sent.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
         let Some(child) = &self.child else { return Ok(()) };
         let pid = i32::try_from(child.id()).ok().and_then(Pid::from_raw);
         pid.map_or(Ok(()), |it| kill_process(it, signal).map_err(io::Error::from))
     }
 
+    /// Whether the process has exited.
+    pub(crate) fn has_ended(&mut self) -> io::Result<bool> {
+        match &mut self.child {
+            Some(it) => Ok(it.try_wait()?.is_some()),
+            None => Ok(true),
+        }
+    }
+
     /// Waits until the process exits and kills it after `timeout`. Returns whether it exited by
     /// itself.
-    pub(crate) fn wait(&mut self, timeout: Duration) -> io::Result<bool> {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process can't be waited for.
+    pub fn wait(&mut self, timeout: Duration) -> io::Result<bool> {
         let Some(mut child) = self.child.take() else { return Ok(true) };
         let until = Instant::now() + timeout;
-        while Instant::now() < until {
+        loop {
             if child.try_wait()?.is_some() {
                 return Ok(true);
             }
+            if Instant::now() >= until {
+                break;
+            }
             std::thread::sleep(Duration::from_millis(10));
         }
         child.kill()?;
@@ -111,7 +144,9 @@
         Some(kilobytes << 10)
     }
 
-    pub(crate) fn is_ready(&self) -> bool {
+    /// Whether the daemon's readiness check succeeds.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
         let query = || -> io::Result<bool> {
             let mut stream = TcpStream::connect_timeout(&self.ready_address, READY_TIMEOUT)?;
             stream.set_read_timeout(Some(READY_TIMEOUT))?;
@@ -136,7 +171,11 @@
 }
 
 /// Returns a port that is free on the loopback addresses of all daemons.
-pub(crate) fn shared_port(daemons: u8) -> io::Result<u16> {
+///
+/// # Errors
+///
+/// Fails if no socket can be bound.
+pub fn shared_port(daemons: u8) -> io::Result<u16> {
     loop {
         let port = free_address(host(0))?.port();
         if (0..daemons).all(|it| TcpListener::bind((host(it), port)).is_ok()) {
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -21,7 +21,7 @@
     caller::{self, Context},
     daemon::{self, Daemon},
     ledger::Ledger,
-    watcher,
+    stop_caller, watcher,
 };
 
 /// Number of upstreams. All belong to one service.
@@ -86,9 +86,11 @@
         let mut threads = res.threads.borrow_mut();
         for number in 0..options.callers as u64 {
             let context = Arc::clone(&res.context);
-            threads.push(thread::spawn(move || caller::run(&context, number)));
+            let run = if options.only_stops { stop_caller::run } else { caller::run };
+            threads.push(thread::spawn(move || run(&context, number)));
         }
-        for daemon in 0..usize::from(options.daemons) {
+        let watched = if options.only_stops { 0 } else { options.daemons };
+        for daemon in 0..usize::from(watched) {
             let context = Arc::clone(&res.context);
             threads.push(thread::spawn(move || watcher::run(&context, daemon)));
         }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,10 @@
 //! "not run" has not run, no daemon returns to an older configuration, and repeated attempts stay
 //! within the retry budget. After the last fault it checks recovery and planned stops.
 //!
+//! With [`Options::only_stops`], the daemons are only stopped and started again as planned, several
+//! at a time, beside reloads and new configurations. Then nothing excuses a request that reached an
+//! upstream and got no answer.
+//!
 //! The seed fixes the schedule of faults, but not how the processes interleave.
 
 mod caller;
@@ -18,8 +22,11 @@
 mod ledger;
 mod options;
 pub mod retry_budget;
+mod stop_caller;
+mod stops;
 mod watcher;
 
+pub use daemon::{Daemon, shared_port};
 pub use ledger::Report;
 pub use options::Options;
 
@@ -46,6 +53,10 @@
 /// start.
 pub fn run(options: &Options) -> Result<Report> {
     let env = environment::Environment::start(options)?;
+    if options.only_stops {
+        stops::run(&env, options)?;
+        return Ok(env.finish());
+    }
     let mut faults = faults::Faults::new(&env, options.seed);
     faults.run(options.length)?;
     faults.check_recovery()?;
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -17,6 +17,9 @@
     pub daemons: u8,
     /// Number of callers, each with one connection at a time.
     pub callers: usize,
+    /// Whether the only faults are planned stops of the daemons, in turn and overlapping, so that
+    /// every request that reached an upstream must be answered.
+    pub only_stops: bool,
 }
 
 impl Default for Options {
@@ -28,6 +31,7 @@
             length: Duration::from_secs(20),
             daemons: 3,
             callers: 6,
+            only_stops: false,
         }
     }
 }
--- /dev/null
+++ b/crates/soak/src/stop_caller.rs
@@ -0,0 +1,229 @@
+//! Simulated callers for planned stops. They keep their connections until the daemon ends them, in
+//! all the ways in which a request can be in progress when the daemon is told to stop.
+
+use std::{
+    io::{self, Read, Write},
+    net::TcpStream,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        mpsc,
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use platform_standin::config;
+
+use crate::caller::{self, Answer, Connection, Context};
+
+/// Pause after a round, in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 5..60;
+/// Usual time that an upstream works on a request, in milliseconds.
+const WORK_MS: std::ops::Range<u64> = 5..400;
+/// One in this many requests takes long.
+const LONG_EVERY: u64 = 6;
+/// Time that an upstream works on a long request, in milliseconds. Less than the half of the time
+/// that a daemon takes to stop.
+const LONG_WORK_MS: std::ops::Range<u64> = 1_000..2_300;
+/// Interval at which a caller that pipelines sends requests.
+const PIPELINE_INTERVAL: Duration = Duration::from_millis(40);
+/// Time that a request takes whose head or body comes in two parts, in milliseconds.
+const PART_PAUSE_MS: std::ops::Range<u64> = 100..2_500;
+/// Bytes of a body that is sent in two parts.
+const BODY_BYTES: usize = 64 << 10;
+/// Bytes of an answer that is read slowly: more than the buffers of the sockets hold.
+const LARGE_BYTES: u64 = 8 << 20;
+/// Pause of a slow reader after each block.
+const READ_PAUSE: Duration = Duration::from_millis(4);
+/// Bytes that a slow reader takes at a time.
+const READ_BLOCK_BYTES: usize = 64 << 10;
+
+/// How a caller uses its connections.
+#[derive(Clone, Copy, Debug)]
+enum Manner {
+    /// One request after the other on a kept connection.
+    Sequential,
+    /// Reads on a kept connection, each sent at its time whether or not the last is answered.
+    Pipelined,
+    /// Each request on a new connection.
+    Fresh,
+    /// The body in two parts.
+    SlowBody,
+    /// The head in two parts.
+    SlowHead,
+    /// HTTP/1.0, without keeping the connection.
+    Old,
+    /// A large answer, read slowly.
+    SlowReader,
+}
+
+const MANNERS: [Manner; 7] = [
+    Manner::Sequential,
+    Manner::Pipelined,
+    Manner::Fresh,
+    Manner::SlowBody,
+    Manner::SlowHead,
+    Manner::Old,
+    Manner::SlowReader,
+];
+
+struct Caller<'a> {
+    context: &'a Context,
+    rng: fastrand::Rng,
+    number: u64,
+    serial: u64,
+}
+
+/// Sends requests until `stop` is set.
+pub(crate) fn run(context: &Context, number: u64) {
+    let manner = MANNERS[usize::try_from(number).unwrap_or_default() % MANNERS.len()];
+    let mut caller = Caller { context, rng: fastrand::Rng::with_seed(number), number, serial: 0 };
+    let mut kept = None;
+    while !context.stop.load(Ordering::Relaxed) {
+        // A daemon that has closed its port is being stopped or started.
+        let open = kept.take().map_or_else(|| caller::connect(context, &mut caller.rng), Ok);
+        if let Ok(mut it) = open {
+            match manner {
+                Manner::Pipelined => caller.pipeline(&mut it),
+                Manner::SlowReader => caller.read_slowly(&mut it),
+                _ => {
+                    let is_open = caller.exchange(&mut it, manner);
+                    let is_kept = is_open && !matches!(manner, Manner::Fresh | Manner::Old);
+                    kept = is_kept.then_some(it);
+                }
+            }
+        }
+        thread::sleep(Duration::from_millis(caller.rng.u64(PAUSE_MS)));
+    }
+}
+
+impl Caller<'_> {
+    fn next_id(&mut self, method: &str) -> String {
+        self.serial += 1;
+        self.context.ledger.record_request(Instant::now());
+        self.context.fault_free_requests.fetch_add(1, Ordering::Relaxed);
+        format!("{method}-{}-{}", self.number, self.serial)
+    }
+
+    fn work_ms(&mut self) -> u64 {
+        let range = if self.rng.u64(..LONG_EVERY) == 0 { LONG_WORK_MS } else { WORK_MS };
+        self.rng.u64(range)
+    }
+
+    /// Sends one request and reads its answer. Returns whether the connection is still open.
+    fn exchange(&mut self, connection: &mut Connection, manner: Manner) -> bool {
+        let method =
+            if matches!(manner, Manner::SlowBody) || self.rng.bool() { "POST" } else { "GET" };
+        let id = self.next_id(method);
+        let (path, work) = (if method == "POST" { "order" } else { "read" }, self.work_ms());
+        let mut text =
+            config::request(method, &format!("/{path}/1?work_ms={work}"), &id, false).into_bytes();
+        let mut pause_at = text.len();
+        match manner {
+            Manner::SlowBody => {
+                let head = String::from_utf8_lossy(&text).into_owned();
+                let length = format!("Content-Length: {BODY_BYTES}");
+                text = head.replace("Content-Length: 0", &length).into_bytes();
+                text.extend(vec![b'b'; BODY_BYTES]);
+                pause_at = text.len() - BODY_BYTES / 2;
+            }
+            Manner::SlowHead => pause_at = text.len() / 2,
+            Manner::Old => {
+                text = String::from_utf8_lossy(&text).replace("HTTP/1.1", "HTTP/1.0").into_bytes();
+            }
+            _ => {}
+        }
+        let (first, second) = text.split_at(pause_at);
+        let mut written = connection.stream.write_all(first);
+        if !second.is_empty() {
+            thread::sleep(Duration::from_millis(self.rng.u64(PART_PAUSE_MS)));
+            written = written.and_then(|()| connection.stream.write_all(second));
+        }
+        // A daemon may have answered before it has read the whole request.
+        drop(written);
+        let answer = connection.read();
+        record(self.context, &id, &answer);
+        answer.is_ok_and(|it| !it.is_last())
+    }
+
+    /// Sends reads at fixed times on one connection until the daemon ends it.
+    fn pipeline(&mut self, connection: &mut Connection) {
+        let Ok(mut writer) = connection.stream.try_clone() else { return };
+        let context = self.context;
+        let is_over = AtomicBool::new(false);
+        let (sender, ids) = mpsc::channel();
+        thread::scope(|scope| {
+            scope.spawn(|| {
+                // Owned, so that the reader's loop ends with this thread.
+                let sender = sender;
+                let stops = || context.stop.load(Ordering::Relaxed);
+                while !is_over.load(Ordering::Relaxed) && !stops() {
+                    let id = self.next_id("GET");
+                    let target = format!("/read/1?work_ms={}", self.rng.u64(WORK_MS));
+                    let text = config::request("GET", &target, &id, false);
+                    let is_written = writer.write_all(text.as_bytes()).is_ok();
+                    if sender.send(id).is_err() || !is_written {
+                        break;
+                    }
+                    thread::sleep(PIPELINE_INTERVAL);
+                }
+            });
+            let mut is_open = true;
+            for id in ids {
+                // What was sent behind the last answer must not have reached an upstream either.
+                let answer = if is_open {
+                    connection.read()
+                } else {
+                    Err(io::ErrorKind::NotConnected.into())
+                };
+                record(context, &id, &answer);
+                is_open = answer.is_ok_and(|it| !it.is_last());
+                is_over.store(!is_open, Ordering::Relaxed);
+            }
+        });
+    }
+
+    /// Requests a large answer and reads it slowly.
+    fn read_slowly(&mut self, connection: &mut Connection) {
+        let id = self.next_id("GET");
+        let target = format!("/read/1?work_ms=5&bytes={LARGE_BYTES}");
+        let text = config::request("GET", &target, &id, true);
+        let answer = connection
+            .stream
+            .write_all(text.as_bytes())
+            .and_then(|()| read_to_end(&mut connection.stream));
+        record(self.context, &id, &answer);
+    }
+}
+
+/// Reads the only answer of a connection, slowly.
+fn read_to_end(stream: &mut TcpStream) -> io::Result<Answer> {
+    let (mut bytes, mut block) = (Vec::new(), vec![0; READ_BLOCK_BYTES]);
+    loop {
+        let count = stream.read(&mut block)?;
+        if count == 0 {
+            break;
+        }
+        bytes.extend_from_slice(&block[..count]);
+        thread::sleep(READ_PAUSE);
+    }
+    let text = String::from_utf8(bytes).map_err(io::Error::other)?;
+    caller::parse(&text).map(|(it, _)| it).ok_or(io::ErrorKind::UnexpectedEof.into())
+}
+
+/// Records what became of a request.
+fn record(context: &Context, id: &str, answer: &io::Result<Answer>) {
+    match answer {
+        Ok(it) => {
+            caller::check(context, id, it, false);
+            // Also an error of the daemon's own breaks off a request that an upstream works on.
+            if it.status >= 500 && it.status != 503 {
+                context.ledger.add_finding(format!("{id} got {} around a planned stop", it.status));
+            }
+        }
+        Err(_) => {
+            context.ledger.record_answer(id, 0);
+            context.ledger.record_broken(id);
+        }
+    }
+}
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -11,7 +11,8 @@
   --seeds N     number of runs, each with the next seed (default 1)
   --seconds N   duration of the faults in each run (default 20)
   --daemons N   number of daemons, 2 to 200 (default 3)
-  --callers N   number of callers (default 6)";
+  --callers N   number of callers (default 6)
+  --only-stops  only planned stops, in turn and overlapping";
 
 pub(crate) fn run(args: impl Iterator<Item = OsString>) -> ExitCode {
     match parse(args) {
@@ -43,6 +44,7 @@
                 options.daemons = it.clamp(2, 200);
             }
             Arg::Long("callers") => options.callers = parser.value()?.parse()?,
+            Arg::Long("only-stops") => options.only_stops = true,
             Arg::Long("help") => return Ok(None),
             it => return Err(it.unexpected()),
         }
