gateway: a planned stop refuses what it can't answer in time

Cause: a stop had a time for the port and one for the process, none for requests. Change: stop::Schedule decides by what a request may take whether it is accepted; otherwise it is answered 503, not run. Its deadline is at most the end of the stop. Just before the end, what still waits or is read in part is answered 503, and what an upstream works on 504. The process waits for the connections that the kernel had accepted before the port closed. Why it works: nothing is accepted any more that outlasts the process, and nothing read stays without an answer.

--- /dev/null
+++ b/crates/daemon/tests/stop_paths.rs
@@ -0,0 +1,174 @@
+//! Planned stops of a real daemon: every request that it has read is answered or truly refused, in
+//! whatever way it is in progress.
+
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    path::PathBuf,
+    sync::atomic::{AtomicU8, Ordering},
+    thread,
+    time::{Duration, Instant},
+};
+
+use platform_standin::{
+    Store, Upstream,
+    config::{self, Route},
+    upstream::Mode,
+};
+use rustix::process::Signal;
+use soak::{Daemon, Options};
+
+/// Time within which the daemon is ready, and after which reads fail.
+const TIMEOUT: Duration = Duration::from_secs(20);
+/// Time from the signal to the forced kill. Default of the daemon's settings.
+const GRACE: Duration = Duration::from_secs(6);
+/// Time after the signal from which no rule excuses a request that is cut off.
+const LATE: Duration = Duration::from_millis(3_100);
+
+/// Loopback address of the next daemon: each test has its own.
+static NEXT: AtomicU8 = AtomicU8::new(100);
+
+struct Setup {
+    _store: Store,
+    upstreams: Vec<Upstream>,
+    daemon: Daemon,
+}
+
+impl Setup {
+    fn start() -> Self {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let store = Store::start();
+        let upstreams: Vec<_> = (0..3).map(|it| Upstream::start(&format!("u{it}"))).collect();
+        for it in &upstreams {
+            store.put(config::UPSTREAMS, &it.id, &it.entry("stock", "ready"));
+        }
+        let routes = [
+            Route { name: "read", prefix: "/read/", is_idempotent: true },
+            Route { name: "order", prefix: "/order/", is_idempotent: false },
+        ];
+        store.put(config::TOPIC, config::KEY, &config::text(1, &routes));
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("stop-{number}"));
+        std::fs::create_dir_all(&folder).unwrap();
+        let options = Options {
+            daemon: PathBuf::from(env!("CARGO_BIN_EXE_fireflydrumd")),
+            folder,
+            daemons: 1,
+            ..Options::default()
+        };
+        let peer_port = soak::shared_port(1).unwrap();
+        let mut daemon = Daemon::new(&options, number, peer_port, store.address).unwrap();
+        daemon.start().unwrap();
+        let until = Instant::now() + TIMEOUT;
+        while !daemon.is_ready() {
+            assert!(Instant::now() < until, "the daemon is not ready in time");
+            thread::sleep(Duration::from_millis(20));
+        }
+        Self { _store: store, upstreams, daemon }
+    }
+
+    fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.daemon.caller_address).unwrap();
+        stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+        stream
+    }
+
+    fn terminate(&self) {
+        self.daemon.signal(Signal::TERM).unwrap();
+    }
+
+    fn has_run(&self, id: &str) -> bool {
+        self.upstreams.iter().any(|it| it.ids().iter().any(|it| it == id))
+    }
+
+    /// Checks that the daemon ends by itself.
+    fn finish(mut self) {
+        assert!(self.daemon.wait(GRACE).unwrap(), "the daemon did not end");
+    }
+}
+
+/// Status of the only answer on a connection; 0 if the connection ended without a whole answer.
+fn read_status(stream: &mut TcpStream) -> u16 {
+    let mut bytes = Vec::new();
+    // A reset after the answer is no matter.
+    drop(stream.read_to_end(&mut bytes));
+    let text = String::from_utf8(bytes).unwrap();
+    let Some((head, body)) = text.split_once("\r\n\r\n") else { return 0 };
+    let length = head.lines().find_map(|it| it.strip_prefix("Content-Length: ")).unwrap();
+    assert_eq!(body.len(), length.parse::<usize>().unwrap(), "{head}");
+    head.split(' ').nth(1).unwrap().parse().unwrap()
+}
+
+/// Orders that came late in the grace period were passed on and cut off at its end
+/// (docs/incidents/late_orders.md).
+#[test]
+fn late_orders() {
+    let setup = Setup::start();
+    setup.terminate();
+    thread::sleep(LATE);
+    let orders: Vec<_> = (0..3)
+        .map(|number| {
+            let (mut stream, id) = (setup.connect(), format!("order-{number}"));
+            thread::spawn(move || {
+                let text = config::request("POST", "/order/1?work_ms=2900", &id, true);
+                stream.write_all(text.as_bytes()).unwrap();
+                (id, read_status(&mut stream))
+            })
+        })
+        .collect();
+    for it in orders {
+        let (id, status) = it.join().unwrap();
+        assert_eq!((status, setup.has_run(&id)), (503, false), "{id}");
+    }
+    setup.finish();
+}
+
+/// A request that can be answered before the end of the process is still served.
+#[test]
+fn late_but_short() {
+    let setup = Setup::start();
+    setup.terminate();
+    thread::sleep(LATE);
+    let mut stream = setup.connect();
+    let text = config::request("POST", "/order/1?work_ms=50", "short", true);
+    let text = text.replace("Deadline-Ms: 5000", "Deadline-Ms: 1000");
+    stream.write_all(text.as_bytes()).unwrap();
+    assert_eq!(read_status(&mut stream), 200);
+    setup.finish();
+}
+
+/// Requests read in part at the end of the process, and one that an upstream still works on, get an
+/// answer: the first are truly not run, the last may have run.
+#[test]
+fn unfinished_requests() {
+    let setup = Setup::start();
+    setup.upstreams.iter().for_each(|it| it.set_mode(Mode::Held));
+    let order = config::request("POST", "/order/1", "whole", false);
+    let half_body = config::request("POST", "/order/1", "half-body", false)
+        .replace("Content-Length: 0", "Content-Length: 100")
+        + "half of the body";
+    let half_head = &order[..order.len() / 2];
+    let sent = [order.as_str(), &half_body, half_head];
+    let streams = sent.map(|text| {
+        let mut stream = setup.connect();
+        stream.write_all(text.as_bytes()).unwrap();
+        stream
+    });
+    thread::sleep(Duration::from_millis(100));
+    setup.terminate();
+    let mut late_half_head = setup.connect();
+    thread::sleep(Duration::from_millis(1_000));
+    late_half_head.write_all(half_head.as_bytes()).unwrap();
+    thread::sleep(Duration::from_millis(1_300));
+    let mut late = setup.connect();
+    late.write_all(config::request("POST", "/order/1", "late", false).as_bytes()).unwrap();
+    thread::sleep(Duration::from_millis(700));
+    let mut last_half_head = setup.connect();
+    last_half_head.write_all(half_head.as_bytes()).unwrap();
+    assert_eq!(streams.map(|mut it| read_status(&mut it)), [504, 503, 408]);
+    // The first takes longer than a head may take.
+    assert_eq!([late_half_head, last_half_head].map(|mut it| read_status(&mut it)), [408, 503]);
+    assert_eq!(read_status(&mut late), 504);
+    assert!(!setup.has_run("half-body"));
+    setup.upstreams.iter().for_each(|it| it.set_mode(Mode::Good));
+    setup.finish();
+}
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -119,6 +119,9 @@
                     }
                     Ok(_) => {}
                 },
+                () = self.gateway.stop.requests_ended(), if self.has_begun() && self.pending.is_empty() => {
+                    self.end_with(close_with(Refusal::leaving()));
+                }
                 () = tokio::time::sleep_until(wake.into()) => {
                     if let Some(close) = self.time_out(&limits) {
                         return close;
@@ -138,12 +141,8 @@
             match self.reader.next(&mut self.buffer, limits.head_bytes, body_limit) {
                 Ok(Some(it)) => self.start(it),
                 Ok(None) => return,
-                Err(e) => {
-                    // Without valid framing, no further request can be read.
-                    self.stop_accepting();
-                    let reply = parse_error(&e);
-                    self.pending.push_back(Box::pin(async { reply }));
-                }
+                // Without valid framing, no further request can be read.
+                Err(e) => self.end_with(parse_error(&e)),
             }
         }
     }
@@ -171,6 +170,17 @@
         }));
     }
 
+    /// Answers with `reply` and starts no further requests.
+    fn end_with(&mut self, reply: Reply) {
+        self.stop_accepting();
+        self.pending.push_back(Box::pin(async { reply }));
+    }
+
+    /// Whether a request has been received in part.
+    fn has_begun(&self) -> bool {
+        !self.is_closing && (!self.buffer.is_empty() || !self.is_between_requests())
+    }
+
     /// Starts no further requests.
     fn stop_accepting(&mut self) {
         self.is_closing = true;
@@ -198,17 +208,15 @@
         self.reader.partial().is_none()
     }
 
+    /// When the connection must be checked although nothing has happened.
     fn wake_at(&self, limits: &Limits) -> Instant {
+        let now = self.gateway.now();
         if !self.pending.is_empty() {
-            return self.gateway.now() + limits.idle_timeout;
-        }
-        if !self.buffer.is_empty() && self.is_between_requests() {
-            return self.since + limits.head_timeout;
-        }
-        if !self.is_between_requests() {
-            return self.since + limits.idle_timeout;
+            return now + limits.idle_timeout;
         }
-        (self.since + limits.idle_timeout).min(self.gateway.now() + IDLE_CHECK_INTERVAL)
+        let is_head = !self.buffer.is_empty() && self.is_between_requests();
+        let limit = if is_head { limits.head_timeout } else { limits.idle_timeout };
+        (self.since + limit).min(now + IDLE_CHECK_INTERVAL)
     }
 
     fn time_out(&mut self, limits: &Limits) -> Option<Close> {
@@ -216,14 +224,11 @@
             return None;
         }
         let idle = self.gateway.now().saturating_duration_since(self.since);
-        let has_begun = !self.buffer.is_empty() || !self.is_between_requests();
-        if has_begun {
+        if self.has_begun() {
             let limit =
                 if self.is_between_requests() { limits.head_timeout } else { limits.idle_timeout };
             if idle >= limit {
-                self.stop_accepting();
-                let reply = request_timeout();
-                self.pending.push_back(Box::pin(async { reply }));
+                self.end_with(request_timeout());
             }
             return None;
         }
--- a/crates/gateway/src/caller/listener.rs
+++ b/crates/gateway/src/caller/listener.rs
@@ -49,7 +49,10 @@
             biased;
             // Connections that the kernel has accepted already come first.
             it = listener.accept() => it,
-            () = gateway.callers_closed.notified(), if port == Port::Callers => return,
+            () = gateway.callers_closed.notified(), if port == Port::Callers => {
+                gateway.is_port_closed.set(true);
+                return;
+            }
         };
         let stream = match accepted {
             Ok((it, _caller)) => it,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -31,6 +31,7 @@
     },
     probe,
     registry::{Change, Fold, Index, Key, Registration, UpstreamId, Withdrawals},
+    stop,
     upstream::{Memory, Pool},
     wire::Protocol,
 };
@@ -85,8 +86,12 @@
     pub request_count: Cell<u64>,
     /// Requests in progress.
     pub in_progress: Cell<usize>,
+    /// Progress of a planned stop.
+    pub stop: stop::State,
     /// Notified when no further connections of callers are to be accepted.
     pub callers_closed: Notify,
+    /// Whether the callers' port is closed.
+    pub is_port_closed: Cell<bool>,
     /// Notified when loads have changed that must be sent to peers.
     pub loads_changed: Notify,
     /// Notified when the registry must be read immediately.
@@ -141,7 +146,9 @@
             config_confirmed: Cell::new(None),
             request_count: Cell::new(0),
             in_progress: Cell::new(0),
+            stop: stop::State::default(),
             callers_closed: Notify::new(),
+            is_port_closed: Cell::new(false),
             loads_changed: Notify::new(),
             registry_wanted: Notify::new(),
             heartbeat_wanted: Notify::new(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod rpc;
 pub mod settings;
 pub mod socket;
+pub mod stop;
 pub mod supervisor;
 pub mod upstream;
 pub mod wire;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -23,7 +23,7 @@
     mesh::Mesh,
     peer::Phase,
     platform::Platform,
-    probe, rpc,
+    probe, rpc, stop,
     supervisor::supervise,
 };
 
@@ -34,11 +34,6 @@
 /// Difference between the advance of two clocks from which the host is assumed to have been
 /// suspended.
 const SUSPENSION_THRESHOLD: Duration = Duration::from_millis(250);
-/// Shortest time that a leaving daemon goes on serving, since callers cache its address for that
-/// long.
-const MIN_DRAIN_TIME: Duration = Duration::from_millis(3_500);
-/// Time before the forced kill by which a leaving daemon has stopped.
-const STOP_RESERVE: Duration = Duration::from_millis(400);
 /// Interval at which a leaving daemon checks whether it may stop.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for the last log lines to be written when the process ends.
@@ -192,23 +187,37 @@
     }
 
     /// Stops as planned: leaves the directory and deregisters, serves the requests in progress and
-    /// those that still arrive, closes the callers' port, and ends once every answer is sent.
+    /// those that still arrive and can be answered in time, closes the callers' port, and ends once
+    /// every answer is sent.
     async fn stop(self, reason: &str) {
         let gateway = &self.gateway;
         let started = gateway.now();
+        let schedule = stop::Schedule::new(started, gateway.settings().grace);
         gateway.phase.set(Phase::Leaving);
+        gateway.stop.begin(schedule);
         log::info!(target: "belief", "event=stopping reason={reason} in_work={}", gateway.in_progress.get());
         self.mesh.broadcast_heartbeat();
         follow::deregister(gateway, &*self.platform).await;
-        let until = started + gateway.settings().grace.saturating_sub(STOP_RESERVE);
-        tokio::time::sleep_until(until.min(started + MIN_DRAIN_TIME).into()).await;
+        tokio::time::sleep_until(schedule.port_closed_at().into()).await;
         gateway.callers_closed.notify_one();
+        self.wait_idle(schedule.last_answers_at()).await;
+        gateway.stop.end_requests();
+        self.wait_idle(schedule.ends_at()).await;
+        log::info!(target: "belief", "event=stop in_work={}", gateway.in_progress.get());
+    }
+
+    /// Waits until nothing is left to be read or sent, at most until `until`.
+    async fn wait_idle(&self, until: Instant) {
+        let gateway = &self.gateway;
         // An answer that is complete may still be on its way to a caller that reads slowly.
-        let is_busy = || gateway.in_progress.get() > 0 || gateway.metrics.connections.get() > 0;
+        let is_busy = || {
+            !gateway.is_port_closed.get()
+                || gateway.in_progress.get() > 0
+                || gateway.metrics.connections.get() > 0
+        };
         while is_busy() && gateway.now() < until {
             tokio::time::sleep(STOP_CHECK_INTERVAL).await;
         }
-        log::info!(target: "belief", "event=stop in_work={}", gateway.in_progress.get());
     }
 }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -62,6 +62,14 @@
     let service = gateway.choose_service(&route).ok_or_else(Refusal::no_upstream)?;
     trace.service = Some(service.clone());
     let dispatcher = gateway.dispatcher(&service).ok_or_else(Refusal::no_upstream)?;
+    let mut deadline = received + time_left;
+    if let Some(it) = gateway.stop.schedule() {
+        let service_time = dispatcher.expected_service_time(&route.id);
+        if !it.accepts(received, time_left, service_time) {
+            return Err(Refusal::leaving());
+        }
+        deadline = deadline.min(it.last_answers_at());
+    }
     dispatcher.budget.borrow_mut().record_request(received);
     let context = attempts::Context {
         gateway,
@@ -70,7 +78,7 @@
         route: &route,
         message: &message,
         received,
-        deadline: received + time_left,
+        deadline,
     };
     attempts::run(&context, trace).await
 }
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -103,7 +103,11 @@
             Some(it) = running.next() => it,
             () = tokio::time::sleep_until(context.deadline.into()) => {
                 progress.end = "unanswered";
-                return progress.time_out(running.len());
+                return progress.give_up_running(running.len(), Refusal::upstream_late());
+            }
+            () = context.gateway.stop.requests_ended() => {
+                progress.end = "stopped";
+                return progress.give_up_running(running.len(), Refusal::stopped());
             }
             () = hedge => {
                 hedge_at = None;
@@ -148,6 +152,14 @@
 
     /// Waits for an upstream that can take the request.
     async fn admit(&self) -> Result<Reservation> {
+        tokio::select! {
+            biased;
+            it = self.reserve() => it,
+            () = self.context.gateway.stop.requests_ended() => Err(Refusal::leaving()),
+        }
+    }
+
+    async fn reserve(&self) -> Result<Reservation> {
         let Context { gateway, table, dispatcher, route, .. } = *self.context;
         if dispatcher.queue_len() == 0 {
             let eligibility =
@@ -262,10 +274,12 @@
         }
     }
 
-    fn time_out(&mut self, in_progress: usize) -> Result<Message> {
+    /// Gives up with `in_progress` attempts in progress; `refusal` is the reason if one of them may
+    /// have run.
+    fn give_up_running(&mut self, in_progress: usize, refusal: Refusal) -> Result<Message> {
         match self.error_answer.take() {
             Some(it) => Ok(it),
-            None if self.may_have_run || in_progress > 0 => Err(Refusal::upstream_late()),
+            None if self.may_have_run || in_progress > 0 => Err(refusal),
             None => Err(deadline_passed()),
         }
     }
--- a/crates/gateway/src/request/refusal.rs
+++ b/crates/gateway/src/request/refusal.rs
@@ -7,6 +7,9 @@
 /// `Retry-After` while the daemon has no configuration.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// `Retry-After` while the daemon is leaving: other hosts serve, and the directory lists only them.
+const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// An error answer of the daemon itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Refusal {
@@ -42,6 +45,20 @@
         Self { status: 503, reason: "not-ready", message, retry_after }
     }
 
+    /// The daemon is leaving and could not answer in time.
+    #[must_use]
+    pub fn leaving() -> Self {
+        let message = "the request was not run: this entry host is leaving; use another".to_owned();
+        Self::not_run("leaving", message, LEAVING_RETRY_AFTER)
+    }
+
+    /// The daemon ends while an attempt is in progress.
+    #[must_use]
+    pub fn stopped() -> Self {
+        let message = "this entry host has stopped; the request may have run".to_owned();
+        Self { status: 504, reason: "stopped", message, retry_after: None }
+    }
+
     /// No upstream accepts requests.
     #[must_use]
     pub fn no_upstream() -> Self {
--- a/crates/soak/src/stop_caller.rs
+++ b/crates/soak/src/stop_caller.rs
@@ -213,17 +213,14 @@
 
 /// Records what became of a request.
 fn record(context: &Context, id: &str, answer: &io::Result<Answer>) {
-    match answer {
-        Ok(it) => {
-            caller::check(context, id, it, false);
-            // Also an error of the daemon's own breaks off a request that an upstream works on.
-            if it.status >= 500 && it.status != 503 {
-                context.ledger.add_finding(format!("{id} got {} around a planned stop", it.status));
-            }
-        }
-        Err(_) => {
-            context.ledger.record_answer(id, 0);
-            context.ledger.record_broken(id);
-        }
+    let Ok(answer) = answer else {
+        context.ledger.record_answer(id, 0);
+        context.ledger.record_broken(id);
+        return;
+    };
+    caller::check(context, id, answer, false);
+    // Also an error of the daemon's own breaks off a request that an upstream works on.
+    if answer.status >= 500 && answer.status != 503 {
+        context.ledger.add_finding(format!("{id} got {} around a planned stop", answer.status));
     }
 }
--- a/crates/soak/src/stops.rs
+++ b/crates/soak/src/stops.rs
@@ -17,8 +17,8 @@
 const RESTART_DELAY: Duration = Duration::from_millis(200);
 /// One in this many stops comes with a new configuration, and as many with a reload of a daemon.
 const CHANGE_EVERY: u64 = 4;
-/// Share of the daemons that may be down at a time.
-const MAX_DOWN_SHARE: f64 = 0.5;
+/// One in this many daemons may be down at a time.
+const DOWN_DIVISOR: usize = 2;
 
 /// A daemon that was told to stop.
 struct Stop {
@@ -31,7 +31,7 @@
     let mut rng = fastrand::Rng::with_seed(options.seed);
     let until = Instant::now() + options.length;
     let count = env.daemons.borrow().len();
-    let max_down = ((count as f64 * MAX_DOWN_SHARE) as usize).max(1);
+    let max_down = (count / DOWN_DIVISOR).max(1);
     let mut stops: Vec<Stop> = Vec::new();
     let mut next = Instant::now();
     let mut order: Vec<usize> = Vec::new();
