gateway: a planned stop ends connections on which requests are pipelined

Cause: an answer announced the end of its connection only if no other request was in progress there, and requests that arrived meanwhile were started. A process that ends too early would have cut the others too. Change: while the daemon leaves, a connection starts nothing behind a request in progress, and the answer to the last one started closes it. Why it works: each connection ends with an announced last answer within the time of the requests that it had in progress.

--- a/crates/daemon/tests/stop_paths.rs
+++ b/crates/daemon/tests/stop_paths.rs
@@ -5,7 +5,7 @@
     io::{Read, Write},
     net::TcpStream,
     path::PathBuf,
-    sync::atomic::{AtomicU8, Ordering},
+    sync::atomic::{AtomicBool, AtomicU8, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -25,6 +25,9 @@
 /// Time after the signal from which no rule excuses a request that is cut off.
 const LATE: Duration = Duration::from_millis(3_100);
 
+/// Interval of pipelined requests, shorter than the work of each.
+const PIPELINE_INTERVAL: Duration = Duration::from_millis(40);
+
 /// Loopback address of the next daemon: each test has its own.
 static NEXT: AtomicU8 = AtomicU8::new(100);
 
@@ -86,7 +89,39 @@
     }
 }
 
-/// Status of the only answer on a connection; 0 if the connection ended without a whole answer.
+/// Sends reads on one connection at fixed times, whether or not the earlier ones are answered, until
+/// the daemon ends it. Returns the ids sent and those answered.
+fn pipeline(mut stream: TcpStream, number: usize) -> (Vec<String>, Vec<String>) {
+    let mut writer = stream.try_clone().unwrap();
+    let is_over = AtomicBool::new(false);
+    thread::scope(|scope| {
+        let sender = scope.spawn(|| {
+            let mut sent = Vec::new();
+            while !is_over.load(Ordering::Relaxed) {
+                let id = format!("read-{number}-{}", sent.len());
+                let text = config::request("GET", "/read/1?work_ms=120", &id, false);
+                if writer.write_all(text.as_bytes()).is_err() {
+                    break;
+                }
+                sent.push(id);
+                thread::sleep(PIPELINE_INTERVAL);
+            }
+            sent
+        });
+        let mut bytes = Vec::new();
+        // A reset ends the connection as well.
+        drop(stream.read_to_end(&mut bytes));
+        is_over.store(true, Ordering::Relaxed);
+        let text = String::from_utf8(bytes).unwrap();
+        assert!(!text.contains("HTTP/1.1 5"), "a request in progress was not served: {text}");
+        let bodies = text.split("\r\n\r\n").skip(1);
+        let ids = bodies.map(|it| it.split_once(" to ").map_or("", |it| it.1));
+        let answered = ids.map(|it| it.split("HTTP/1.1").next().unwrap_or_default().to_owned());
+        (sender.join().unwrap(), answered.collect())
+    })
+}
+
+/// Status of the only answer on a connection, or 0 if the connection ended without a whole answer.
 fn read_status(stream: &mut TcpStream) -> u16 {
     let mut bytes = Vec::new();
     // A reset after the answer is no matter.
@@ -98,8 +133,31 @@
     head.split(' ').nth(1).unwrap().parse().unwrap()
 }
 
+/// Connections on which a request was always in progress were never ended by a stop, and were cut at
+/// its end (`docs/incidents/pipelined_stop.md`).
+#[test]
+fn pipelined_reads() {
+    let setup = Setup::start();
+    let callers: Vec<_> = (0..4)
+        .map(|number| {
+            let stream = setup.connect();
+            thread::spawn(move || pipeline(stream, number))
+        })
+        .collect();
+    thread::sleep(PIPELINE_INTERVAL * 10);
+    setup.terminate();
+    for it in callers {
+        let (sent, answered) = it.join().unwrap();
+        assert!(answered.len() > 3);
+        let cut: Vec<_> =
+            sent.iter().filter(|it| setup.has_run(it) && !answered.contains(it)).collect();
+        assert!(cut.is_empty(), "passed on and not answered: {cut:?}");
+    }
+    setup.finish();
+}
+
 /// Orders that came late in the grace period were passed on and cut off at its end
-/// (docs/incidents/late_orders.md).
+/// (`docs/incidents/late_orders.md`).
 #[test]
 fn late_orders() {
     let setup = Setup::start();
@@ -156,7 +214,7 @@
     thread::sleep(Duration::from_millis(100));
     setup.terminate();
     let mut late_half_head = setup.connect();
-    thread::sleep(Duration::from_millis(1_000));
+    thread::sleep(Duration::from_secs(1));
     late_half_head.write_all(half_head.as_bytes()).unwrap();
     thread::sleep(Duration::from_millis(1_300));
     let mut late = setup.connect();
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -119,7 +119,7 @@
                     }
                     Ok(_) => {}
                 },
-                () = self.gateway.stop.requests_ended(), if self.has_begun() && self.pending.is_empty() => {
+                () = self.gateway.stop.requests_ended(), if self.is_reading_request() => {
                     self.end_with(close_with(Refusal::leaving()));
                 }
                 () = tokio::time::sleep_until(wake.into()) => {
@@ -131,9 +131,14 @@
         }
     }
 
-    /// Starts the requests that have been received completely.
+    /// Starts the requests that have been received completely. While the daemon leaves, those behind
+    /// a request in progress are not: its answer closes the connection, so the caller sends them to
+    /// another host.
     fn start_requests(&mut self, limits: &Limits) {
         while !self.is_closing && !self.is_exclusive && self.pending.len() < MAX_PIPELINED {
+            if self.is_leaving() && !self.pending.is_empty() {
+                self.stop_accepting();
+            }
             if self.buffer.is_empty() {
                 return;
             }
@@ -176,9 +181,10 @@
         self.pending.push_back(Box::pin(async { reply }));
     }
 
-    /// Whether a request has been received in part.
-    fn has_begun(&self) -> bool {
-        !self.is_closing && (!self.buffer.is_empty() || !self.is_between_requests())
+    /// Whether a request has been received in part and none is in progress.
+    fn is_reading_request(&self) -> bool {
+        let has_begun = !self.buffer.is_empty() || !self.is_between_requests();
+        has_begun && !self.is_closing && self.pending.is_empty()
     }
 
     /// Starts no further requests.
@@ -190,10 +196,12 @@
     async fn send(&mut self, reply: Reply) -> Result<(), Close> {
         if self.pending.is_empty() {
             self.is_exclusive = false;
+            if self.is_leaving() {
+                self.stop_accepting();
+            }
             self.start_requests(&self.gateway.limits());
         }
-        let is_leaving = self.gateway.phase.get() == Phase::Leaving;
-        let is_last = reply.closes_connection || is_leaving && self.pending.is_empty();
+        let is_last = reply.closes_connection || self.is_closing && self.pending.is_empty();
         let bytes = reply.bytes(is_last);
         let writing = tokio::time::timeout(WRITE_TIMEOUT, self.stream.write_all(&bytes));
         if !matches!(writing.await, Ok(Ok(()))) {
@@ -203,6 +211,10 @@
         if is_last { Err(Close::Finished) } else { Ok(()) }
     }
 
+    fn is_leaving(&self) -> bool {
+        self.gateway.phase.get() == Phase::Leaving
+    }
+
     /// Whether no request body is being read.
     fn is_between_requests(&self) -> bool {
         self.reader.partial().is_none()
@@ -224,7 +236,7 @@
             return None;
         }
         let idle = self.gateway.now().saturating_duration_since(self.since);
-        if self.has_begun() {
+        if self.is_reading_request() {
             let limit =
                 if self.is_between_requests() { limits.head_timeout } else { limits.idle_timeout };
             if idle >= limit {
@@ -232,7 +244,7 @@
             }
             return None;
         }
-        let leaves = self.gateway.phase.get() == Phase::Leaving && idle >= LEAVING_IDLE_TIMEOUT;
+        let leaves = self.is_leaving() && idle >= LEAVING_IDLE_TIMEOUT;
         (leaves || idle >= limits.idle_timeout).then_some(Close::Finished)
     }
 }
--- a/crates/gateway/tests/registry_fold.rs
+++ b/crates/gateway/tests/registry_fold.rs
@@ -81,7 +81,7 @@
 }
 
 /// A host that alone could not reach the store kept removals pending for so long that requests
-/// reached an upstream 2.6 s after it had left (docs/incidents/doubted_removals.md).
+/// reached an upstream 2.6 s after it had left (`docs/incidents/doubted_removals.md`).
 #[test]
 fn peer_confirms_removal() {
     let now = Instant::now();
