gateway: a relay covers only what its sender has read itself

Since reads can overlap with relays, a read skips the records that a relay has brought meanwhile, but the relay of that read still claimed to cover them. A peer that had missed the other datagram would not have seen the gap, and would have missed a removal until the digests were compared, over 1 s later. Change: the relay begins where the reader's registry ended. No test loses a datagram at that moment.

--- a/crates/gateway/src/follow/upstreams.rs
+++ b/crates/gateway/src/follow/upstreams.rs
@@ -211,6 +211,9 @@
         let gateway = &self.gateway;
         let now = gateway.now();
         let known = gateway.registry.borrow().end();
+        // The relay covers only what was read here, so that a peer that has missed the other one
+        // sees the gap.
+        let (from, to) = (from.max(known), batch.end.max(known));
         let mut relayed = Vec::new();
         for it in batch.records.iter().filter(|it| it.offset >= known) {
             let change = self.decode(it);
@@ -233,11 +236,11 @@
         let removals = gateway.registry.borrow_mut().tick(now);
         for it in removals {
             gateway.apply(&it, "store");
-            relayed.push((batch.end, it));
+            relayed.push((to, it));
         }
-        gateway.registry.borrow_mut().advance(batch.end);
+        gateway.registry.borrow_mut().advance(to);
         let is_trusted = gateway.registry.borrow().trusts_removals();
-        self.mesh.relay(Relay { from, to: batch.end, is_trusted, changes: relayed });
+        self.mesh.relay(Relay { from, to, is_trusted, changes: relayed });
     }
 
     /// Decodes the change of a record. One that can't be decoded names no upstream, like a removed
