tests, soak: plain wording in comments

Cause: a last reading of the diff; one comment named a wrong bound for the long work (2.7 s is half of the time that a stop takes, not less). Change: comments and one blank line only.

--- a/crates/daemon/tests/stop_paths.rs
+++ b/crates/daemon/tests/stop_paths.rs
@@ -24,7 +24,6 @@
 const GRACE: Duration = Duration::from_secs(6);
 /// Time after the signal from which no rule excuses a request that is cut off.
 const LATE: Duration = Duration::from_millis(3_100);
-
 /// Interval of pipelined requests, shorter than the work of each.
 const PIPELINE_INTERVAL: Duration = Duration::from_millis(40);
 
--- a/crates/soak/src/stop_caller.rs
+++ b/crates/soak/src/stop_caller.rs
@@ -1,5 +1,5 @@
 //! Simulated callers for planned stops. They keep their connections until the daemon ends them, in
-//! all the ways in which a request can be in progress when the daemon is told to stop.
+//! all the ways in which a request can be in progress when the daemon receives SIGTERM.
 
 use std::{
     io::{self, Read, Write},
@@ -22,8 +22,8 @@
 const WORK_MS: std::ops::Range<u64> = 5..400;
 /// One in this many requests takes long.
 const LONG_EVERY: u64 = 6;
-/// Time that an upstream works on a long request, in milliseconds. Less than the half of the time
-/// that a daemon takes to stop.
+/// Time that an upstream works on a long request, in milliseconds. At most half of the time
+/// that a daemon takes to stop, and the longest work of an order in the grown deployment.
 const LONG_WORK_MS: std::ops::Range<u64> = 1_000..2_700;
 /// Interval at which a caller that pipelines sends requests.
 const PIPELINE_INTERVAL: Duration = Duration::from_millis(40);
--- a/crates/soak/src/stops.rs
+++ b/crates/soak/src/stops.rs
@@ -20,7 +20,7 @@
 /// One in this many daemons may be down at a time.
 const DOWN_DIVISOR: usize = 2;
 
-/// A daemon that was told to stop.
+/// A daemon that has been sent SIGTERM.
 struct Stop {
     daemon: usize,
     signalled: Instant,
