gateway, platform: configuration of tenants, regions and slow start; kind download

Cause: a route of the kind "download" made the decoder reject the whole configuration, so a deployment with one such route was not served at all.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -5,6 +5,7 @@
 mod role;
 mod route;
 mod table;
+mod tenant;
 
 use std::{sync::Arc, time::Duration};
 
@@ -13,6 +14,7 @@
 pub use role::Role;
 pub use route::{Part, Route};
 pub use table::Table;
+pub use tenant::{KeyDigest, Tenant};
 
 /// Version of a configuration; it only increases.
 pub type Version = u64;
@@ -20,9 +22,13 @@
 pub type ServiceId = Arc<str>;
 /// Name of a route.
 pub type RouteId = Arc<str>;
+/// Name of a tenant.
+pub type TenantId = Arc<str>;
+/// Name of a region.
+pub type Region = Arc<str>;
 
 /// A service as configured.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Name, which upstreams put into their registrations.
     pub id: ServiceId,
@@ -30,6 +36,22 @@
     pub health_path: String,
     /// Number of connections that one upstream accepts in total.
     pub connection_limit: u32,
+    /// Time for which an upstream is cold after it starts.
+    pub slow_start: Duration,
+    /// Requests per second from all daemons together that a cold upstream tolerates; 0 if unlimited.
+    pub warmup_per_s: f64,
+}
+
+impl Default for Service {
+    fn default() -> Self {
+        Self {
+            id: ServiceId::from(""),
+            health_path: "/".to_owned(),
+            connection_limit: 0,
+            slow_start: Duration::ZERO,
+            warmup_per_s: 0.0,
+        }
+    }
 }
 
 /// A complete configuration.
@@ -43,6 +65,11 @@
     pub routes: Vec<Route>,
     /// Limits on what callers may send.
     pub limits: Limits,
+    /// Tenants, whose keys requests must carry; `None` if the configuration has none, and then
+    /// requests need no key.
+    pub tenants: Option<Vec<Tenant>>,
+    /// What was not understood and how it is treated, each with its place.
+    pub findings: Vec<String>,
 }
 
 /// Timeout of a route that sets none.
--- a/crates/gateway/src/config/route.rs
+++ b/crates/gateway/src/config/route.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{DEFAULT_TIMEOUT, Idempotence, RouteId, ServiceId};
+use super::{DEFAULT_TIMEOUT, Idempotence, Region, RouteId, ServiceId};
 
 /// A service that gets a share of a route's requests.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -34,6 +34,10 @@
     pub attempt_limit: u32,
     /// Services that answer, with their weights; at least one.
     pub parts: Vec<Part>,
+    /// Whether requests need no key although the configuration has tenants.
+    pub is_public: bool,
+    /// Regions whose upstreams and hosts may serve the route; empty if all may.
+    pub homes: Vec<Region>,
 }
 
 impl Default for Route {
@@ -48,6 +52,8 @@
             priority: 0,
             attempt_limit: 1,
             parts: Vec::new(),
+            is_public: false,
+            homes: Vec::new(),
         }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -235,6 +235,9 @@
             return false;
         }
         let (version, routes) = (config.version, config.routes.len());
+        for it in &config.findings {
+            log::warn!(target: "belief", "event=config-finding version={version} finding=\"{it}\"");
+        }
         for it in &config.services {
             self.ensure_dispatcher(&it.id).set_connection_limit(it.connection_limit);
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,10 +1,10 @@
 //! Settings of a daemon whose configuration and upstreams are kept by the platform.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use ini::{Finding, Keys};
 
-use crate::registry::Domain;
+use crate::{config::Region, registry::Domain};
 
 /// Settings, or all findings about the text.
 pub type Result<T, E = Vec<Finding>> = std::result::Result<T, E>;
@@ -64,6 +64,18 @@
     pub retry_window: Duration,
     /// Probes per second that all daemons together may send per upstream.
     pub probe_rate: f64,
+    /// Requests per second that a cold upstream may get, as a multiple of what it tolerates.
+    pub slow_start_overshoot: f64,
+    /// Requests that a cold upstream may get in addition in any second, from all daemons together.
+    pub slow_start_slack: f64,
+    /// Sliding window of the tenants' quotas.
+    pub quota_window: Duration,
+    /// Share by which a tenant's requests in one window may exceed its quota.
+    pub quota_overshoot: f64,
+    /// Requests by which a tenant may exceed its quota in one window in addition.
+    pub quota_slack: f64,
+    /// Regions of the failure domains.
+    pub regions: BTreeMap<Domain, Region>,
     /// Time for which callers may cache the addresses of entry hosts.
     pub directory_keep: Duration,
     /// Maximum number of log lines per second for requests that succeed.
@@ -98,6 +110,12 @@
             retry_slack: 50.0,
             retry_window: Duration::from_secs(10),
             probe_rate: 40.0,
+            slow_start_overshoot: 1.5,
+            slow_start_slack: 8.0,
+            quota_window: Duration::from_secs(5),
+            quota_overshoot: 0.1,
+            quota_slack: 20.0,
+            regions: BTreeMap::new(),
             directory_keep: Duration::from_secs(2),
             success_lines_per_s: 2,
             failure_lines_per_s: 50,
@@ -178,6 +196,9 @@
         if let Some(it) = keys.text("region") {
             it.clone_into(&mut self.region);
         }
+        if let Some(it) = keys.read("regions", parse_regions) {
+            self.regions = it;
+        }
     }
 
     fn read_addresses(&mut self, keys: &mut Keys<'_>) {
@@ -209,6 +230,7 @@
             ("drain", &mut self.drain),
             ("grace", &mut self.grace),
             ("retry_window", &mut self.retry_window),
+            ("quota_window", &mut self.quota_window),
             ("directory_keep", &mut self.directory_keep),
         ];
         for (key, field) in durations {
@@ -240,6 +262,18 @@
         if let Some(it) = keys.number("probe_rate", 0.0..=1e6, "probes a second") {
             self.probe_rate = it;
         }
+        if let Some(it) = keys.number("slow_start_overshoot", 1.0..=100.0, "of the rate") {
+            self.slow_start_overshoot = it;
+        }
+        if let Some(it) = keys.number("slow_start_slack", 0.0..=1e6, "requests") {
+            self.slow_start_slack = it;
+        }
+        if let Some(it) = keys.number("quota_overshoot", 0.0..=100.0, "of the quota") {
+            self.quota_overshoot = it;
+        }
+        if let Some(it) = keys.number("quota_slack", 0.0..=1e6, "requests") {
+            self.quota_slack = it;
+        }
         let rates = [
             ("success_lines_per_s", &mut self.success_lines_per_s),
             ("failure_lines_per_s", &mut self.failure_lines_per_s),
@@ -258,3 +292,14 @@
         |it: &str| it.parse().map_err(|_e| format!("`{}` is no `IP:port`", ini::excerpt(it)));
     parts.map(parse).collect()
 }
+
+fn parse_regions(text: &str) -> Result<BTreeMap<Domain, Region>, String> {
+    let parts = text.split(',').map(str::trim).filter(|it| !it.is_empty());
+    let parse = |it: &str| {
+        let (domain, region) = it
+            .split_once(':')
+            .ok_or_else(|| format!("`{}` is no `domain:region`", ini::excerpt(it)))?;
+        Ok((domain.trim().into(), region.trim().into()))
+    };
+    parts.map(parse).collect()
+}
--- a/crates/gateway/src/wire.rs
+++ b/crates/gateway/src/wire.rs
@@ -21,6 +21,12 @@
     pub leaving: &'static str,
     /// Instance that answers a health check.
     pub instance: &'static str,
+    /// Time for which the answering upstream is still cold, in milliseconds.
+    pub cold_ms: &'static str,
+    /// Key of the caller's tenant; never passed on.
+    pub credential: &'static str,
+    /// Name of the caller's tenant, as set by the daemon.
+    pub tenant: &'static str,
     /// Path of the directory of entry hosts.
     pub directory_path: &'static str,
     /// Path of the readiness check.
@@ -38,6 +44,9 @@
             load: "fireflydrum-load",
             leaving: "fireflydrum-leaving",
             instance: "fireflydrum-instance",
+            cold_ms: "fireflydrum-cold-ms",
+            credential: "fireflydrum-credential",
+            tenant: "fireflydrum-tenant",
             directory_path: "/fireflydrum/entry",
             ready_path: "/fireflydrum/ready",
         }
