gateway, platform: evacuation of failure domains

Operators had no way to take a failure domain out of use: records beside the configuration in its topic were ignored.

A record `evacuate/DOMAIN` in the topic of the configuration now evacuates the domain until it is deleted. `registry::Evacuations` holds the set with an epoch and the offset up to which it is known; later states win. The follower of the configuration applies full reads and single records, every heartbeat carries the whole state, and a change that was read is broadcast at once and again after 0.2 s. The epoch grows when a full read ends below what was known, so that the other daemons follow a store whose offsets have restarted. A read that does not connect to the state (gap, end below the known one, other epoch) is followed by a full read. The decoder of reads no longer hides that a topic ends before the offset read from; the registry keeps its behaviour there.

Upstreams of an evacuated domain take no requests, retries, hedges or probes and don't count as capacity; the reservation and the probe are checked again once a connection is open, and idle connections are closed. A daemon becomes ready only when it knows the evacuations.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,6 +1,7 @@
 //! Tasks that follow the topics of the platform's store: configurations, upstreams, entry hosts.
 
 mod configuration;
+mod evacuation;
 mod hosts;
 mod upstreams;
 
--- a/crates/gateway/src/follow/configuration.rs
+++ b/crates/gateway/src/follow/configuration.rs
@@ -1,15 +1,17 @@
-//! Follows the configurations that operators publish.
+//! Follows the configurations that operators publish, and the evacuations of failure domains in the
+//! same topic.
 
 use std::{
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use super::{Availability, CALL_TIMEOUT, call};
+use super::{Availability, CALL_TIMEOUT, call, evacuation};
 use crate::{
     config::Role,
     gateway::Gateway,
     platform::{Batch, Error, Offset, Platform, Topic},
+    registry::{Progress, Stamp},
     rpc,
 };
 
@@ -29,6 +31,10 @@
 /// Timeout of this daemon's own read of a configuration that a peer already has.
 const OWN_READ_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Pause before the newest records are read because the last read did not connect to what is known. It
+/// bounds the calls to a store whose answers contradict each other.
+const REREAD_PAUSE: Duration = Duration::from_millis(100);
+
 /// Follows the configurations that operators publish.
 pub struct Follower<P> {
     gateway: Rc<Gateway>,
@@ -37,6 +43,8 @@
     availability: Availability,
     started: Instant,
     end: Option<Offset>,
+    /// Epoch of the store's offsets in which `end` was read.
+    epoch: u32,
     pause: Duration,
     /// When this daemon may read again although it is not one of the readers.
     stale_read_from: Instant,
@@ -49,7 +57,17 @@
         let availability = Availability::default();
         let started = gateway.now();
         let (pause, stale_read_from) = (MIN_RETRY_PAUSE, started);
-        Self { gateway, platform, shared, availability, started, end: None, pause, stale_read_from }
+        Self {
+            gateway,
+            platform,
+            shared,
+            availability,
+            started,
+            end: None,
+            epoch: 0,
+            pause,
+            stale_read_from,
+        }
     }
 
     /// Runs until the task is dropped.
@@ -114,7 +132,9 @@
     /// Reads the store once; it may hold the read back for up to `wait`.
     async fn read(&mut self, wait: Duration) {
         let gateway = Rc::clone(&self.gateway);
-        let res = match self.end {
+        let stamp = gateway.evacuation_stamp();
+        let from = self.end.filter(|_| self.epoch == stamp.epoch);
+        let res = match from {
             None => {
                 let newest = self.platform.newest(Topic::Config);
                 call(&gateway, "config-newest", CALL_TIMEOUT, newest).await
@@ -128,9 +148,13 @@
         match res {
             Ok(it) => {
                 self.pause = MIN_RETRY_PAUSE;
-                self.apply_batch(&it, "store");
+                let progress = self.apply_batch(stamp, from, &it);
                 gateway.config_confirmed.set(Some(gateway.now()));
                 gateway.heartbeat_wanted.notify_one();
+                if progress == Progress::ReadNewest {
+                    self.end = None;
+                    tokio::time::sleep(REREAD_PAUSE).await;
+                }
             }
             Err(Error::Deleted { .. }) => self.end = None,
             Err(_) => {
@@ -175,11 +199,24 @@
         peers.live_peers(gateway.now()).any(|(_, it)| it.heartbeat.config > gateway.version())
     }
 
-    fn apply_batch(&mut self, batch: &Batch, source: &str) {
+    /// Applies what was read from the offset `from` on, or the newest records if there is none.
+    /// `started` is the stamp of the evacuations at the start of the read.
+    fn apply_batch(&mut self, started: Stamp, from: Option<Offset>, batch: &Batch) -> Progress {
+        let (gateway, platform) = (&self.gateway, &*self.platform);
+        let records = batch.records.iter();
+        let records: Vec<_> =
+            records.filter_map(|it| evacuation::decode(gateway, platform, it)).collect();
+        // Before the configuration, since a daemon must not become ready without the evacuations.
+        let res = match from {
+            None => gateway.apply_newest_evacuations(started, batch.end, records),
+            Some(from) => gateway.apply_evacuation_records(started, from, batch.end, &records),
+        };
         self.end = Some(batch.end);
+        self.epoch = gateway.evacuation_stamp().epoch;
         for it in &batch.records {
-            self.apply_record(it, source);
+            self.apply_record(it, "store");
         }
+        res
     }
 
     fn apply_record(&self, record: &crate::platform::Record, source: &str) {
--- a/crates/gateway/src/follow/upstreams.rs
+++ b/crates/gateway/src/follow/upstreams.rs
@@ -213,7 +213,7 @@
         let known = gateway.registry.borrow().end();
         // The relay covers only what was read here, so that a peer that has missed the other one
         // sees the gap.
-        let (from, to) = (from.max(known), batch.end.max(known));
+        let (from, to) = (from.max(known), batch.end.max(from).max(known));
         let mut relayed = Vec::new();
         for it in batch.records.iter().filter(|it| it.offset >= known) {
             let change = self.decode(it);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 //! Requests read it; configuration, registry and peers update it. The routing table is replaced as
 //! a whole.
 
+mod evacuation;
 mod withdrawals;
 
 use std::{
@@ -109,6 +110,7 @@
     index: RefCell<Index>,
     withdrawals: RefCell<Withdrawals>,
     departures: RefCell<Vec<Departure>>,
+    evacuation: evacuation::State,
     changed_loads: Rc<RefCell<BTreeSet<UpstreamId>>>,
     placement: RefCell<Placement>,
     split_credits: RefCell<HashMap<RouteId, Vec<f64>>>,
@@ -160,6 +162,7 @@
             index: RefCell::default(),
             withdrawals: RefCell::default(),
             departures: RefCell::default(),
+            evacuation: evacuation::State::default(),
             changed_loads: Rc::default(),
             placement: RefCell::default(),
             split_credits: RefCell::default(),
@@ -253,7 +256,9 @@
 
     /// Records that the registry has been read to its end.
     pub fn mark_registry_read(&self) {
-        self.registry_read_once.set(true);
+        if !self.registry_read_once.replace(true) {
+            self.check_evacuated_domains();
+        }
         self.update_phase();
     }
 
@@ -380,7 +385,9 @@
     }
 
     fn update_phase(&self) {
-        let is_ready = self.table.borrow().is_some() && self.registry_read_once.get();
+        let is_ready = self.table.borrow().is_some()
+            && self.registry_read_once.get()
+            && self.evacuations_known();
         if is_ready && self.phase.get() == Phase::Starting {
             self.phase.set(Phase::Ready);
             log::info!(target: "belief", "event=ready version={}", self.version());
@@ -395,6 +402,7 @@
         let now = self.now();
         let seed = self.seed ^ xxh3_64(id.as_bytes());
         let mut service = Service::new(load::Settings::default(), settings.domain.clone(), seed);
+        self.with_evacuated(|it| service.set_evacuated(it));
         for it in self.registry.borrow().entries().filter(|it| it.service == *id) {
             service.put(now, it.clone());
             service.set_withdrawal(&it.id, self.withdrawals.borrow().get(it));
--- a/crates/gateway/src/gateway/withdrawals.rs
+++ b/crates/gateway/src/gateway/withdrawals.rs
@@ -26,7 +26,8 @@
     /// Whether nothing speaks against sending to a registered incarnation now.
     #[must_use]
     pub fn accepts_requests(&self, upstream: &Registration) -> bool {
-        !self.withdrawals.borrow().get(upstream).is_in_force(self.now())
+        !self.is_evacuated(&upstream.domain)
+            && !self.withdrawals.borrow().get(upstream).is_in_force(self.now())
     }
 
     /// Records that an upstream is leaving; returns whether this is new.
--- a/crates/gateway/src/load/service.rs
+++ b/crates/gateway/src/load/service.rs
@@ -1,7 +1,7 @@
 //! Upstream choice for one service.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::{Duration, Instant},
 };
 
@@ -50,6 +50,7 @@
 pub struct Service {
     settings: Settings,
     domain: Domain,
+    evacuated: BTreeSet<Domain>,
     rng: fastrand::Rng,
     upstreams: BTreeMap<UpstreamId, Upstream>,
     mean_times_s: HashMap<RouteId, f64>,
@@ -68,6 +69,7 @@
         Self {
             settings,
             domain,
+            evacuated: BTreeSet::new(),
             rng: fastrand::Rng::with_seed(seed),
             upstreams: BTreeMap::new(),
             mean_times_s: HashMap::new(),
@@ -85,13 +87,24 @@
         if let Some(it) = self.upstreams.get_mut(&registration.id)
             && it.registration.is_same_incarnation(&registration)
         {
+            it.is_evacuated = self.evacuated.contains(&registration.domain);
             it.registration = registration;
             return false;
         }
-        self.upstreams.insert(registration.id.clone(), Upstream::new(now, registration));
+        let mut upstream = Upstream::new(now, registration);
+        upstream.is_evacuated = self.evacuated.contains(&upstream.registration.domain);
+        self.upstreams.insert(upstream.registration.id.clone(), upstream);
         true
     }
 
+    /// Sets the evacuated failure domains. Upstreams in them get no new requests.
+    pub fn set_evacuated(&mut self, domains: &BTreeSet<Domain>) {
+        self.evacuated.clone_from(domains);
+        for it in self.upstreams.values_mut() {
+            it.is_evacuated = domains.contains(&it.registration.domain);
+        }
+    }
+
     /// Removes an upstream.
     pub fn remove(&mut self, id: &str) -> Option<Upstream> {
         self.upstreams.remove(id)
--- a/crates/gateway/src/load/upstream.rs
+++ b/crates/gateway/src/load/upstream.rs
@@ -65,6 +65,8 @@
     pub is_assigned: bool,
     /// What it has said in its answers about taking requests.
     pub withdrawal: Withdrawal,
+    /// Whether its failure domain is evacuated.
+    pub is_evacuated: bool,
     added_at: Instant,
     has_been_used: bool,
     cold_until: Instant,
@@ -85,6 +87,7 @@
             registration,
             is_assigned: true,
             withdrawal: Withdrawal::default(),
+            is_evacuated: false,
             added_at: now,
             has_been_used: false,
             cold_until,
@@ -99,13 +102,17 @@
     /// Whether it accepts new requests.
     #[must_use]
     pub fn accepts_requests(&self, now: Instant) -> bool {
-        self.registration.state == State::Ready && !self.withdrawal.is_in_force(now)
+        self.registration.state == State::Ready
+            && !self.is_evacuated
+            && !self.withdrawal.is_in_force(now)
     }
 
-    /// Time after which it accepts new requests again, if it does not leave.
+    /// Time after which it accepts new requests again, if it does not leave and its failure domain is
+    /// not evacuated.
     #[must_use]
     pub fn accepts_after(&self, now: Instant) -> Option<Duration> {
-        if self.registration.state != State::Ready || self.withdrawal.is_leaving {
+        let is_ready = self.registration.state == State::Ready;
+        if !is_ready || self.is_evacuated || self.withdrawal.is_leaving {
             return None;
         }
         let until = self.withdrawal.paused_until.unwrap_or(now);
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -91,7 +91,8 @@
             }
             // Ends early when heartbeats are wanted immediately.
             let wanted = self.gateway.heartbeat_wanted.notified();
-            if tokio::time::timeout(HEARTBEAT_CHECK_INTERVAL, wanted).await.is_ok() {
+            let is_wanted = tokio::time::timeout(HEARTBEAT_CHECK_INTERVAL, wanted).await.is_ok();
+            if is_wanted || self.gateway.take_evacuation_repeat() {
                 self.broadcast_heartbeat();
             }
         }
@@ -197,6 +198,7 @@
                 let age = gateway.now().saturating_duration_since(it);
                 u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
             }),
+            evacuations: gateway.evacuations(),
             registry_end: registry.end(),
             registry_digest: registry.digest(),
             peers: gateway.peers.borrow_mut().gossip(gateway.now()),
@@ -234,6 +236,8 @@
         let is_newer = heartbeat.config > gateway.version();
         let (end, digest, wants_reply) =
             (heartbeat.registry_end, heartbeat.registry_digest, heartbeat.wants_reply);
+        // Before the configuration can be fetched, so that no daemon becomes ready without it.
+        gateway.adopt_evacuations(&heartbeat.evacuations, from);
         let events = gateway.peers.borrow_mut().record_heartbeat(now, from, heartbeat);
         self.handle_events(&events);
         if events.iter().any(|it| matches!(it, Event::Joined(_))) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -54,6 +54,13 @@
     pub ok: &'static str,
 }
 
+/// Labels of evacuated failure domains.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Evacuation {
+    /// The domain.
+    pub domain: String,
+}
+
 /// Counters, gauges and histograms of one daemon.
 #[derive(Debug)]
 pub struct Metrics {
@@ -77,6 +84,10 @@
     pub peers: Gauge,
     /// Version of the configuration in force.
     pub config_version: Gauge,
+    /// Evacuated failure domains.
+    pub evacuated_domains: Gauge,
+    /// Unix time in seconds since when this daemon has known that a failure domain is evacuated.
+    pub evacuated_since: Family<Evacuation, Gauge>,
     registry: Registry,
 }
 
@@ -93,6 +104,8 @@
             connections: Gauge::default(),
             peers: Gauge::default(),
             config_version: Gauge::default(),
+            evacuated_domains: Gauge::default(),
+            evacuated_since: Family::default(),
             registry: Registry::with_prefix("fireflydrum"),
         };
         res.register();
@@ -141,6 +154,10 @@
         it.register("connections", "Connections of callers", self.connections.clone());
         it.register("peers", "Peers that are alive", self.peers.clone());
         it.register("config_version", "Configuration in force", self.config_version.clone());
+        let evacuated = self.evacuated_domains.clone();
+        it.register("evacuated_domains", "Failure domains that are evacuated", evacuated);
+        let since = self.evacuated_since.clone();
+        it.register("evacuated_since_seconds", "Unix time of the evacuation's begin", since);
     }
 }
 
--- a/crates/gateway/src/peer/packet.rs
+++ b/crates/gateway/src/peer/packet.rs
@@ -7,7 +7,7 @@
     config::Version,
     load::{HostKey, Report},
     platform::Offset,
-    registry::{Change, Domain, Key, UpstreamId},
+    registry::{Change, Domain, Evacuations, Key, UpstreamId},
 };
 
 /// A datagram.
@@ -55,6 +55,8 @@
     /// Milliseconds since the store last confirmed to the sender which configuration is the newest,
     /// if it ever has.
     pub config_checked_ms: Option<u32>,
+    /// Evacuated failure domains as known to the sender.
+    pub evacuations: Evacuations,
     /// Offset up to which the sender has read the registry.
     pub registry_end: Offset,
     /// Digest of the sender's registry.
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -7,7 +7,11 @@
 
 use bytes::Bytes;
 
-use crate::{config::Config, registry::Registration, wire::Protocol};
+use crate::{
+    config::Config,
+    registry::{Domain, Registration},
+    wire::Protocol,
+};
 
 /// Position of a record in a topic.
 pub type Offset = u64;
@@ -64,7 +68,8 @@
 pub struct Batch {
     /// Records in the order in which they were written.
     pub records: Vec<Record>,
-    /// Offset after the last record.
+    /// Offset after the last record. Below the offset that was read from if the topic ends before
+    /// it, because the store's offsets have restarted.
     pub end: Offset,
 }
 
@@ -100,6 +105,10 @@
     /// The findings about the text, each with its place.
     fn config(&self, key: &str, value: &[u8]) -> Option<Result<Config, Vec<String>>>;
 
+    /// Decodes the key of a record of [`Topic::Config`] that evacuates a failure domain; returns `None`
+    /// if the key has another meaning. The domain may be empty or longer than permitted.
+    fn evacuation(&self, key: &str) -> Option<Domain>;
+
     /// Decodes a record of [`Topic::Upstreams`].
     ///
     /// # Errors
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -174,7 +174,8 @@
     let id = &upstream.id;
     let taking = gateway.pool.take(id, upstream.address, now, PROBE_TIMEOUT * 20, PROBE_TIMEOUT);
     let connection = taking.await.ok()?;
-    // The upstream may have withdrawn while the connection was opened.
+    // The upstream may have withdrawn, or its domain may have been evacuated, while the connection was
+    // opened.
     if !gateway.accepts_requests(upstream) {
         return None;
     }
@@ -189,7 +190,9 @@
         memory: &gateway.answer_memory,
     };
     let completed = exchange.run(connection).await.ok()?;
-    gateway.pool.put(id, gateway.now(), completed.connection, completed.keep_alive, idle_limit);
+    if !gateway.is_evacuated(&upstream.domain) {
+        gateway.pool.put(id, gateway.now(), completed.connection, completed.keep_alive, idle_limit);
+    }
     Some(completed.message)
 }
 
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -63,6 +63,10 @@
         let took = now.saturating_duration_since(started);
         let at = started.saturating_duration_since(self.received);
         let (outcome, result) = outcome_of(&end);
+        // That nothing was sent to an evacuated domain says nothing about the upstream.
+        let is_evacuated = self.gateway.is_evacuated(&reservation.upstream().domain);
+        let is_unsent = matches!(end, End::NotRun { sent: false, .. });
+        let outcome = if is_evacuated && is_unsent { Outcome::Cancelled } else { outcome };
         if outcome == Outcome::Success {
             let mut service = self.dispatcher.service.borrow_mut();
             service.record_answer(&id, reservation.serial(), &self.route.id, took);
@@ -95,7 +99,8 @@
             Ok(it) => it,
             Err(e) => return not_sent(format!("no connection: {e}")),
         };
-        // The upstream may have begun to leave while the connection was opened.
+        // The upstream may have begun to leave, or its domain may have been evacuated, while the
+        // connection was opened.
         if !reservation.accepts_requests(gateway.now()) {
             return not_sent("the upstream takes no requests".to_owned());
         }
@@ -118,8 +123,10 @@
         match exchange.run(connection).await {
             Ok(it) => {
                 self.report(upstream, &it.message);
-                let idle = self.dispatcher.idle_limit();
-                gateway.pool.put(&upstream.id, gateway.now(), it.connection, it.keep_alive, idle);
+                if !gateway.is_evacuated(&upstream.domain) {
+                    let (now, idle) = (gateway.now(), self.dispatcher.idle_limit());
+                    gateway.pool.put(&upstream.id, now, it.connection, it.keep_alive, idle);
+                }
                 self.classify(it.message)
             }
             Err(Failure::NotSent(it)) => not_sent(it),
--- a/crates/gateway/tests/peer_table.rs
+++ b/crates/gateway/tests/peer_table.rs
@@ -5,7 +5,10 @@
     time::{Duration, Instant},
 };
 
-use gateway::peer::{Capacity, Event, Heartbeat, Phase, Sharers, Table};
+use gateway::{
+    peer::{Capacity, Event, Heartbeat, Phase, Sharers, Table},
+    registry::Evacuations,
+};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -24,6 +27,7 @@
         is_active: false,
         config: 1,
         config_checked_ms: None,
+        evacuations: Evacuations::default(),
         registry_end: 0,
         registry_digest: 0,
         peers: Vec::new(),
