gateway: keys of tenants, tenant header, 401, and priority of tenants

A configuration may have tenants, whose requests carry a key. The keys were decoded but not used: every request ran without one, and the credential header went to the upstream.

A request on a route that is not public now needs exactly one credential header with a known key, or it is refused with 401 before it uses the queue, probes or budgets. The credential header and the caller's own tenant header are never forwarded, whatever their case, also with `_` for `-`, and also without tenants; the daemon sets the tenant header. A tenant's priority takes precedence over the route's in dispatch.

Just before an attempt is written, the request is checked against the configuration then in force if that has changed: a key that was withdrawn or moved gives 401, a removed route 404, and a route that no longer leads to this service, or that may run only once after an attempt that may have run, 503 route-changed. None of these is sent after an attempt that may have run; then the earlier result is reported.

The quota is a function that always allows for now.

--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,6 +1,8 @@
 //! Configuration published by operators: routes, services and limits on callers.
 
 mod idempotence;
+mod key_digest;
+mod key_index;
 mod limits;
 mod role;
 mod route;
@@ -10,11 +12,12 @@
 use std::{sync::Arc, time::Duration};
 
 pub use idempotence::Idempotence;
+pub use key_digest::KeyDigest;
 pub use limits::Limits;
 pub use role::Role;
 pub use route::{Part, Route};
 pub use table::Table;
-pub use tenant::{KeyDigest, Tenant};
+pub use tenant::Tenant;
 
 /// Version of a configuration; it only increases.
 pub type Version = u64;
--- /dev/null
+++ b/crates/gateway/src/config/key_index.rs
@@ -0,0 +1,32 @@
+//! Lookup of tenants by their keys.
+
+use std::{collections::HashMap, sync::Arc};
+
+use super::{KeyDigest, Tenant};
+
+/// Tenants by the digests of their keys. The cost of a lookup does not depend on the number of keys.
+#[derive(Debug)]
+pub(super) struct KeyIndex {
+    by_prefix: HashMap<[u8; 8], Vec<(KeyDigest, Arc<Tenant>)>>,
+}
+
+impl KeyIndex {
+    /// Indexes the keys of `tenants`. A key of several tenants belongs to the first of them.
+    pub(super) fn new(tenants: Vec<Tenant>) -> Self {
+        let mut res = Self { by_prefix: HashMap::new() };
+        for it in tenants.into_iter().map(Arc::new) {
+            for key in &it.keys {
+                if res.find(key).is_none() {
+                    res.by_prefix.entry(key.prefix()).or_default().push((*key, Arc::clone(&it)));
+                }
+            }
+        }
+        res
+    }
+
+    /// Tenant with the key whose digest is `digest`. Whole digests are compared in constant time.
+    pub(super) fn find(&self, digest: &KeyDigest) -> Option<&Arc<Tenant>> {
+        let candidates = self.by_prefix.get(&digest.prefix())?;
+        candidates.iter().find(|(key, _)| key == digest).map(|(_, tenant)| tenant)
+    }
+}
--- a/crates/gateway/src/config/table.rs
+++ b/crates/gateway/src/config/table.rs
@@ -1,8 +1,10 @@
-//! Lookup of the route of a request.
+//! Lookup of the route and the tenant of a request.
 
 use std::{collections::HashMap, sync::Arc};
 
-use super::{Config, Limits, Route, Service, ServiceId, Version};
+use super::{
+    Config, KeyDigest, Limits, Route, Service, ServiceId, Tenant, Version, key_index::KeyIndex,
+};
 
 /// A configuration prepared for request handling; it is replaced as a whole.
 #[derive(Debug, Default)]
@@ -14,6 +16,7 @@
     /// Services by name.
     pub services: HashMap<ServiceId, Service>,
     hosts: HashMap<String, Prefixes>,
+    keys: Option<KeyIndex>,
 }
 
 #[derive(Debug, Default)]
@@ -30,6 +33,7 @@
             limits: config.limits,
             services: config.services.into_iter().map(|it| (it.id.clone(), it)).collect(),
             hosts: HashMap::new(),
+            keys: config.tenants.map(KeyIndex::new),
         };
         for it in config.routes {
             let prefixes = res.hosts.entry(it.host.clone()).or_default();
@@ -53,6 +57,19 @@
         prefix_ends.into_iter().find_map(|(it, _)| prefixes.routes.get(&path[..=it]))
     }
 
+    /// Whether the configuration has tenants, so that requests need a key except on public routes.
+    #[must_use]
+    pub fn has_tenants(&self) -> bool {
+        self.keys.is_some()
+    }
+
+    /// Tenant with the key `key`.
+    #[must_use]
+    pub fn tenant(&self, key: &[u8]) -> Option<&Arc<Tenant>> {
+        // Without tenants, the digest is not computed.
+        self.keys.as_ref()?.find(&KeyDigest::new(key))
+    }
+
     /// All routes.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.hosts.values().flat_map(|it| it.routes.values())
--- a/crates/gateway/src/decision/trace.rs
+++ b/crates/gateway/src/decision/trace.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    config::{RouteId, ServiceId, Version},
+    config::{RouteId, ServiceId, TenantId, Version},
     registry::UpstreamId,
 };
 
@@ -46,6 +46,8 @@
     pub version: Version,
     /// Route that matched.
     pub route: Option<RouteId>,
+    /// Tenant of the request, if it has one.
+    pub tenant: Option<TenantId>,
     /// Service chosen for the request.
     pub service: Option<ServiceId>,
     /// Time until the first upstream was chosen.
@@ -66,6 +68,7 @@
             time_left: Duration::ZERO,
             version: 0,
             route: None,
+            tenant: None,
             service: None,
             waited: Duration::ZERO,
             attempts: Vec::new(),
@@ -90,11 +93,12 @@
     pub fn log_line(&self, status: u16, now: Instant) -> String {
         let attempts: Vec<_> = self.attempts.iter().map(ToString::to_string).collect();
         format!(
-            "event=request id={} status={status} reason={} route={} service={} config={} left_ms={} \
+            "event=request id={} status={status} reason={} route={} tenant={} service={} config={} left_ms={} \
              waited_ms={} took_ms={} attempts=[{}]",
             self.id,
             if self.reason.is_empty() { "-" } else { self.reason },
             self.route.as_deref().unwrap_or("-"),
+            self.tenant.as_deref().map_or_else(|| "-".to_owned(), |it| printable(it.as_bytes())),
             self.service.as_deref().unwrap_or("-"),
             self.version,
             self.time_left.as_millis(),
--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -20,7 +20,7 @@
 pub use reservation::Reservation;
 
 use crate::{
-    config::{Route, RouteId, ServiceId},
+    config::{Route, RouteId, ServiceId, TenantId},
     load::{Budget, Eligibility, Queue, Service, Waiter},
     registry::UpstreamId,
 };
@@ -55,6 +55,10 @@
 pub struct Request<'a> {
     /// Route of the request.
     pub route: &'a Route,
+    /// Priority of the request, which may be that of its tenant; 0 is the most urgent.
+    pub priority: u8,
+    /// Tenant of the request, if it has one.
+    pub tenant: Option<TenantId>,
     /// Upstreams that it must not be sent to again.
     pub tried: &'a [UpstreamId],
     /// When the request was read.
@@ -160,12 +164,12 @@
     pub async fn wait(self: &Rc<Self>, now: Instant, request: &Request<'_>) -> Result<Reservation> {
         let service_time = self.expected_service_time(&request.route.id);
         self.check_open(now, request.tried)?;
-        let wait = self.expected_wait(now, request.route.priority, service_time);
+        let wait = self.expected_wait(now, request.priority, service_time);
         let time_left = request.deadline.saturating_duration_since(now);
         if wait > time_left.saturating_sub(service_time).mul_f64(MAX_WAIT_SHARE) {
             return Err(Refusal::overload(retry_after(wait)));
         }
-        let priority = request.route.priority;
+        let priority = request.priority;
         let target = request.received + request.route.target_latency;
         let waiter =
             Waiter { priority, since: now, target, deadline: request.deadline, service_time };
--- a/crates/gateway/src/http/write.rs
+++ b/crates/gateway/src/http/write.rs
@@ -7,16 +7,19 @@
 use super::Message;
 
 /// Serializes a request to an upstream: the caller's request with `extra` headers, which replace
-/// those of the same name.
+/// those of the same name, and without the headers called one of `removed`.
+///
+/// Some servers treat `_` in a header name as `-`, so names that differ only in this are replaced
+/// and removed as well.
 #[must_use]
-pub fn request(message: &Message, extra: &[(&str, &str)]) -> Vec<u8> {
+pub fn request(message: &Message, extra: &[(&str, &str)], removed: &[&str]) -> Vec<u8> {
     let head = &message.head;
     let mut out = Vec::with_capacity(256 + head.headers.len() * 48 + message.body.len());
     out.extend_from_slice(&head.method);
     out.push(b' ');
     out.extend_from_slice(&head.target);
     out.extend_from_slice(b" HTTP/1.1\r\n");
-    forward(&mut out, message, extra);
+    forward(&mut out, message, extra, removed);
     let has_body = !message.body.is_empty() || matches!(&*head.method, b"POST" | b"PUT" | b"PATCH");
     finish(&mut out, &message.body, has_body);
     out
@@ -30,7 +33,7 @@
     let head = &message.head;
     let mut out = Vec::with_capacity(256 + head.headers.len() * 48 + message.body.len());
     write(&mut out, format_args!("HTTP/1.1 {} {}\r\n", head.status, reason_phrase(head.status)));
-    forward(&mut out, message, &[]);
+    forward(&mut out, message, &[], &[]);
     if is_last {
         out.extend_from_slice(b"Connection: close\r\n");
     }
@@ -45,10 +48,10 @@
 
 static EMPTY: Bytes = Bytes::new();
 
-fn forward(out: &mut Vec<u8>, message: &Message, extra: &[(&str, &str)]) {
+fn forward(out: &mut Vec<u8>, message: &Message, extra: &[(&str, &str)], removed: &[&str]) {
     for it in &message.head.headers {
-        let is_replaced =
-            extra.iter().any(|(name, _)| it.name.eq_ignore_ascii_case(name.as_bytes()));
+        let is_replaced = extra.iter().any(|(name, _)| is_same_name(&it.name, name))
+            || removed.iter().any(|name| is_same_name(&it.name, name));
         let is_length = it.name.eq_ignore_ascii_case(b"content-length");
         if is_replaced || is_length || message.head.is_hop_by_hop(it) {
             continue;
@@ -63,6 +66,12 @@
     }
 }
 
+/// Whether an upstream may take `name` for `known`, in any case and with `_` for `-`.
+fn is_same_name(name: &[u8], known: &str) -> bool {
+    let normal = |it: &u8| if *it == b'_' { b'-' } else { it.to_ascii_lowercase() };
+    name.len() == known.len() && name.iter().map(normal).eq(known.as_bytes().iter().map(normal))
+}
+
 fn finish(out: &mut Vec<u8>, body: &Bytes, has_length: bool) {
     if has_length {
         write(out, format_args!("Content-Length: {}\r\n", body.len()));
@@ -84,6 +93,7 @@
         204 => "No Content",
         304 => "Not Modified",
         400 => "Bad Request",
+        401 => "Unauthorized",
         404 => "Not Found",
         408 => "Request Timeout",
         413 => "Content Too Large",
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -178,7 +178,7 @@
     if !gateway.accepts_requests(upstream) {
         return None;
     }
-    let bytes = http::request(&message(upstream, path), &[]);
+    let bytes = http::request(&message(upstream, path), &[], &[]);
     let names = &gateway.protocol.names;
     let exchange = Exchange {
         bytes: &bytes,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,8 +1,9 @@
-//! Handles a request: route lookup, time limit, admission, attempts, reply.
+//! Handles a request: route lookup, key, quota, time limit, capacity, attempts, reply.
 //!
 //! A status that promises that the request has not run (429, 503, 408, 421) is sent only if no
 //! attempt can have run.
 
+mod admission;
 mod attempts;
 mod forward;
 mod guard;
@@ -11,15 +12,17 @@
 
 use std::{
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
+use admission::Admission;
 pub use guard::Guard;
 pub use refusal::Refusal;
 pub use reply::Reply;
 
 use crate::{
-    config::{Route, Table},
+    config::{Route, Table, Tenant},
     decision::Trace,
     gateway::Gateway,
     http::{Head, Message},
@@ -53,13 +56,20 @@
     received: Instant,
     trace: &mut Trace,
 ) -> Result<Message> {
+    let names = gateway.protocol.names;
     let table = gateway.table().ok_or_else(Refusal::not_ready)?;
     trace.version = table.version;
     let route = find(&table, &message.head)?;
     trace.route = Some(route.id.clone());
-    let time_left = time_left(&message.head, gateway.protocol.names.deadline_ms, &route)?;
+    let admission = Admission::new(table, route, &message.head, names)?;
+    let route = &admission.route;
+    let time_left = time_left(&message.head, names.deadline_ms, route)?;
     trace.time_left = time_left;
-    let service = gateway.choose_service(&route).ok_or_else(Refusal::no_upstream)?;
+    if let Some(it) = &admission.tenant {
+        trace.tenant = Some(it.id.clone());
+        quota(gateway, it)?;
+    }
+    let service = gateway.choose_service(route).ok_or_else(Refusal::no_upstream)?;
     trace.service = Some(service.clone());
     let dispatcher = gateway.dispatcher(&service).ok_or_else(Refusal::no_upstream)?;
     let mut deadline = received + time_left;
@@ -73,9 +83,9 @@
     dispatcher.budget.borrow_mut().record_request(received);
     let context = attempts::Context {
         gateway,
-        table: &table,
+        admission: &admission,
         dispatcher: &dispatcher,
-        route: &route,
+        route,
         message: &message,
         received,
         deadline,
@@ -83,7 +93,13 @@
     attempts::run(&context, trace).await
 }
 
-fn find(table: &Table, head: &Head) -> Result<Rc<Route>> {
+/// Charges a request to the quota of its tenant.
+#[expect(clippy::unnecessary_wraps, reason = "quotas are not limited yet")]
+fn quota(_gateway: &Gateway, _tenant: &Tenant) -> Result<()> {
+    Ok(())
+}
+
+fn find(table: &Table, head: &Head) -> Result<Arc<Route>> {
     let mut hosts = head.all("host");
     let host = hosts.next().and_then(|it| std::str::from_utf8(it).ok());
     let host = host.filter(|_| hosts.next().is_none());
@@ -91,8 +107,7 @@
     let target = std::str::from_utf8(&head.target)
         .map_err(|_e| Refusal::bad_request("target that is no text"))?;
     let path = path_of(target);
-    let route = table.find(host, path).ok_or_else(Refusal::no_route)?;
-    Ok(Rc::new(Route::clone(route)))
+    table.find(host, path).map(Arc::clone).ok_or_else(Refusal::no_route)
 }
 
 /// Path of a target in origin form, or in absolute form, as sent to proxies.
--- /dev/null
+++ b/crates/gateway/src/request/admission.rs
@@ -0,0 +1,84 @@
+//! Route and tenant of a request under a configuration.
+
+use std::{rc::Rc, sync::Arc};
+
+use super::{Refusal, Result};
+use crate::{
+    config::{Route, Table, Tenant},
+    http::Head,
+    wire::Names,
+};
+
+/// Route and tenant of a request that a configuration allows.
+pub(super) struct Admission {
+    /// The configuration.
+    pub(super) table: Rc<Table>,
+    /// Route that matches.
+    pub(super) route: Arc<Route>,
+    /// Tenant with the request's key; always present on routes that need a key.
+    pub(super) tenant: Option<Arc<Tenant>>,
+}
+
+impl Admission {
+    /// Finds route and tenant of a request.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a request without a route, or without a valid key on a route that needs one.
+    pub(super) fn new(
+        table: Rc<Table>,
+        route: Arc<Route>,
+        head: &Head,
+        names: Names,
+    ) -> Result<Self> {
+        let tenant = tenant(&table, &route, head, names.credential)?;
+        Ok(Self { table, route, tenant })
+    }
+
+    /// Checks a request that was admitted under an earlier configuration and is about to be sent to
+    /// an upstream of `service`. `may_have_run` says whether it may run already.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a request that this configuration does not allow, or allows only as that of another
+    /// tenant, at another service, or once.
+    pub(super) fn check_earlier(
+        &self,
+        earlier: &Self,
+        service: &str,
+        may_have_run: bool,
+    ) -> Result<()> {
+        let has_moved = earlier
+            .tenant
+            .as_ref()
+            .is_some_and(|earlier| self.tenant.as_ref().is_some_and(|it| it.id != earlier.id));
+        if has_moved && !self.route.is_public {
+            return Err(Refusal::unauthorized());
+        }
+        let serves = self.route.parts.iter().any(|it| &*it.service == service);
+        if !serves || may_have_run && !self.route.idempotence.is_idempotent() {
+            return Err(Refusal::route_changed());
+        }
+        Ok(())
+    }
+
+    /// Priority of the request: that of its tenant, if it has one, or else that of the route.
+    pub(super) fn priority(&self) -> u8 {
+        self.tenant.as_ref().and_then(|it| it.priority).unwrap_or(self.route.priority)
+    }
+}
+
+/// Finds the tenant of a request from the header `name`, which must occur exactly once and hold
+/// nothing but the key. Returns `None` if the request needs no key and carries no valid one.
+fn tenant(table: &Table, route: &Route, head: &Head, name: &str) -> Result<Option<Arc<Tenant>>> {
+    if !table.has_tenants() {
+        return Ok(None);
+    }
+    let mut keys = head.all(name);
+    let key = keys.next().filter(|it| !it.is_empty() && keys.next().is_none());
+    match key.and_then(|it| table.tenant(it)) {
+        Some(it) => Ok(Some(Arc::clone(it))),
+        None if route.is_public => Ok(None),
+        None => Err(Refusal::unauthorized()),
+    }
+}
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -9,11 +9,11 @@
 use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 
 use super::{
-    Refusal, Result,
+    Admission, Refusal, Result,
     forward::{End, Finished, Forward},
 };
 use crate::{
-    config::{Route, Table},
+    config::Route,
     decision::{Attempt, Trace},
     dispatcher::{Dispatcher, Request, Reservation},
     gateway::Gateway,
@@ -38,8 +38,8 @@
 pub(super) struct Context<'a> {
     /// State of the daemon.
     pub gateway: &'a Rc<Gateway>,
-    /// Configuration under which the request was accepted.
-    pub table: &'a Table,
+    /// Route and tenant under which the request was accepted.
+    pub admission: &'a Admission,
     /// Dispatcher of the service that answers.
     pub dispatcher: &'a Rc<Dispatcher>,
     /// Route of the request.
@@ -146,8 +146,15 @@
     }
 
     fn request(&self) -> Request<'_> {
-        let Context { route, received, deadline, .. } = *self.context;
-        Request { route, tried: &self.tried, received, deadline }
+        let Context { admission, route, received, deadline, .. } = *self.context;
+        Request {
+            route,
+            priority: admission.priority(),
+            tenant: admission.tenant.as_ref().map(|it| it.id.clone()),
+            tried: &self.tried,
+            received,
+            deadline,
+        }
     }
 
     /// Waits for an upstream that can take the request.
@@ -160,10 +167,10 @@
     }
 
     async fn reserve(&self) -> Result<Reservation> {
-        let Context { gateway, table, dispatcher, route, .. } = *self.context;
+        let Context { gateway, admission, dispatcher, route, .. } = *self.context;
         if dispatcher.queue_len() == 0 {
             let eligibility =
-                probe::refresh(gateway, table, dispatcher, &route.id, &self.tried).await;
+                probe::refresh(gateway, &admission.table, dispatcher, &route.id, &self.tried).await;
             if let Some(it) = dispatcher.try_reserve(self.now(), &self.request(), eligibility) {
                 return Ok(it);
             }
@@ -190,11 +197,11 @@
 
     /// Reserves an upstream for a hedge if budget and load allow it.
     async fn hedge(&self) -> Option<Reservation> {
-        let Context { gateway, table, dispatcher, route, .. } = *self.context;
+        let Context { gateway, admission, dispatcher, route, .. } = *self.context;
         if self.sent >= route.attempt_limit {
             return None;
         }
-        probe::refresh(gateway, table, dispatcher, &route.id, &self.tried).await;
+        probe::refresh(gateway, &admission.table, dispatcher, &route.id, &self.tried).await;
         let reservation =
             dispatcher.try_reserve(self.now(), &self.request(), Eligibility::Normal)?;
         // If the budget is exhausted, dropping the reservation releases it.
@@ -207,12 +214,23 @@
         reservation: Reservation,
         cause: &'static str,
     ) -> LocalBoxFuture<'a, Finished> {
+        let may_have_run = self.may_have_run || !self.active.is_empty();
         self.tried.push(reservation.upstream().id.clone());
         self.active.push((reservation.upstream().id.clone(), reservation.started()));
         self.sent += 1;
-        let Context { gateway, dispatcher, route, message, received, deadline, .. } = *self.context;
+        let Context { gateway, admission, dispatcher, route, message, received, deadline } =
+            *self.context;
         gateway.metrics.attempt(&dispatcher.id, cause);
-        let forward = Forward { gateway, dispatcher, route, message, received, deadline };
+        let forward = Forward {
+            gateway,
+            admission,
+            dispatcher,
+            route,
+            message,
+            received,
+            deadline,
+            may_have_run,
+        };
         Box::pin(forward.run(reservation))
     }
 
@@ -236,6 +254,15 @@
                 }
                 message
             }
+            End::Refused(refusal) => {
+                self.sent -= 1;
+                // Another attempt would be refused for the same reason.
+                return match (others, self.may_have_run) {
+                    (1.., _) => None,
+                    (0, true) => Some(self.give_up(refusal.message).map(Next::Answer)),
+                    (0, false) => Some(Err(refusal)),
+                };
+            }
             End::Unknown(message) => {
                 self.may_have_run = true;
                 if !route.idempotence.is_idempotent() {
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -2,11 +2,13 @@
 
 use std::{
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
+use super::{Admission, Refusal, Result, find};
 use crate::{
-    config::Route,
+    config::{Route, Tenant},
     decision::Attempt,
     dispatcher::{Dispatcher, Reservation},
     gateway::Gateway,
@@ -32,6 +34,8 @@
     Answer(Message),
     /// The request has not run; `sent` says whether it was sent to the upstream.
     NotRun { message: String, sent: bool },
+    /// The request was not sent, since the configuration now in force does not allow it.
+    Refused(Refusal),
     /// No complete answer was received and the request may have run.
     Unknown(String),
 }
@@ -45,11 +49,15 @@
 /// One attempt at an upstream.
 pub(super) struct Forward<'a> {
     pub(super) gateway: &'a Rc<Gateway>,
+    /// Route and tenant under which the request was accepted.
+    pub(super) admission: &'a Admission,
     pub(super) dispatcher: &'a Rc<Dispatcher>,
     pub(super) route: &'a Route,
     pub(super) message: &'a Message,
     pub(super) received: Instant,
     pub(super) deadline: Instant,
+    /// Whether other attempts may have run when this one started.
+    pub(super) may_have_run: bool,
 }
 
 impl Forward<'_> {
@@ -99,6 +107,11 @@
         if !reservation.accepts_requests(gateway.now()) {
             return not_sent("the upstream takes no requests".to_owned());
         }
+        // Another configuration may have come into force since the request was read.
+        let tenant = match self.tenant_now() {
+            Ok(it) => it,
+            Err(it) => return End::Refused(it),
+        };
         let left = self.deadline.saturating_duration_since(gateway.now()).as_millis();
         if left == 0 {
             return not_sent("no time left".to_owned());
@@ -106,7 +119,9 @@
         let names = gateway.protocol.names;
         let left = left.to_string();
         let extra = [(names.deadline_ms, &*left), (names.expected_instance, &*upstream.id)];
-        let bytes = http::request(self.message, &extra);
+        let tenant = tenant.as_ref().map(|it| (names.tenant, &*it.id));
+        let extra: Vec<_> = extra.into_iter().chain(tenant).collect();
+        let bytes = http::request(self.message, &extra, &[names.credential, names.tenant]);
         let exchange = Exchange {
             bytes: &bytes,
             method: &self.message.head.method,
@@ -127,6 +142,23 @@
         }
     }
 
+    /// Tenant of the request under the configuration now in force.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a request that this configuration does not allow as it was accepted.
+    fn tenant_now(&self) -> Result<Option<Arc<Tenant>>> {
+        let table = self.gateway.table().ok_or_else(Refusal::not_ready)?;
+        if Rc::ptr_eq(&table, &self.admission.table) {
+            return Ok(self.admission.tenant.clone());
+        }
+        let head = &self.message.head;
+        let route = find(&table, head)?;
+        let now = Admission::new(table, route, head, self.gateway.protocol.names)?;
+        now.check_earlier(self.admission, &self.dispatcher.id, self.may_have_run)?;
+        Ok(now.tenant)
+    }
+
     fn report(&self, upstream: &Registration, answer: &Message) {
         self.gateway.record_notice(upstream, &answer.head);
         let load = answer.head.get(self.gateway.protocol.names.load);
@@ -169,6 +201,7 @@
             let outcome = if *sent { Outcome::Refused } else { Outcome::Failure };
             (outcome, message.replace(' ', "-"))
         }
+        End::Refused(it) => (Outcome::Cancelled, it.reason.to_owned()),
         End::Unknown(message) => (Outcome::Failure, message.replace(' ', "-")),
     }
 }
--- a/crates/gateway/src/request/refusal.rs
+++ b/crates/gateway/src/request/refusal.rs
@@ -10,6 +10,9 @@
 /// `Retry-After` while the daemon is leaving: other hosts serve, and the directory lists only them.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(100);
 
+/// `Retry-After` for a request whose route has changed while it waited: the new route is in force.
+const ROUTE_CHANGED_RETRY_AFTER: Duration = Duration::from_millis(20);
+
 /// An error answer of the daemon itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Refusal {
@@ -37,6 +40,28 @@
         Self { status: 404, reason: "no-route", message, retry_after: None }
     }
 
+    /// The request carries no key of a tenant, or more than one.
+    #[must_use]
+    pub fn unauthorized() -> Self {
+        let message = "the request does not carry the key of a tenant".to_owned();
+        Self { status: 401, reason: "unauthorized", message, retry_after: None }
+    }
+
+    /// The tenant has used up its quota.
+    #[must_use]
+    pub fn quota(retry_after: Duration) -> Self {
+        let message = "the request was not run: the tenant's quota is used up".to_owned();
+        Self { status: 429, reason: "quota", message, retry_after: Some(retry_after) }
+    }
+
+    /// The configuration has changed while the request waited, so that it can't run as it was
+    /// accepted. A new attempt of the caller runs under the new configuration.
+    #[must_use]
+    pub fn route_changed() -> Self {
+        let message = "the request was not run: its route has changed meanwhile".to_owned();
+        Self::not_run("route-changed", message, ROUTE_CHANGED_RETRY_AFTER)
+    }
+
     /// The daemon has no configuration yet.
     #[must_use]
     pub fn not_ready() -> Self {
--- a/crates/gateway/src/request/reply.rs
+++ b/crates/gateway/src/request/reply.rs
@@ -43,6 +43,9 @@
         if let Some((name, id)) = id {
             headers.push(header(name, id.clone()));
         }
+        if refusal.status == 401 {
+            headers.push(header("WWW-Authenticate", Bytes::from_static(b"Key")));
+        }
         if let Some(it) = refusal.retry_after {
             headers.push(header("Retry-After", format!("{:.3}", it.as_secs_f64()).into()));
         }
--- a/crates/gateway/tests/message_reading.rs
+++ b/crates/gateway/tests/message_reading.rs
@@ -84,7 +84,7 @@
     let text = "GET /a?b HTTP/1.1\r\nHost: h\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\n\
                 X-End: 2\r\nDeadline: 9\r\n\r\n";
     let message = read(text).unwrap().unwrap();
-    let sent = String::from_utf8(http::request(&message, &[("deadline", "5")])).unwrap();
+    let sent = String::from_utf8(http::request(&message, &[("deadline", "5")], &[])).unwrap();
     assert_eq!(sent, "GET /a?b HTTP/1.1\r\nHost: h\r\nX-End: 2\r\ndeadline: 5\r\n\r\n");
 }
 
