--- a/crates/gateway/src/gateway/evacuation.rs
+++ b/crates/gateway/src/gateway/evacuation.rs
@@ -1,6 +1,7 @@
 //! Evacuation of failure domains: the state in force and its effect on the services.
 
 use std::{
+    borrow::Cow,
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet, HashSet},
     net::SocketAddr,
@@ -127,8 +128,8 @@
         let registry = self.registry.borrow();
         for domain in domains {
             if !registry.entries().any(|it| it.domain == domain) {
-                let domain = ini::excerpt(&domain);
-                self.report_evacuation_finding(&format!("unknown-domain domain={domain:?}"));
+                let domain = printable(&domain);
+                self.report_evacuation_finding(&format!("unknown-domain domain={domain}"));
             }
         }
     }
@@ -200,8 +201,8 @@
         self.metrics.evacuated_since.get_or_create(&label).set(seconds);
         log::info!(
             target: "belief",
-            "event=evacuation domain={:?} state=began epoch={} offset={} since={:.3} source={source}",
-            ini::excerpt(domain), stamp.epoch, stamp.end, since.as_secs_f64()
+            "event=evacuation domain={} state=began epoch={} offset={} since={:.3} source={source}",
+            printable(domain), stamp.epoch, stamp.end, since.as_secs_f64()
         );
     }
 
@@ -212,8 +213,17 @@
         self.metrics.evacuated_since.remove(&label);
         log::info!(
             target: "belief",
-            "event=evacuation domain={:?} state=ended epoch={} offset={} lasted_ms={} source={source}",
-            ini::excerpt(domain), stamp.epoch, stamp.end, lasted.as_millis()
+            "event=evacuation domain={} state=ended epoch={} offset={} lasted_ms={} source={source}",
+            printable(domain), stamp.epoch, stamp.end, lasted.as_millis()
         );
     }
 }
+
+/// A name for log lines: quoted and escaped unless it is a word.
+fn printable(domain: &str) -> Cow<'_, str> {
+    if domain.chars().all(|it| it.is_ascii_graphic() && it != '"') {
+        Cow::Borrowed(domain)
+    } else {
+        Cow::Owned(format!("{domain:?}"))
+    }
+}
