platform, gateway: configurations of which a part can't be used

One malformed element, or a route to a service that does not exist, took the whole configuration away and with it the withdrawal of keys. Messages of the JSON library showed values, which may be keys.

Findings are bounded, logged once for each version and counted. Dumps of headers, records and digests omit their values.

--- a/crates/gateway/src/follow/configuration.rs
+++ b/crates/gateway/src/follow/configuration.rs
@@ -5,6 +5,8 @@
     time::{Duration, Instant},
 };
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::{Availability, CALL_TIMEOUT, call};
 use crate::{
     config::Role,
@@ -38,6 +40,8 @@
     started: Instant,
     end: Option<Offset>,
     pause: Duration,
+    /// Hash of the last configuration that was rejected, whose findings are logged only once.
+    rejected: Option<u64>,
     /// When this daemon may read again although it is not one of the readers.
     stale_read_from: Instant,
 }
@@ -49,7 +53,17 @@
         let availability = Availability::default();
         let started = gateway.now();
         let (pause, stale_read_from) = (MIN_RETRY_PAUSE, started);
-        Self { gateway, platform, shared, availability, started, end: None, pause, stale_read_from }
+        Self {
+            gateway,
+            platform,
+            shared,
+            availability,
+            started,
+            end: None,
+            pause,
+            rejected: None,
+            stale_read_from,
+        }
     }
 
     /// Runs until the task is dropped.
@@ -182,12 +196,18 @@
         }
     }
 
-    fn apply_record(&self, record: &crate::platform::Record, source: &str) {
+    fn apply_record(&mut self, record: &crate::platform::Record, source: &str) {
         let Some(value) = &record.value else { return };
         let Some(res) = self.platform.config(&record.key, value) else { return };
         let config = match res {
             Ok(it) => it,
             Err(findings) => {
+                // The same record is read again after failed calls.
+                let hash = Some(xxh3_64(value));
+                if std::mem::replace(&mut self.rejected, hash) == hash {
+                    return;
+                }
+                self.gateway.metrics.config_findings.inc_by(findings.len() as u64);
                 log::error!(
                     target: "belief",
                     "event=config-rejected source={source} findings=\"{}\"", findings.join("; ")
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -235,6 +235,7 @@
             return false;
         }
         let (version, routes) = (config.version, config.routes.len());
+        self.metrics.config_findings.inc_by(config.findings.len() as u64);
         for it in &config.findings {
             log::warn!(target: "belief", "event=config-finding version={version} finding=\"{it}\"");
         }
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -1,6 +1,6 @@
 //! Heads of requests and answers.
 
-use std::ops::Range;
+use std::{fmt, ops::Range};
 
 use bytes::{Bytes, BytesMut};
 
@@ -27,7 +27,7 @@
 ];
 
 /// A header of a message.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Eq, PartialEq)]
 pub struct Header {
     /// Name, in the case received.
     pub name: Bytes,
@@ -35,6 +35,14 @@
     pub value: Bytes,
 }
 
+impl fmt::Debug for Header {
+    /// Omits the value, which may be a key.
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let name = String::from_utf8_lossy(&self.name);
+        write!(out, "{name:?}: {} bytes", self.value.len())
+    }
+}
+
 /// Head of a request or of an answer.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Head {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -77,6 +77,8 @@
     pub peers: Gauge,
     /// Version of the configuration in force.
     pub config_version: Gauge,
+    /// Findings about configurations, counted once per version.
+    pub config_findings: Counter,
     registry: Registry,
 }
 
@@ -93,6 +95,7 @@
             connections: Gauge::default(),
             peers: Gauge::default(),
             config_version: Gauge::default(),
+            config_findings: Counter::default(),
             registry: Registry::with_prefix("fireflydrum"),
         };
         res.register();
@@ -141,6 +144,8 @@
         it.register("connections", "Connections of callers", self.connections.clone());
         it.register("peers", "Peers that are alive", self.peers.clone());
         it.register("config_version", "Configuration in force", self.config_version.clone());
+        let findings = self.config_findings.clone();
+        it.register("config_findings", "Findings about configurations", findings);
     }
 }
 
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -3,7 +3,7 @@
 //! The adapter implements this and takes no decisions. Timeouts, retries and the handling of failed
 //! calls are up to the callers in this crate.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use bytes::Bytes;
 
@@ -48,8 +48,8 @@
     Malformed(String),
 }
 
-/// A record of a keyed topic.
-#[derive(Clone, Debug, Eq, PartialEq)]
+/// A record of a keyed topic. The value of a configuration holds the tenants' keys.
+#[derive(Clone, Eq, PartialEq)]
 pub struct Record {
     /// Offset in the topic.
     pub offset: Offset,
@@ -59,6 +59,15 @@
     pub value: Option<Bytes>,
 }
 
+impl fmt::Debug for Record {
+    /// Shows only the length of the value.
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let bytes = self.value.as_ref().map(Bytes::len);
+        let mut out = out.debug_struct("Record");
+        out.field("offset", &self.offset).field("key", &self.key).field("bytes", &bytes).finish()
+    }
+}
+
 /// Records of a topic and the offset of the next read.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Batch {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -71,6 +71,10 @@
     }
     let service = gateway.choose_service(route).ok_or_else(Refusal::no_upstream)?;
     trace.service = Some(service.clone());
+    // The dispatcher of a service that only an earlier configuration had may still be there.
+    if !admission.table.services.contains_key(&service) {
+        return Err(Refusal::no_upstream());
+    }
     let dispatcher = gateway.dispatcher(&service).ok_or_else(Refusal::no_upstream)?;
     let mut deadline = received + time_left;
     if let Some(it) = gateway.stop.schedule() {
--- a/crates/gateway/src/request/admission.rs
+++ b/crates/gateway/src/request/admission.rs
@@ -55,7 +55,8 @@
         if has_moved && !self.route.is_public {
             return Err(Refusal::unauthorized());
         }
-        let serves = self.route.parts.iter().any(|it| &*it.service == service);
+        let serves = self.table.services.contains_key(service)
+            && self.route.parts.iter().any(|it| &*it.service == service);
         if !serves || may_have_run && !self.route.idempotence.is_idempotent() {
             return Err(Refusal::route_changed());
         }
--- a/crates/gateway/src/rpc.rs
+++ b/crates/gateway/src/rpc.rs
@@ -2,6 +2,7 @@
 //! registry from a peer.
 
 use std::{
+    fmt,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
@@ -33,8 +34,8 @@
 /// Maximum number of peers called per fetch.
 const MAX_CALLED_PEERS: usize = 3;
 
-/// A record of a configuration, as in the store.
-#[derive(Clone, Debug, serde::Deserialize, serde::Serialize)]
+/// A record of a configuration, as in the store. Its value holds the tenants' keys.
+#[derive(Clone, serde::Deserialize, serde::Serialize)]
 pub struct Record {
     /// Key of the record.
     pub key: String,
@@ -42,6 +43,13 @@
     pub value: String,
 }
 
+impl fmt::Debug for Record {
+    /// Omits the value.
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.debug_struct("Record").field("key", &self.key).finish_non_exhaustive()
+    }
+}
+
 /// The registry as known to a daemon.
 #[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
 pub struct Snapshot {
