gateway: homes of routes

A route may name the regions that may serve it. Requests went to upstreams of any region, and the directory named hosts of any.

The domains inside the homes of a route are a filter on the choice of an upstream, the candidates for probes, and the check whether any accepts requests; hedges, retries and waiting requests pass the same filter. Without an upstream inside, requests are refused with 503 at once. The homes in force are checked again before an attempt is written. The directory names no host outside the homes of a name, and of the others those of the caller's region if there are any.

directory_choice.rs: hosts have a region, here none.

--- a/crates/gateway/src/config/table.rs
+++ b/crates/gateway/src/config/table.rs
@@ -1,9 +1,13 @@
 //! Lookup of the route and the tenant of a request.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+};
 
 use super::{
-    Config, KeyDigest, Limits, Route, Service, ServiceId, Tenant, Version, key_index::KeyIndex,
+    Config, KeyDigest, Limits, Region, Route, Service, ServiceId, Tenant, Version,
+    key_index::KeyIndex,
 };
 
 /// A configuration prepared for request handling; it is replaced as a whole.
@@ -70,6 +74,22 @@
         self.keys.as_ref()?.find(&KeyDigest::new(key))
     }
 
+    /// Regions whose hosts may be named to callers of `host`; `None` if all may.
+    ///
+    /// A host's routes may have different homes, and the path of a request is not known before it is
+    /// sent: the regions are those that all routes with homes have in common, or else those that any
+    /// has.
+    #[must_use]
+    pub fn homes(&self, host: &str) -> Option<BTreeSet<Region>> {
+        let host = host.split_once(':').map_or(host, |(name, _port)| name);
+        let prefixes = self.hosts.get(&host.to_ascii_lowercase())?;
+        let routes = prefixes.routes.values().filter(|it| !it.homes.is_empty());
+        let homes: Vec<BTreeSet<_>> = routes.map(|it| it.homes.iter().cloned().collect()).collect();
+        let common = homes.iter().cloned().reduce(|a, b| &a & &b)?;
+        let is_common = !common.is_empty();
+        Some(if is_common { common } else { homes.into_iter().flatten().collect() })
+    }
+
     /// All routes.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.hosts.values().flat_map(|it| it.routes.values())
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,8 +1,9 @@
 //! Directory of entry hosts for callers.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use crate::{
+    config::Region,
     gateway::Gateway,
     peer::{Capacity, Phase},
     request::{Refusal, Reply},
@@ -20,6 +21,9 @@
 /// one large body delays every other answer.
 const MIN_LINK_SHARE: f32 = 0.5;
 
+/// `Retry-After` while no host in the homes of a name is ready.
+const NO_HOST_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// An entry host that serves callers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Host {
@@ -27,6 +31,8 @@
     pub address: SocketAddr,
     /// Whether it is in the caller's failure domain.
     pub is_same_domain: bool,
+    /// Region that it is in, if that is known.
+    pub region: Option<Region>,
     /// Its capacity.
     pub capacity: Capacity,
 }
@@ -36,7 +42,16 @@
 pub fn answer(gateway: &Gateway, target: &[u8]) -> Reply {
     let domain = query_parameter(target, "zone").unwrap_or_default();
     let hash = usize::from(domain.bytes().fold(0, u8::wrapping_add));
-    let addresses = choose(ready_hosts(gateway, domain), hash);
+    let mut hosts = ready_hosts(gateway, domain);
+    let table = gateway.table();
+    let name = query_parameter(target, "name").unwrap_or_default();
+    let homes = table.and_then(|it| it.homes(name));
+    restrict(&mut hosts, query_parameter(target, "region"), homes.as_ref());
+    let addresses = choose(hosts, hash);
+    if addresses.is_empty() && homes.is_some() {
+        let message = "no entry host is ready in the regions of this name".to_owned();
+        return Reply::refuse(Refusal::not_run("no-host", message, NO_HOST_RETRY_AFTER), None);
+    }
     if addresses.is_empty() {
         return Reply::refuse(Refusal::not_ready(), None);
     }
@@ -44,6 +59,18 @@
     Reply::text(200, "application/json", (gateway.protocol.directory)(&addresses, keep))
 }
 
+/// Removes the hosts outside `homes`, also if none remains, and of the others those outside the
+/// caller's region, if any is inside.
+pub fn restrict(hosts: &mut Vec<Host>, region: Option<&str>, homes: Option<&BTreeSet<Region>>) {
+    if let Some(homes) = homes {
+        hosts.retain(|it| it.region.as_ref().is_some_and(|it| homes.contains(it)));
+    }
+    let is_near = |it: &Host| region.is_some() && it.region.as_deref() == region;
+    if hosts.iter().any(is_near) {
+        hosts.retain(is_near);
+    }
+}
+
 /// Selects the hosts for a caller: those in its failure domain with good links; some of other
 /// domains if these are too few; and hosts of its domain with slow links if the processors of the
 /// selected ones are too busy. A slow link in the same domain costs a caller more than the way to
@@ -101,13 +128,15 @@
         .map(|(_, it)| Host {
             address: it.heartbeat.caller_address,
             is_same_domain: &*it.heartbeat.domain == domain,
+            region: settings.region_of(&it.heartbeat.domain).cloned(),
             capacity: it.heartbeat.capacity,
         })
         .collect();
     if gateway.phase.get() == Phase::Ready {
         let is_same_domain = &*settings.domain == domain;
+        let region = settings.region_of(&settings.domain).cloned();
         let capacity = gateway.capacity();
-        res.push(Host { address: settings.caller_address, is_same_domain, capacity });
+        res.push(Host { address: settings.caller_address, is_same_domain, region, capacity });
     }
     res
 }
--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     config::{Route, RouteId, ServiceId, TenantId},
-    load::{Budget, Eligibility, Queue, Service, Waiter},
+    load::{Budget, Domains, Eligibility, Queue, Service, Waiter},
     registry::UpstreamId,
 };
 
@@ -59,6 +59,8 @@
     pub priority: u8,
     /// Tenant of the request, if it has one.
     pub tenant: Option<TenantId>,
+    /// Failure domains whose upstreams it may be sent to.
+    pub domains: Domains,
     /// Upstreams that it must not be sent to again.
     pub tried: &'a [UpstreamId],
     /// When the request was read.
@@ -71,6 +73,7 @@
 struct Waiting {
     reply: oneshot::Sender<Result<Reservation>>,
     route: RouteId,
+    domains: Domains,
     tried: Vec<UpstreamId>,
 }
 
@@ -84,6 +87,8 @@
     pub budget: RefCell<Budget>,
     queue: RefCell<Queue>,
     waiting: RefCell<HashMap<u64, Waiting>>,
+    /// Number of waiting requests that may be sent to some failure domains only.
+    restricted: Cell<usize>,
     daemon_count: Cell<u32>,
     connection_limit: Cell<u32>,
     clock: Arc<dyn Clock>,
@@ -107,6 +112,7 @@
             budget: RefCell::new(budget),
             queue: RefCell::default(),
             waiting: RefCell::default(),
+            restricted: Cell::new(0),
             daemon_count: Cell::new(1),
             connection_limit: Cell::new(0),
             clock,
@@ -152,7 +158,7 @@
         if !self.queue.borrow().is_empty() {
             return None;
         }
-        self.reserve(now, &request.route.id, request.tried, eligibility)
+        self.reserve(now, &request.route.id, request.tried, &request.domains, eligibility)
     }
 
     /// Waits until an upstream has free capacity.
@@ -163,7 +169,7 @@
     /// later if the request can no longer be answered in time.
     pub async fn wait(self: &Rc<Self>, now: Instant, request: &Request<'_>) -> Result<Reservation> {
         let service_time = self.expected_service_time(&request.route.id);
-        self.check_open(now, request.tried)?;
+        self.check_open(now, request.tried, &request.domains)?;
         let wait = self.expected_wait(now, request.priority, service_time);
         let time_left = request.deadline.saturating_duration_since(now);
         if wait > time_left.saturating_sub(service_time).mul_f64(MAX_WAIT_SHARE) {
@@ -176,8 +182,11 @@
         let serial = self.queue.borrow_mut().push(waiter);
         let (reply, receiver) = oneshot::channel();
         let (route, tried) = (request.route.id.clone(), request.tried.to_vec());
-        self.waiting.borrow_mut().insert(serial, Waiting { reply, route, tried });
-        let _entry = Entry { dispatcher: self, priority, serial };
+        let domains = request.domains.clone();
+        self.waiting.borrow_mut().insert(serial, Waiting { reply, route, domains, tried });
+        let is_restricted = request.domains.is_restricted();
+        self.restricted.set(self.restricted.get() + usize::from(is_restricted));
+        let _entry = Entry { dispatcher: self, priority, serial, is_restricted };
         self.serve_queue(now);
         receiver.await.unwrap_or_else(|_closed| Err(Refusal::overload(retry_after(wait))))
     }
@@ -192,10 +201,11 @@
         for it in expired {
             self.reply(it, Err(Refusal::overload(MIN_RETRY_AFTER)));
         }
-        if let Err(refusal) = self.check_open(now, &[]) {
+        if let Err(refusal) = self.check_open(now, &[], &Domains::All) {
             self.refuse_all(refusal);
             return;
         }
+        self.refuse_closed(now);
         // Upstreams that are unavailable to one request are unavailable to later ones of the same
         // kind.
         while let Some((priority, serial, reservation)) = self.next_reservation(now) {
@@ -204,9 +214,20 @@
         }
     }
 
-    /// Checks that an upstream outside `tried` accepts requests.
-    fn check_open(&self, now: Instant, tried: &[UpstreamId]) -> Result<()> {
-        match self.service.borrow().accepts_after(now, tried) {
+    /// Failure domains that the waiting requests together may be sent to.
+    #[must_use]
+    pub fn waiting_domains(&self) -> Domains {
+        if self.restricted.get() == 0 {
+            return Domains::All;
+        }
+        let waiting = self.waiting.borrow();
+        let all = waiting.values().map(|it| it.domains.clone());
+        all.reduce(|a, b| a.union(&b)).unwrap_or_default()
+    }
+
+    /// Checks that an upstream in `domains` and outside `tried` accepts requests.
+    fn check_open(&self, now: Instant, tried: &[UpstreamId], domains: &Domains) -> Result<()> {
+        match self.service.borrow().accepts_after_within(now, tried, domains) {
             Some(Duration::ZERO) => Ok(()),
             Some(pause) => Err(Refusal::paused(pause.max(MIN_RETRY_AFTER))),
             None => Err(Refusal::no_upstream()),
@@ -222,6 +243,24 @@
         }
     }
 
+    /// Refuses the waiting requests in whose failure domains no upstream accepts requests any more.
+    fn refuse_closed(&self, now: Instant) {
+        if self.restricted.get() == 0 {
+            return;
+        }
+        let mut refusals = HashMap::new();
+        let mut closed = Vec::new();
+        for (serial, it) in self.waiting.borrow().iter() {
+            let check = || self.check_open(now, &[], &it.domains).err();
+            let refusal = refusals.entry(it.domains.clone()).or_insert_with(check);
+            closed.extend(refusal.map(|refusal| (*serial, refusal)));
+        }
+        for (serial, refusal) in closed {
+            // Its entry in the queue is removed when the request ends.
+            self.reply(serial, Err(refusal));
+        }
+    }
+
     /// Reserves an upstream for the first waiting request that has one available.
     fn next_reservation(self: &Rc<Self>, now: Instant) -> Option<(u8, u64, Reservation)> {
         let candidates: Vec<_> = {
@@ -234,13 +273,30 @@
                     if is_recent { Eligibility::Normal } else { Eligibility::NormalOrIdle },
                 )
             };
-            queue.iter().take(MAX_CANDIDATES).map(candidate).collect()
+            if self.restricted.get() == 0 {
+                queue.iter().take(MAX_CANDIDATES).map(candidate).collect()
+            } else {
+                // Requests for other failure domains need other capacity.
+                let waiting = self.waiting.borrow();
+                let mut counts = HashMap::new();
+                let mut is_first = |serial: u64| {
+                    let Some(it) = waiting.get(&serial) else { return false };
+                    let count = counts.entry(&it.domains).or_insert(0);
+                    *count += 1;
+                    *count <= MAX_CANDIDATES
+                };
+                queue.iter().filter(|(serial, _)| is_first(*serial)).map(candidate).collect()
+            }
         };
         for (priority, serial, eligibility) in candidates {
-            let waiting =
-                self.waiting.borrow().get(&serial).map(|it| (it.route.clone(), it.tried.clone()));
-            let Some((route, tried)) = waiting else { continue };
-            if let Some(it) = self.reserve(now, &route, &tried, eligibility) {
+            let waiting = {
+                let waiting = self.waiting.borrow();
+                waiting
+                    .get(&serial)
+                    .map(|it| (it.route.clone(), it.domains.clone(), it.tried.clone()))
+            };
+            let Some((route, domains, tried)) = waiting else { continue };
+            if let Some(it) = self.reserve(now, &route, &tried, &domains, eligibility) {
                 return Some((priority, serial, it));
             }
         }
@@ -264,10 +320,11 @@
         now: Instant,
         route: &str,
         tried: &[UpstreamId],
+        domains: &Domains,
         eligibility: Eligibility,
     ) -> Option<Reservation> {
         let mut service = self.service.borrow_mut();
-        let id = service.choose(now, route, tried, eligibility)?;
+        let id = service.choose_within(now, route, tried, domains, eligibility)?;
         let registration = service.get(&id)?.registration.clone();
         let serial = service.start(now, &id);
         drop(service);
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -4,6 +4,7 @@
 //! Does no input or output; the caller passes the current time to each call.
 
 mod budget;
+mod domains;
 mod eligibility;
 mod outcome;
 mod queue;
@@ -13,6 +14,7 @@
 mod upstream;
 
 pub use budget::{Budget, slack_share};
+pub use domains::Domains;
 pub use eligibility::Eligibility;
 pub use outcome::Outcome;
 pub use queue::{Queue, Waiter};
--- a/crates/gateway/src/load/service.rs
+++ b/crates/gateway/src/load/service.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Condition, Eligibility, HostKey, Outcome, Report, Settings, Upstream};
+use super::{Condition, Domains, Eligibility, HostKey, Outcome, Report, Settings, Upstream};
 use crate::{
     config::RouteId,
     registry::{Domain, Registration, UpstreamId, Withdrawal},
@@ -117,7 +117,20 @@
     /// now, `None` if none is known that will.
     #[must_use]
     pub fn accepts_after(&self, now: Instant, tried: &[UpstreamId]) -> Option<Duration> {
-        let untried = self.upstreams.values().filter(|it| !tried.contains(&it.registration.id));
+        self.accepts_after_within(now, tried, &Domains::All)
+    }
+
+    /// As [`Self::accepts_after`], for an upstream in `domains`.
+    #[must_use]
+    pub fn accepts_after_within(
+        &self,
+        now: Instant,
+        tried: &[UpstreamId],
+        domains: &Domains,
+    ) -> Option<Duration> {
+        let untried = self.upstreams.values().filter(|it| {
+            !tried.contains(&it.registration.id) && domains.contains(&it.registration.domain)
+        });
         untried.filter_map(|it| it.accepts_after(now)).min()
     }
 
@@ -154,8 +167,23 @@
         tried: &[UpstreamId],
         eligibility: Eligibility,
     ) -> Option<UpstreamId> {
-        let assigned = self.choose_among(now, route, tried, eligibility, |it| it.is_assigned);
-        assigned.or_else(|| self.choose_among(now, route, tried, eligibility, |it| !it.is_assigned))
+        self.choose_within(now, route, tried, &Domains::All, eligibility)
+    }
+
+    /// As [`Self::choose`], among the upstreams in `domains`.
+    pub fn choose_within(
+        &mut self,
+        now: Instant,
+        route: &str,
+        tried: &[UpstreamId],
+        domains: &Domains,
+        eligibility: Eligibility,
+    ) -> Option<UpstreamId> {
+        let is_inside = |it: &Upstream| domains.contains(&it.registration.domain);
+        let is_assigned = |it: &Upstream| it.is_assigned && is_inside(it);
+        let is_other = |it: &Upstream| !it.is_assigned && is_inside(it);
+        let assigned = self.choose_among(now, route, tried, eligibility, is_assigned);
+        assigned.or_else(|| self.choose_among(now, route, tried, eligibility, is_other))
     }
 
     fn choose_among(
@@ -206,12 +234,24 @@
         now: Instant,
         tried: &[UpstreamId],
         count: usize,
+    ) -> Vec<UpstreamId> {
+        self.probe_candidates_within(now, tried, &Domains::All, count)
+    }
+
+    /// As [`Self::probe_candidates`], among the upstreams in `domains`.
+    pub fn probe_candidates_within(
+        &mut self,
+        now: Instant,
+        tried: &[UpstreamId],
+        domains: &Domains,
+        count: usize,
     ) -> Vec<UpstreamId> {
         let settings = &self.settings;
         let slowdown = self.slowdown();
         let lifetime = self.report_lifetime();
         let is_unknown = |it: &&Upstream| {
             !tried.contains(&it.registration.id)
+                && domains.contains(&it.registration.domain)
                 && it.has_capacity(now, settings, slowdown)
                 && !it.is_failing(now, settings)
                 && it.condition(now, settings, lifetime) == Condition::Unknown
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -13,7 +13,7 @@
     dispatcher::Dispatcher,
     gateway::Gateway,
     http::{self, Head, Header, Message},
-    load::Eligibility,
+    load::{Domains, Eligibility},
     registry::{Registration, UpstreamId},
     upstream::Exchange,
 };
@@ -72,17 +72,21 @@
     dispatcher: &Rc<Dispatcher>,
     route: &str,
     tried: &[UpstreamId],
+    domains: &Domains,
 ) -> Eligibility {
     let has_normal = || {
         let mut service = dispatcher.service.borrow_mut();
-        service.choose(gateway.now(), route, tried, Eligibility::Normal).is_some()
+        let normal = Eligibility::Normal;
+        service.choose_within(gateway.now(), route, tried, domains, normal).is_some()
     };
-    if has_normal()
-        || dispatcher.service.borrow_mut().probe_candidates(gateway.now(), tried, 1).is_empty()
-    {
+    let has_candidates = || {
+        let mut service = dispatcher.service.borrow_mut();
+        !service.probe_candidates_within(gateway.now(), tried, domains, 1).is_empty()
+    };
+    if has_normal() || !has_candidates() {
         return Eligibility::Normal;
     }
-    let mut probes = start(gateway, table, dispatcher, tried);
+    let mut probes = start(gateway, table, dispatcher, tried, domains);
     if probes.is_empty() {
         // The budget is exhausted, so the choice has to use what is known.
         return Eligibility::Any;
@@ -101,7 +105,8 @@
         for dispatcher in gateway.dispatchers() {
             if dispatcher.queue_len() > 0 {
                 // The probes run detached and serve the queue when they end.
-                drop(start(&gateway, &table, &dispatcher, &[]));
+                let domains = dispatcher.waiting_domains();
+                drop(start(&gateway, &table, &dispatcher, &[], &domains));
             }
         }
     }
@@ -113,11 +118,14 @@
     table: &Table,
     dispatcher: &Rc<Dispatcher>,
     tried: &[UpstreamId],
+    domains: &Domains,
 ) -> FuturesUnordered<JoinHandle<()>> {
     let now = gateway.now();
     let res = FuturesUnordered::new();
     let Some(config) = table.services.get(&dispatcher.id) else { return res };
-    let candidates = dispatcher.service.borrow_mut().probe_candidates(now, tried, MAX_CANDIDATES);
+    let mut service = dispatcher.service.borrow_mut();
+    let candidates = service.probe_candidates_within(now, tried, domains, MAX_CANDIDATES);
+    drop(service);
     for id in candidates {
         let registration = dispatcher.service.borrow().get(&id).map(|it| it.registration.clone());
         let Some(registration) = registration else { continue };
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -61,7 +61,7 @@
     trace.version = table.version;
     let route = find(&table, &message.head)?;
     trace.route = Some(route.id.clone());
-    let admission = Admission::new(table, route, &message.head, names)?;
+    let admission = Admission::new(gateway, table, route, &message.head)?;
     let route = &admission.route;
     let time_left = time_left(&message.head, names.deadline_ms, route)?;
     trace.time_left = time_left;
--- a/crates/gateway/src/request/admission.rs
+++ b/crates/gateway/src/request/admission.rs
@@ -4,9 +4,12 @@
 
 use super::{Refusal, Result};
 use crate::{
+    Settings,
     config::{Route, Table, Tenant},
+    gateway::Gateway,
     http::Head,
-    wire::Names,
+    load::Domains,
+    registry::Registration,
 };
 
 /// Route and tenant of a request that a configuration allows.
@@ -15,6 +18,10 @@
     pub(super) table: Rc<Table>,
     /// Route that matches.
     pub(super) route: Arc<Route>,
+    /// Settings that say in which regions the failure domains are.
+    pub(super) settings: Rc<Settings>,
+    /// Failure domains in the homes of the route.
+    pub(super) domains: Domains,
     /// Tenant with the request's key; always present on routes that need a key.
     pub(super) tenant: Option<Arc<Tenant>>,
 }
@@ -26,26 +33,28 @@
     ///
     /// Refuses a request without a route, or without a valid key on a route that needs one.
     pub(super) fn new(
+        gateway: &Gateway,
         table: Rc<Table>,
         route: Arc<Route>,
         head: &Head,
-        names: Names,
     ) -> Result<Self> {
-        let tenant = tenant(&table, &route, head, names.credential)?;
-        Ok(Self { table, route, tenant })
+        let tenant = tenant(&table, &route, head, gateway.protocol.names.credential)?;
+        let settings = gateway.settings();
+        let domains = Domains::within(&route.homes, &settings.regions);
+        Ok(Self { table, route, settings, domains, tenant })
     }
 
     /// Checks a request that was admitted under an earlier configuration and is about to be sent to
-    /// an upstream of `service`. `may_have_run` says whether it may run already.
+    /// `upstream`. `may_have_run` says whether it may run already.
     ///
     /// # Errors
     ///
     /// Refuses a request that this configuration does not allow, or allows only as that of another
-    /// tenant, at another service, or once.
+    /// tenant, at another service, in other regions, or once.
     pub(super) fn check_earlier(
         &self,
         earlier: &Self,
-        service: &str,
+        upstream: &Registration,
         may_have_run: bool,
     ) -> Result<()> {
         let has_moved = earlier
@@ -55,8 +64,10 @@
         if has_moved && !self.route.is_public {
             return Err(Refusal::unauthorized());
         }
+        let service = &upstream.service;
         let serves = self.table.services.contains_key(service)
-            && self.route.parts.iter().any(|it| &*it.service == service);
+            && self.route.parts.iter().any(|it| it.service == *service)
+            && self.domains.contains(&upstream.domain);
         if !serves || may_have_run && !self.route.idempotence.is_idempotent() {
             return Err(Refusal::route_changed());
         }
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -151,6 +151,7 @@
             route,
             priority: admission.priority(),
             tenant: admission.tenant.as_ref().map(|it| it.id.clone()),
+            domains: admission.domains.clone(),
             tried: &self.tried,
             received,
             deadline,
@@ -167,10 +168,9 @@
     }
 
     async fn reserve(&self) -> Result<Reservation> {
-        let Context { gateway, admission, dispatcher, route, .. } = *self.context;
+        let dispatcher = self.context.dispatcher;
         if dispatcher.queue_len() == 0 {
-            let eligibility =
-                probe::refresh(gateway, &admission.table, dispatcher, &route.id, &self.tried).await;
+            let eligibility = self.refresh().await;
             if let Some(it) = dispatcher.try_reserve(self.now(), &self.request(), eligibility) {
                 return Ok(it);
             }
@@ -178,6 +178,13 @@
         dispatcher.wait(self.now(), &self.request()).await.map_err(Refusal::from)
     }
 
+    /// Probes upstreams that the request may be sent to, if their condition is unknown.
+    async fn refresh(&self) -> Eligibility {
+        let Context { gateway, admission, dispatcher, route, .. } = *self.context;
+        let Admission { table, domains, .. } = admission;
+        probe::refresh(gateway, table, dispatcher, &route.id, &self.tried, domains).await
+    }
+
     /// When to send a hedge: as late as it can still be answered within the target, since most
     /// first attempts complete before that.
     fn hedge_at(&self) -> Option<Instant> {
@@ -197,11 +204,11 @@
 
     /// Reserves an upstream for a hedge if budget and load allow it.
     async fn hedge(&self) -> Option<Reservation> {
-        let Context { gateway, admission, dispatcher, route, .. } = *self.context;
+        let Context { dispatcher, route, .. } = *self.context;
         if self.sent >= route.attempt_limit {
             return None;
         }
-        probe::refresh(gateway, &admission.table, dispatcher, &route.id, &self.tried).await;
+        self.refresh().await;
         let reservation =
             dispatcher.try_reserve(self.now(), &self.request(), Eligibility::Normal)?;
         // If the budget is exhausted, dropping the reservation releases it.
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -108,7 +108,7 @@
             return not_sent("the upstream takes no requests".to_owned());
         }
         // Another configuration may have come into force since the request was read.
-        let tenant = match self.tenant_now() {
+        let tenant = match self.tenant_now(upstream) {
             Ok(it) => it,
             Err(it) => return End::Refused(it),
         };
@@ -142,20 +142,22 @@
         }
     }
 
-    /// Tenant of the request under the configuration now in force.
+    /// Tenant of the request, which is about to be sent to `upstream`, under the configuration and the
+    /// settings now in force.
     ///
     /// # Errors
     ///
     /// Refuses a request that this configuration does not allow as it was accepted.
-    fn tenant_now(&self) -> Result<Option<Arc<Tenant>>> {
+    fn tenant_now(&self, upstream: &Registration) -> Result<Option<Arc<Tenant>>> {
         let table = self.gateway.table().ok_or_else(Refusal::not_ready)?;
-        if Rc::ptr_eq(&table, &self.admission.table) {
+        let is_same_table = Rc::ptr_eq(&table, &self.admission.table);
+        if is_same_table && Rc::ptr_eq(&self.gateway.settings(), &self.admission.settings) {
             return Ok(self.admission.tenant.clone());
         }
         let head = &self.message.head;
         let route = find(&table, head)?;
-        let now = Admission::new(table, route, head, self.gateway.protocol.names)?;
-        now.check_earlier(self.admission, &self.dispatcher.id, self.may_have_run)?;
+        let now = Admission::new(self.gateway, table, route, head)?;
+        now.check_earlier(self.admission, upstream, self.may_have_run)?;
         Ok(now.tenant)
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -159,6 +159,12 @@
         usize::try_from(self.memory_bytes / BODY_MEMORY_DIVISOR).unwrap_or(usize::MAX)
     }
 
+    /// Region of a failure domain, if it is known.
+    #[must_use]
+    pub fn region_of(&self, domain: &Domain) -> Option<&Region> {
+        self.regions.get(domain)
+    }
+
     /// Whether this daemon takes configuration and registry from its peers when it starts: on the
     /// first start of a fleet only the seeds read the store, and the others have time to wait.
     #[must_use]
@@ -199,6 +205,11 @@
         if let Some(it) = keys.read("regions", parse_regions) {
             self.regions = it;
         }
+        // Without a list, the host knows its own region at least.
+        if !self.region.is_empty() {
+            let own = self.region.as_str().into();
+            self.regions.entry(self.domain.clone()).or_insert(own);
+        }
     }
 
     fn read_addresses(&mut self, keys: &mut Keys<'_>) {
--- a/crates/gateway/tests/directory_choice.rs
+++ b/crates/gateway/tests/directory_choice.rs
@@ -11,6 +11,7 @@
     Host {
         address: SocketAddr::from(([10, 0, 0, number], 80)),
         is_same_domain,
+        region: None,
         capacity: Capacity { link_mbps, cpu_cores: 0.5, used_cores },
     }
 }
