--- a/crates/gateway/src/follow/configuration.rs
+++ b/crates/gateway/src/follow/configuration.rs
@@ -6,6 +6,8 @@
     time::{Duration, Instant},
 };
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::{Availability, CALL_TIMEOUT, call, evacuation};
 use crate::{
     config::Role,
@@ -46,6 +48,8 @@
     /// Epoch of the store's offsets in which `end` was read.
     epoch: u32,
     pause: Duration,
+    /// Hash of the last configuration that was rejected, whose findings are logged only once.
+    rejected: Option<u64>,
     /// When this daemon may read again although it is not one of the readers.
     stale_read_from: Instant,
 }
@@ -66,6 +70,7 @@
             end: None,
             epoch: 0,
             pause,
+            rejected: None,
             stale_read_from,
         }
     }
@@ -219,12 +224,18 @@
         res
     }
 
-    fn apply_record(&self, record: &crate::platform::Record, source: &str) {
+    fn apply_record(&mut self, record: &crate::platform::Record, source: &str) {
         let Some(value) = &record.value else { return };
         let Some(res) = self.platform.config(&record.key, value) else { return };
         let config = match res {
             Ok(it) => it,
             Err(findings) => {
+                // The same record is read again after failed calls.
+                let hash = Some(xxh3_64(value));
+                if std::mem::replace(&mut self.rejected, hash) == hash {
+                    return;
+                }
+                self.gateway.metrics.config_findings.inc_by(findings.len() as u64);
                 log::error!(
                     target: "belief",
                     "event=config-rejected source={source} findings=\"{}\"", findings.join("; ")
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -88,6 +88,8 @@
     pub evacuated_domains: Gauge,
     /// Unix time in seconds since when this daemon has known that a failure domain is evacuated.
     pub evacuated_since: Family<Evacuation, Gauge>,
+    /// Findings about configurations, counted once per version.
+    pub config_findings: Counter,
     registry: Registry,
 }
 
@@ -106,6 +108,7 @@
             config_version: Gauge::default(),
             evacuated_domains: Gauge::default(),
             evacuated_since: Family::default(),
+            config_findings: Counter::default(),
             registry: Registry::with_prefix("fireflydrum"),
         };
         res.register();
@@ -158,6 +161,8 @@
         it.register("evacuated_domains", "Failure domains that are evacuated", evacuated);
         let since = self.evacuated_since.clone();
         it.register("evacuated_since_seconds", "Unix time of the evacuation's begin", since);
+        let findings = self.config_findings.clone();
+        it.register("config_findings", "Findings about configurations", findings);
     }
 }
 
