gateway: limit on requests to cold upstreams

Cause: nothing limited the requests that all daemons together send to an upstream in slow start, which crashes well above warmup_per_s x 1.5 + 8 in a second; a slow start later in an upstream's life was not noticed; and an entry whose slow_start_ms is no number made its upstream unknown. Change: up to four of the daemons that an upstream is assigned to divide its rate, each with a bucket of one token (load::SlowStart, load::Temperature, rate::Bucket); groups of daemons that are cut off from each other get parts by their size (peer::Table::presence). What an upstream says is learned from health answers, asked for every 0.6 s by the first sharer, from later registrations and from peers (Packet::Temperatures). Unknown ones count as cold. Services without warmup_per_s behave as before. Tested: tests/cold_upstreams.rs, registry_fold.rs, peer_table.rs, adapter's decoding.rs. Seen failing with the limit left out, without the settling time, without parts by group size, without the limit on sharers, without trials of idle cold upstreams; gateway and adapter pass whole.

--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -160,6 +160,7 @@
     pub async fn wait(self: &Rc<Self>, now: Instant, request: &Request<'_>) -> Result<Reservation> {
         let service_time = self.expected_service_time(&request.route.id);
         self.check_open(now, request.tried)?;
+        self.service.borrow_mut().record_held(now, request.tried);
         let wait = self.expected_wait(now, request.route.priority, service_time);
         let time_left = request.deadline.saturating_duration_since(now);
         if wait > time_left.saturating_sub(service_time).mul_f64(MAX_WAIT_SHARE) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 //! Requests read it; configuration, registry and peers update it. The routing table is replaced as
 //! a whole.
 
+mod temperatures;
 mod withdrawals;
 
 use std::{
@@ -102,6 +103,8 @@
     pub config_wanted: Notify,
     /// Notified when an upstream has said that it is leaving.
     pub departure_noticed: Notify,
+    /// Notified when an upstream has said something new about its slow start.
+    pub temperature_noticed: Notify,
     /// Notified when a peer has relayed registry changes.
     pub registry_relayed: Notify,
     table: RefCell<Option<Rc<Table>>>,
@@ -110,11 +113,13 @@
     withdrawals: RefCell<Withdrawals>,
     departures: RefCell<Vec<Departure>>,
     changed_loads: Rc<RefCell<BTreeSet<UpstreamId>>>,
+    temperature_news: RefCell<BTreeSet<UpstreamId>>,
     placement: RefCell<Placement>,
     split_credits: RefCell<HashMap<RouteId, Vec<f64>>>,
     registry_read_once: Cell<bool>,
     /// Until when configuration and registry come from peers only.
     store_from: Instant,
+    started: Instant,
     seed: u64,
 }
 
@@ -154,6 +159,7 @@
             heartbeat_wanted: Notify::new(),
             config_wanted: Notify::new(),
             departure_noticed: Notify::new(),
+            temperature_noticed: Notify::new(),
             registry_relayed: Notify::new(),
             table: RefCell::default(),
             dispatchers: RefCell::default(),
@@ -161,6 +167,7 @@
             withdrawals: RefCell::default(),
             departures: RefCell::default(),
             changed_loads: Rc::default(),
+            temperature_news: RefCell::default(),
             placement: RefCell::default(),
             split_credits: RefCell::default(),
             registry_read_once: Cell::new(false),
@@ -169,6 +176,7 @@
             } else {
                 now
             },
+            started: now,
             seed,
             settings: RefCell::new(Rc::new(settings)),
         })
@@ -239,8 +247,11 @@
             log::warn!(target: "belief", "event=config-finding version={version} finding=\"{it}\"");
         }
         for it in &config.services {
-            self.ensure_dispatcher(&it.id).set_connection_limit(it.connection_limit);
+            let dispatcher = self.ensure_dispatcher(&it.id);
+            dispatcher.set_connection_limit(it.connection_limit);
+            self.set_slow_start(&dispatcher, it.slow_start, it.warmup_per_s);
         }
+        self.invalidate_placement();
         *self.table.borrow_mut() = Some(Rc::new(Table::new(config)));
         log::info!(
             target: "belief",
@@ -324,13 +335,24 @@
         let own = Daemon { address: settings.peer_address, domain: settings.domain.clone() };
         let peers = self.peers.borrow();
         let active = peers.live_peers(now).filter(|(_, it)| it.heartbeat.is_active);
-        let mut daemons: Vec<_> = active
-            .map(|(address, it)| Daemon { address, domain: it.heartbeat.domain.clone() })
-            .collect();
+        let daemon = |(address, it): (SocketAddr, &peer::Peer)| Daemon {
+            address,
+            domain: it.heartbeat.domain.clone(),
+        };
+        let mut daemons: Vec<_> = active.map(daemon).collect();
+        let warmers = if daemons.is_empty() && !self.activity.borrow().is_active() {
+            let live = peers.live_peers(now).map(daemon);
+            Some(live.chain([own.clone()]).collect())
+        } else {
+            None
+        };
         if self.activity.borrow().is_active() || daemons.is_empty() {
             daemons.push(own.clone());
         }
         placement.reset(own, daemons);
+        if let Some(it) = warmers {
+            placement.set_warmers(it);
+        }
         for dispatcher in self.dispatchers.borrow().values() {
             placement.add_service(&mut dispatcher.service.borrow_mut());
         }
@@ -375,6 +397,8 @@
             it.budget.borrow_mut().set(settings.retry_ratio, slack);
             upstreams += it.service.borrow().iter().count();
         }
+        drop(peers);
+        self.share_slow_starts(now);
         let rate = settings.probe_rate * upstreams as f64 / f64::from(sharers.all + 1);
         self.probe_budget.borrow_mut().set_rate(rate);
     }
@@ -396,7 +420,7 @@
         let seed = self.seed ^ xxh3_64(id.as_bytes());
         let mut service = Service::new(load::Settings::default(), settings.domain.clone(), seed);
         for it in self.registry.borrow().entries().filter(|it| it.service == *id) {
-            service.put(now, it.clone());
+            service.put_found(now, it.clone());
             service.set_withdrawal(&it.id, self.withdrawals.borrow().get(it));
         }
         let budget = Budget::new(now, settings.retry_window, settings.retry_ratio, 0.0);
@@ -427,7 +451,14 @@
             dispatcher.service.borrow_mut().remove(&it.id);
         }
         let Some(dispatcher) = self.dispatcher(&it.service) else { return };
-        if dispatcher.service.borrow_mut().put(now, it.clone()) {
+        let mut service = dispatcher.service.borrow_mut();
+        let is_new = if self.registry_read_once.get() {
+            service.put(now, it.clone())
+        } else {
+            service.put_found(now, it.clone())
+        };
+        drop(service);
+        if is_new {
             self.pool.remove(&it.id);
             self.invalidate_placement();
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod platform;
 pub mod probe;
 pub mod process;
+pub mod rate;
 pub mod registry;
 pub mod request;
 pub mod rpc;
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -10,6 +10,8 @@
 mod report;
 mod service;
 mod settings;
+mod slow_start;
+mod temperature;
 mod upstream;
 
 pub use budget::{Budget, slack_share};
@@ -19,6 +21,8 @@
 pub use report::Report;
 pub use service::Service;
 pub use settings::Settings;
+pub use slow_start::SlowStart;
+pub use temperature::Temperature;
 pub use upstream::{Condition, InFlight, Upstream};
 
 /// Identifies the incarnation of an entry host in messages between peers.
--- a/crates/gateway/src/load/service.rs
+++ b/crates/gateway/src/load/service.rs
@@ -1,11 +1,15 @@
 //! Upstream choice for one service.
 
+mod slow_start;
+
 use std::{
     collections::{BTreeMap, HashMap},
     time::{Duration, Instant},
 };
 
-use super::{Condition, Eligibility, HostKey, Outcome, Report, Settings, Upstream};
+use super::{
+    Condition, Eligibility, HostKey, Outcome, Report, Settings, SlowStart, Temperature, Upstream,
+};
 use crate::{
     config::RouteId,
     registry::{Domain, Registration, UpstreamId, Withdrawal},
@@ -59,6 +63,8 @@
     full_slowdown: f64,
     mean_probe_time: Option<Duration>,
     serial: u64,
+    slow_start: SlowStart,
+    held_by_slow_start: u64,
 }
 
 impl Service {
@@ -77,18 +83,46 @@
             full_slowdown: 1.0,
             mean_probe_time: None,
             serial: 0,
+            slow_start: SlowStart::default(),
+            held_by_slow_start: 0,
         }
     }
 
     /// Adds or updates an upstream from its registration; returns true if the incarnation is new.
+    ///
+    /// A new one counts as cold until it is known whether it is, if the service limits requests to
+    /// cold upstreams.
     pub fn put(&mut self, now: Instant, registration: Registration) -> bool {
+        let (id, cold_for) = (registration.id.clone(), registration.cold_for);
+        let is_new = self.put_found(now, registration);
+        if self.slow_start.is_limited()
+            && let Some(it) = self.upstreams.get_mut(&id)
+        {
+            if is_new {
+                it.temperature.set_unknown(now, self.slow_start.max_duration());
+            } else {
+                it.temperature.record_registration(now, cold_for, &self.slow_start);
+            }
+        }
+        is_new
+    }
+
+    /// Like [`Self::put`] for the upstreams found at the start of this daemon: a new one is cold
+    /// only if its registration says so.
+    pub fn put_found(&mut self, now: Instant, registration: Registration) -> bool {
         if let Some(it) = self.upstreams.get_mut(&registration.id)
             && it.registration.is_same_incarnation(&registration)
         {
             it.registration = registration;
             return false;
         }
-        self.upstreams.insert(registration.id.clone(), Upstream::new(now, registration));
+        let cold_for = registration.cold_for.min(self.slow_start.max_duration());
+        let mut added = Upstream::new(now, registration);
+        if self.slow_start.is_limited() {
+            added.temperature = Temperature::new(now, cold_for);
+            added.temperature.set_limited(true);
+        }
+        self.upstreams.insert(added.registration.id.clone(), added);
         true
     }
 
@@ -133,7 +167,15 @@
     pub fn capacity(&self, now: Instant) -> f64 {
         let open = self.upstreams.values().filter(|it| it.accepts_requests(now));
         let slowdown = self.slowdown();
-        open.map(|it| it.limit(&self.settings, slowdown)).sum()
+        let limit_of = |it: &Upstream| {
+            let limit = it.limit(&self.settings, slowdown);
+            if self.slow_start.is_limited() && it.temperature.is_cold(now) {
+                limit.min(self.slow_start.warmup_per_s * self.mean_service_time_s())
+            } else {
+                limit
+            }
+        };
+        open.map(limit_of).sum()
     }
 
     /// Mean service time of a route's requests on an upstream at normal pace.
@@ -173,6 +215,7 @@
             eligibility == Eligibility::NormalOrIdle && self.is_mostly_degraded(now);
         let is_eligible = |it: &Upstream| match eligibility {
             Eligibility::Any => true,
+            _ if it.temperature.needs_trial(now) && it.total_in_flight(now, settings) < 0.5 => true,
             Eligibility::NormalOrIdle => {
                 let is_likely_normal =
                     it.expected_pace(now, settings, self.mean_pace, service_time)
@@ -212,7 +255,9 @@
         let lifetime = self.report_lifetime();
         let is_unknown = |it: &&Upstream| {
             !tried.contains(&it.registration.id)
-                && it.has_capacity(now, settings, slowdown)
+                && it.has_free_slot(now, settings, slowdown)
+                // Its answer is of use although no request may be sent: it says whether it is cold.
+                && (it.temperature.allows(now) || !it.temperature.is_known())
                 && !it.is_failing(now, settings)
                 && it.condition(now, settings, lifetime) == Condition::Unknown
         };
--- a/crates/gateway/src/load/upstream.rs
+++ b/crates/gateway/src/load/upstream.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use super::{HostKey, Outcome, Report, Settings};
+use super::{HostKey, Outcome, Report, Settings, Temperature};
 use crate::registry::{Registration, State, Withdrawal};
 
 /// Weight of an attempt in an upstream's mean failure rate.
@@ -20,6 +20,9 @@
 const TRIAL_DELAY: Duration = Duration::from_secs(3);
 /// Cost factor of an upstream to be tried.
 const TRIAL_COST: f64 = 0.5;
+/// Cost factor of a cold upstream to be tried. Together with [`COLD_COST`] below 1, so that it is
+/// chosen before idle warm ones.
+const COLD_TRIAL_COST: f64 = 0.25;
 /// Cost of a full upstream beyond that of an empty one, as a share of a request's service time.
 const OCCUPANCY_COST: f64 = 0.3;
 
@@ -65,9 +68,10 @@
     pub is_assigned: bool,
     /// What it has said in its answers about taking requests.
     pub withdrawal: Withdrawal,
+    /// Whether it is cold, and how many requests this daemon may send it then.
+    pub temperature: Temperature,
     added_at: Instant,
     has_been_used: bool,
-    cold_until: Instant,
     in_flight: Vec<InFlight>,
     peers: HashMap<HostKey, (u32, Instant)>,
     last_report: Option<LastReport>,
@@ -79,15 +83,14 @@
     /// Creates the state of an upstream without any observations.
     #[must_use]
     pub fn new(now: Instant, registration: Registration) -> Self {
-        // A peer's datagram may carry any duration.
-        let cold_until = now.checked_add(registration.cold_for).unwrap_or(now);
+        let temperature = Temperature::new(now, registration.cold_for);
         Self {
             registration,
             is_assigned: true,
             withdrawal: Withdrawal::default(),
+            temperature,
             added_at: now,
             has_been_used: false,
-            cold_until,
             in_flight: Vec::new(),
             peers: HashMap::new(),
             last_report: None,
@@ -124,6 +127,7 @@
         let is_fresh = self.report_age(now).is_some_and(|it| it <= lifetime);
         let pace = self.reported_pace().filter(|_| is_fresh);
         self.has_been_used = true;
+        self.temperature.start(now);
         self.in_flight.push(InFlight { serial, at: now, is_nearly_full, pace });
     }
 
@@ -211,6 +215,12 @@
     /// Whether it may get another request.
     #[must_use]
     pub fn has_capacity(&self, now: Instant, settings: &Settings, slowdown: f64) -> bool {
+        self.has_free_slot(now, settings, slowdown) && self.temperature.allows(now)
+    }
+
+    /// Whether it may get another request if its slow start is left out of account.
+    #[must_use]
+    pub fn has_free_slot(&self, now: Instant, settings: &Settings, slowdown: f64) -> bool {
         self.accepts_requests(now)
             && self.total_in_flight(now, settings) + 0.5 < self.limit(settings, slowdown)
     }
@@ -277,13 +287,19 @@
     ) -> f64 {
         let total = self.total_in_flight(now, settings);
         let occupancy = 1.0 + OCCUPANCY_COST * total / f64::from(self.registration.slots.max(1));
-        let cold = if now < self.cold_until { COLD_COST } else { 1.0 };
+        let cold = if self.temperature.is_cold(now) { COLD_COST } else { 1.0 };
         let failures = 1.0 + FAILURE_COST * self.failure_mean(now, settings);
         let remote =
             if &*self.registration.domain == own_domain { 0.0 } else { settings.domain_cost };
         let needs_trial =
             !self.has_been_used && now.saturating_duration_since(self.added_at) > TRIAL_DELAY;
-        let trial = if needs_trial { TRIAL_COST } else { 1.0 };
+        let trial = if self.temperature.needs_trial(now) {
+            COLD_TRIAL_COST
+        } else if needs_trial {
+            TRIAL_COST
+        } else {
+            1.0
+        };
         self.expected_pace(now, settings, mean, service_time) * occupancy * cold * failures * trial
             + remote
     }
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -18,6 +18,8 @@
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// Maximum number of loads in a datagram.
 const LOADS_PER_DATAGRAM: usize = 60;
+/// Maximum number of temperatures in a datagram.
+const TEMPERATURES_PER_DATAGRAM: usize = 80;
 /// Maximum number of registry changes in a datagram.
 const CHANGES_PER_DATAGRAM: usize = 10;
 /// Maximum number of registry changes that this daemon relays after one read, counted once for each
@@ -142,6 +144,24 @@
         }
     }
 
+    /// Sends what upstreams say about their slow starts to all live peers, until the task is dropped.
+    /// Each is sent twice, since a datagram may be lost.
+    pub async fn send_temperatures(self: Rc<Self>) {
+        loop {
+            self.gateway.temperature_noticed.notified().await;
+            tokio::time::sleep(LOAD_BATCH_TIME).await;
+            let news = self.gateway.take_temperature_news();
+            for delay in [Duration::ZERO, DEPARTURE_REPEAT_TIME] {
+                tokio::time::sleep(delay).await;
+                let peers: Vec<_> =
+                    self.gateway.peers.borrow().live_addresses(self.gateway.now()).collect();
+                for part in news.chunks(TEMPERATURES_PER_DATAGRAM) {
+                    self.send_all(&peers, &Packet::Temperatures(part.to_vec()));
+                }
+            }
+        }
+    }
+
     fn send_departures_to(&self, peers: &[SocketAddr], departures: &[Departure]) {
         for part in departures.chunks(CHANGES_PER_DATAGRAM) {
             self.send_all(peers, &Packet::Departures(part.to_vec()));
@@ -225,6 +245,12 @@
                     self.gateway.record_departure(it, &source);
                 }
             }
+            Packet::Temperatures(temperatures) => {
+                self.gateway.peers.borrow_mut().record_datagram(now, from);
+                for it in temperatures {
+                    self.gateway.record_peer_temperature(it);
+                }
+            }
         }
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -73,6 +73,10 @@
     pub lines_omitted: Counter,
     /// Connections of callers.
     pub connections: Gauge,
+    /// Upstreams that are cold or may be, of services that limit requests to them.
+    pub cold_upstreams: Gauge,
+    /// Requests that waited or were refused while a cold upstream with a free slot was at its limit.
+    pub cold_requests_held: Counter,
     /// Live peers.
     pub peers: Gauge,
     /// Version of the configuration in force.
@@ -91,6 +95,8 @@
             panics: Counter::default(),
             lines_omitted: Counter::default(),
             connections: Gauge::default(),
+            cold_upstreams: Gauge::default(),
+            cold_requests_held: Counter::default(),
             peers: Gauge::default(),
             config_version: Gauge::default(),
             registry: Registry::with_prefix("fireflydrum"),
@@ -139,6 +145,12 @@
         it.register("panics", "Panics of tasks", self.panics.clone());
         it.register("log_lines_omitted", "Lines left out", self.lines_omitted.clone());
         it.register("connections", "Connections of callers", self.connections.clone());
+        it.register("cold_upstreams", "Upstreams in slow start", self.cold_upstreams.clone());
+        it.register(
+            "cold_requests_held",
+            "Requests that found only cold upstreams at their limit",
+            self.cold_requests_held.clone(),
+        );
         it.register("peers", "Peers that are alive", self.peers.clone());
         it.register("config_version", "Configuration in force", self.config_version.clone());
     }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -13,6 +13,6 @@
 
 pub use activity::Activity;
 pub use capacity::Capacity;
-pub use packet::{Departure, Heartbeat, Load, Packet, Relay};
+pub use packet::{Departure, Heartbeat, Load, Packet, Relay, Temperature};
 pub use phase::Phase;
 pub use table::{Event, Peer, Sharers, Table};
--- a/crates/gateway/src/peer/packet.rs
+++ b/crates/gateway/src/peer/packet.rs
@@ -22,6 +22,17 @@
     Relay(Relay),
     /// Upstreams that have said in their answers that they are leaving.
     Departures(Vec<Departure>),
+    /// What upstreams have said in health answers about their slow starts.
+    Temperatures(Vec<Temperature>),
+}
+
+/// What an upstream has said in a health answer about its slow start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
+pub struct Temperature {
+    /// Hash of the upstream's id.
+    pub upstream: Key,
+    /// Time for which it is still cold, in milliseconds; 0 if it is warm.
+    pub cold_ms: u32,
 }
 
 /// That an incarnation of an upstream is leaving.
--- a/crates/gateway/src/peer/placement.rs
+++ b/crates/gateway/src/peer/placement.rs
@@ -37,6 +37,8 @@
 pub struct Placement {
     own: Option<Daemon>,
     daemons: Vec<Daemon>,
+    /// Daemons that share the rates of cold upstreams.
+    warmers: Vec<Daemon>,
     assigned: HashMap<UpstreamId, Rc<[SocketAddr]>>,
     is_valid: bool,
 }
@@ -56,20 +58,31 @@
     /// Discards all assignments and starts a new placement on `daemons`, which may include `own`.
     pub fn reset(&mut self, own: Daemon, daemons: Vec<Daemon>) {
         (self.own, self.daemons) = (Some(own), daemons);
+        self.warmers.clone_from(&self.daemons);
         self.assigned.clear();
         self.is_valid = true;
     }
 
+    /// Divides the rates of cold upstreams among `daemons` instead, since callers use no daemon much
+    /// and each one then has all upstreams assigned.
+    pub fn set_warmers(&mut self, daemons: Vec<Daemon>) {
+        self.warmers = daemons;
+    }
+
     /// Assigns the upstreams of a service, and marks in it those that are assigned to this daemon.
     pub fn add_service(&mut self, service: &mut Service) {
         let own = self.own.as_ref().map(|it| it.address);
         let count = daemons_per_upstream(self.daemons.len(), service.iter().count());
+        let is_limited = service.slow_start().is_limited();
         for it in service.iter_mut() {
             let Registration { id, domain, .. } = &it.registration;
             let mut daemons = assign(id, domain, &self.daemons, count);
             let before = daemons.len();
             daemons.retain(|it| Some(*it) != own);
             it.is_assigned = daemons.len() < before;
+            let rank =
+                own.filter(|_| is_limited).and_then(|own| rank(id, domain, &self.warmers, own));
+            it.temperature.set_rank(rank);
             self.assigned.insert(it.registration.id.clone(), daemons.into());
         }
     }
@@ -94,11 +107,7 @@
 /// The `count` daemons that an upstream is assigned to, those in its failure domain first.
 #[must_use]
 pub fn assign(id: &str, domain: &str, daemons: &[Daemon], count: usize) -> Vec<SocketAddr> {
-    let seed = xxh3_64(id.as_bytes());
-    let order = |it: &Daemon| {
-        let hash = xxh3_64(&[hash_of(it.address).to_le_bytes(), seed.to_le_bytes()].concat());
-        (&*it.domain != domain, hash, it.address)
-    };
+    let order = order(id, domain);
     let mut res: Vec<_> = daemons.iter().map(order).collect();
     if count < res.len() {
         res.select_nth_unstable(count);
@@ -107,6 +116,24 @@
     res.into_iter().map(|(_, _, address)| address).collect()
 }
 
+/// Number of `daemons` that precede `own` among those that an upstream is assigned to; `None` if
+/// `own` is none of them.
+#[must_use]
+pub fn rank(id: &str, domain: &str, daemons: &[Daemon], own: SocketAddr) -> Option<usize> {
+    let order = order(id, domain);
+    let own = order(daemons.iter().find(|it| it.address == own)?);
+    Some(daemons.iter().filter(|it| order(it) < own).count())
+}
+
+/// Order in which an upstream is assigned to daemons.
+fn order(id: &str, domain: &str) -> impl Fn(&Daemon) -> (bool, u64, SocketAddr) {
+    let seed = xxh3_64(id.as_bytes());
+    move |it| {
+        let hash = xxh3_64(&[hash_of(it.address).to_le_bytes(), seed.to_le_bytes()].concat());
+        (&*it.domain != domain, hash, it.address)
+    }
+}
+
 fn hash_of(address: SocketAddr) -> u64 {
     match address {
         SocketAddr::V4(it) => xxh3_64(&it.ip().octets()),
--- a/crates/gateway/src/peer/table.rs
+++ b/crates/gateway/src/peer/table.rs
@@ -33,6 +33,8 @@
 const MAX_IDLE_FACTOR: f64 = 4.0;
 /// Number of addresses of other peers in each heartbeat.
 const GOSSIP_ADDRESSES: usize = 3;
+/// Presence of a daemon that is in contact with no other: it can't know how many there are.
+const LONE_PRESENCE: f64 = 0.25;
 
 /// A peer that has sent a heartbeat.
 #[derive(Clone, Debug)]
@@ -260,6 +262,19 @@
         res
     }
 
+    /// Part of the known daemons that this one is in contact with, itself included. An address that
+    /// does not answer counts as long as it is known, since it may only be cut off from here.
+    #[must_use]
+    pub fn presence(&self, now: Instant) -> f64 {
+        let has_left = |address: &SocketAddr| {
+            self.peers.get(address).is_some_and(|it| it.heartbeat.phase == Phase::Leaving)
+        };
+        let live = f64::from(self.live_count(now));
+        let known = self.contacts.keys().filter(|it| !has_left(it)).count() as f64;
+        let presence = ((live + 1.0) / (known + 1.0)).min(1.0);
+        if live > 0.0 { presence } else { presence.min(LONE_PRESENCE) }
+    }
+
     /// Position of this daemon among the live ones, in an order that all daemons share. Hosts with
     /// the best links come first, since the first daemons read the store and relay to the others.
     #[must_use]
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -24,6 +24,8 @@
 const WAIT_TIMEOUT: Duration = Duration::from_millis(15);
 /// Interval of probe rounds while requests are queued.
 const ROUND_INTERVAL: Duration = Duration::from_millis(15);
+/// Interval at which it is checked which upstreams must be asked whether they are cold.
+const TEMPERATURE_INTERVAL: Duration = Duration::from_millis(100);
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum size of the body of a probe's answer, in bytes.
@@ -107,18 +109,42 @@
     }
 }
 
+/// Asks upstreams whether they are cold, until the task is dropped.
+pub async fn watch_temperatures(gateway: Rc<Gateway>) {
+    loop {
+        tokio::time::sleep(TEMPERATURE_INTERVAL).await;
+        let Some(table) = gateway.table() else { continue };
+        let (now, is_active) = (gateway.now(), gateway.activity.borrow().is_active());
+        for dispatcher in gateway.limited_dispatchers() {
+            let due = dispatcher.service.borrow_mut().temperature_checks(now, is_active);
+            // The probes run detached.
+            drop(start_probes(&gateway, &table, &dispatcher, due));
+        }
+    }
+}
+
 /// Starts probes of candidates whose condition is unknown.
 fn start(
     gateway: &Rc<Gateway>,
     table: &Table,
     dispatcher: &Rc<Dispatcher>,
     tried: &[UpstreamId],
+) -> FuturesUnordered<JoinHandle<()>> {
+    let now = gateway.now();
+    let candidates = dispatcher.service.borrow_mut().probe_candidates(now, tried, MAX_CANDIDATES);
+    start_probes(gateway, table, dispatcher, candidates)
+}
+
+fn start_probes(
+    gateway: &Rc<Gateway>,
+    table: &Table,
+    dispatcher: &Rc<Dispatcher>,
+    upstreams: Vec<UpstreamId>,
 ) -> FuturesUnordered<JoinHandle<()>> {
     let now = gateway.now();
     let res = FuturesUnordered::new();
     let Some(config) = table.services.get(&dispatcher.id) else { return res };
-    let candidates = dispatcher.service.borrow_mut().probe_candidates(now, tried, MAX_CANDIDATES);
-    for id in candidates {
+    for id in upstreams {
         let registration = dispatcher.service.borrow().get(&id).map(|it| it.registration.clone());
         let Some(registration) = registration else { continue };
         if !gateway.probe_budget.borrow_mut().take(now) {
@@ -153,6 +179,7 @@
         // The address belongs to another instance now, whose load says nothing about this one.
         return;
     }
+    gateway.record_health(&dispatcher, &upstream, &answer.head);
     let load = answer.head.get(names.load);
     let Some(report) = load.and_then(|it| (gateway.protocol.parse_load)(it)) else { return };
     let now = gateway.now();
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -126,6 +126,8 @@
         tasks.spawn("heartbeats", |_, mesh| mesh.send_heartbeats());
         tasks.spawn("loads", |_, mesh| mesh.send_loads());
         tasks.spawn("departures", |_, mesh| mesh.send_departures());
+        tasks.spawn("temperatures", |_, mesh| mesh.send_temperatures());
+        tasks.spawn("temperature-checks", |gateway, _| probe::watch_temperatures(gateway));
         tasks.spawn("tick", |gateway, _| tick(gateway));
         tasks.spawn("probes", |gateway, _| probe::watch(gateway));
         let store = Rc::clone(platform);
@@ -269,6 +271,7 @@
             it.service.borrow_mut().decay(TICK_INTERVAL);
             it.serve_queue(now);
         }
+        gateway.report_temperatures(now);
         if now.duration_since(last_sweep) >= SWEEP_INTERVAL {
             last_sweep = now;
             gateway.pool.sweep(now);
--- a/crates/gateway/src/registry/fold.rs
+++ b/crates/gateway/src/registry/fold.rs
@@ -205,6 +205,9 @@
                 || old.state != it.state
                 || old.slots != it.slots
                 || old.service != it.service
+                // It has become cold again, or warm; in between the time only shrinks.
+                || it.cold_for > old.cold_for
+                || it.cold_for.is_zero() != old.cold_for.is_zero()
         });
         self.remove_entry(&it.id);
         self.digest = self.digest.wrapping_add(hash(&it));
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,10 +1,12 @@
 //! Connections to upstreams, and request-answer exchanges on them.
 
+mod cold_time;
 mod exchange;
 mod memory;
 mod notice;
 mod pool;
 
+pub use cold_time::ColdTime;
 pub use exchange::{Completed, Exchange, Failure};
 pub use memory::{Memory, Share};
 pub use notice::Notice;
--- a/crates/gateway/tests/peer_table.rs
+++ b/crates/gateway/tests/peer_table.rs
@@ -206,3 +206,23 @@
     further.sort();
     assert_eq!(further, [3, 5].map(address));
 }
+
+/// The part of the fleet that a daemon is in contact with decides how much of a shared rate it uses. A
+/// silent peer counts, a peer that leaves does not, and a daemon on its own can't be sure of anything.
+#[test]
+fn presence() {
+    let now = Instant::now();
+    let mut table = Table::new(address(1), 100.0);
+    assert!(table.presence(now) <= 0.25, "alone");
+    for number in 2..=4 {
+        table.record_heartbeat(now, address(number), heartbeat(number, 7, Phase::Ready));
+    }
+    assert!((table.presence(now) - 1.0).abs() < 1e-9);
+    let later = now + MS * 5_000;
+    table.record_heartbeat(later, address(2), heartbeat(2, 7, Phase::Ready));
+    assert!((table.presence(later) - 0.5).abs() < 1e-9, "two of four");
+    table.record_heartbeat(later, address(3), heartbeat(3, 7, Phase::Leaving));
+    assert!(table.presence(later) > 0.9, "three of three that stay");
+    let alone = later + MS * 5_000;
+    assert!(table.presence(alone) <= 0.25);
+}
--- a/crates/gateway/tests/registry_fold.rs
+++ b/crates/gateway/tests/registry_fold.rs
@@ -152,3 +152,18 @@
     assert!(fold.check_divergence(now + Duration::from_millis(2_100), 7, other));
     assert_eq!(fold.end(), 0, "the next read starts over");
 }
+
+/// An upstream becomes cold again, and warm. Its other heartbeats in between are no changes, although
+/// the time in them shrinks.
+#[test]
+fn cold_again() {
+    let now = Instant::now();
+    let mut fold = Fold::new(GRACE);
+    let mut is_change = |seconds| {
+        let cold_for = Duration::from_secs(seconds);
+        fold.apply(now, Change::Put(Registration { cold_for, ..upstream("u", 1) })).is_some()
+    };
+    assert!(is_change(0), "new");
+    let changes = [0, 5, 4, 1, 0, 0, 3, 6].map(&mut is_change);
+    assert_eq!(changes, [false, true, false, false, true, false, true, true]);
+}
