--- a/crates/gateway/src/gateway/evacuation.rs
+++ b/crates/gateway/src/gateway/evacuation.rs
@@ -180,6 +180,9 @@
         for dispatcher in &dispatchers {
             let mut service = dispatcher.service.borrow_mut();
             service.set_evacuated(&new.domains);
+            for it in old.domains.difference(&new.domains) {
+                service.mark_unknown_temperature(now, it);
+            }
             for it in service.iter().filter(|it| it.is_evacuated) {
                 self.pool.remove(&it.registration.id);
             }
--- a/crates/gateway/tests/evacuation.rs
+++ b/crates/gateway/tests/evacuation.rs
@@ -17,7 +17,7 @@
     config::{Config, Route, Service},
     dispatcher::Request,
     gateway::Gateway,
-    load::Eligibility,
+    load::{Domains, Eligibility},
     peer::Phase,
     registry::{
         Change, Domain, EvacuationRecord, Evacuations, MAX_DOMAINS, Progress, Registration, Stamp,
@@ -119,7 +119,15 @@
 
 fn request<'a>(gateway: &Gateway, route: &'a Route) -> Request<'a> {
     let now = gateway.now();
-    Request { route, tried: &[], received: now, deadline: now + Duration::from_secs(10) }
+    Request {
+        route,
+        priority: route.priority,
+        tenant: None,
+        domains: Domains::default(),
+        tried: &[],
+        received: now,
+        deadline: now + Duration::from_secs(10),
+    }
 }
 
 fn peer() -> SocketAddr {
