--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters, gauges and histograms for Prometheus.
 
-use std::time::Duration;
+use std::{cell::RefCell, collections::HashSet, time::Duration};
 
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
@@ -13,11 +13,18 @@
     registry::Registry,
 };
 
+use crate::config::TenantId;
+
 /// Upper bound of the first latency bucket in seconds; each further bucket doubles it.
 const FIRST_BUCKET_S: f64 = 0.002;
 /// Number of latency buckets; the last ends at 16 s.
 const BUCKET_COUNT: u16 = 14;
 
+/// Maximum number of tenants that are counted by name.
+const MAX_TENANTS: usize = 256;
+/// Name under which all other tenants are counted.
+const OTHER_TENANTS: &str = "other";
+
 /// Labels of requests.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct Request {
@@ -29,6 +36,15 @@
     pub reason: &'static str,
 }
 
+/// Labels of a tenant's requests.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct TenantRequest {
+    /// Name of the tenant.
+    pub tenant: String,
+    /// First digit of the status sent to the caller; 0 if the caller closed its connection.
+    pub class: u16,
+}
+
 /// Labels of a route.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct Route {
@@ -59,6 +75,8 @@
 pub struct Metrics {
     /// Requests that have ended.
     pub requests: Family<Request, Counter>,
+    /// Requests of tenants that have ended.
+    pub tenant_requests: Family<TenantRequest, Counter>,
     /// Time from reading a request to its answer.
     pub latency: Family<Route, Histogram>,
     /// Attempts at upstreams.
@@ -79,6 +97,8 @@
     pub config_version: Gauge,
     /// Findings about configurations, counted once per version.
     pub config_findings: Counter,
+    /// Tenants that are counted by name.
+    tenants: RefCell<HashSet<TenantId>>,
     registry: Registry,
 }
 
@@ -86,6 +106,7 @@
     fn default() -> Self {
         let mut res = Self {
             requests: Family::default(),
+            tenant_requests: Family::default(),
             latency: Family::new_with_constructor(latency_histogram),
             attempts: Family::default(),
             calls: Family::default(),
@@ -96,6 +117,7 @@
             peers: Gauge::default(),
             config_version: Gauge::default(),
             config_findings: Counter::default(),
+            tenants: RefCell::default(),
             registry: Registry::with_prefix("fireflydrum"),
         };
         res.register();
@@ -111,6 +133,17 @@
         self.requests.get_or_create(&Request { route, status, reason }).inc();
     }
 
+    /// Counts a request of a tenant that has ended. The first tenants are counted by name, further
+    /// ones together.
+    pub fn count_tenant(&self, tenant: &TenantId, status: u16) {
+        let mut tenants = self.tenants.borrow_mut();
+        if !tenants.contains(tenant) && tenants.len() < MAX_TENANTS {
+            tenants.insert(tenant.clone());
+        }
+        let tenant = if tenants.contains(tenant) { tenant } else { OTHER_TENANTS }.to_owned();
+        self.tenant_requests.get_or_create(&TenantRequest { tenant, class: status / 100 }).inc();
+    }
+
     /// Counts an attempt at an upstream.
     pub fn attempt(&self, service: &str, cause: &'static str) {
         self.attempts.get_or_create(&Attempt { service: service.to_owned(), cause }).inc();
@@ -135,6 +168,8 @@
     fn register(&mut self) {
         let it = &mut self.registry;
         it.register("requests", "Requests that have ended", self.requests.clone());
+        let tenant_requests = self.tenant_requests.clone();
+        it.register("tenant_requests", "Requests of tenants that have ended", tenant_requests);
         it.register("latency_seconds", "From reading to answering", self.latency.clone());
         it.register("attempts", "Attempts at upstreams", self.attempts.clone());
         it.register("store_calls", "Calls to the platform's store", self.calls.clone());
--- a/crates/gateway/src/request/guard.rs
+++ b/crates/gateway/src/request/guard.rs
@@ -37,6 +37,9 @@
         let took = now.saturating_duration_since(self.trace.received);
         let route = self.trace.route.as_deref().unwrap_or_default();
         gateway.metrics.count(route, status, self.trace.reason, took);
+        if let Some(it) = &self.trace.tenant {
+            gateway.metrics.count_tenant(it, status);
+        }
         let settings = gateway.settings();
         let kind = self.trace.kind(status);
         let limit = if kind == SUCCESS {
