gateway: admission control under overload

Cause: with too little capacity, waiting requests were held until half of their time had passed and then refused, all tenants paid for a flood of one, and a caller that came back after a refusal counted as new.

Change: one policy in load/queue.rs with accounts of service by route and tenant, a measured drain rate, work estimates with a high quantile, and the time of a caller's first attempt, inferred from the time that it has left. While the expected wait is short, the order is as before. While it is long, owed service goes first, then priority, tenants within their share, cheap work, earliest due; requests that would be late are refused on arrival, or within an eighth of their target. Retry-After is spread over what callers honour. Metric wait_seconds by route and reason.

Queue::remove takes only the serial, and Queue::tick returns what it refused; waiting_order.rs follows with its assertions unchanged.

Tested: cargo test -p gateway.

--- a/crates/cli/src/trace/cause.rs
+++ b/crates/cli/src/trace/cause.rs
@@ -3,11 +3,16 @@
 use super::Line;
 
 /// Values of `reason` and their meaning.
-const REASONS: [(&str, &str); 12] = [
+const REASONS: [(&str, &str); 14] = [
     (
         "overload",
         "no upstream had a free slot in time; the request was refused before it reached an upstream",
     ),
+    (
+        "displaced",
+        "the request waited for a free slot and was refused in favour of others of more value",
+    ),
+    ("expired", "the request waited for a free slot until it could no longer be answered in time"),
     ("no-upstream", "no upstream of the service accepted new requests"),
     (
         "upstreams-refused",
--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -20,7 +20,7 @@
 pub use reservation::Reservation;
 
 use crate::{
-    config::{Route, RouteId, ServiceId},
+    config::{Route, RouteId, ServiceId, TenantId},
     load::{Budget, Eligibility, Queue, Service, Waiter},
     registry::UpstreamId,
 };
@@ -28,13 +28,8 @@
 /// A reservation, or why there is none.
 pub type Result<T, E = Refusal> = std::result::Result<T, E>;
 
-/// Share of the time left that a request may be expected to wait; beyond it, the request is refused
-/// immediately.
-const MAX_WAIT_SHARE: f64 = 0.5;
-/// Shortest `Retry-After` of a refusal.
+/// Shortest `Retry-After` while all upstreams pause.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
-/// Longest `Retry-After` of a refusal.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// Time for which a request waits for an upstream at normal pace. Interference by other processes
 /// on an upstream's machine lasts a fraction of a second.
@@ -61,6 +56,10 @@
     pub received: Instant,
     /// When the caller must have its answer.
     pub deadline: Instant,
+    /// Priority; 0 is the most urgent.
+    pub priority: u8,
+    /// Tenant whose key the request carries, if any.
+    pub tenant: Option<TenantId>,
 }
 
 /// A waiting request, with the channel for its result.
@@ -87,13 +86,14 @@
 }
 
 impl Dispatcher {
-    /// Creates a dispatcher for `service`. `on_load_change` is called for each upstream whose
-    /// number of requests in flight changes.
+    /// Creates a dispatcher for `service` with an empty queue. `on_load_change` is called for each
+    /// upstream whose number of requests in flight changes.
     #[must_use]
     pub fn new(
         id: ServiceId,
         service: Service,
         budget: Budget,
+        queue: Queue,
         clock: Arc<dyn Clock>,
         on_load_change: Rc<dyn Fn(&UpstreamId)>,
     ) -> Self {
@@ -101,7 +101,7 @@
             id,
             service: RefCell::new(service),
             budget: RefCell::new(budget),
-            queue: RefCell::default(),
+            queue: RefCell::new(queue),
             waiting: RefCell::default(),
             daemon_count: Cell::new(1),
             connection_limit: Cell::new(0),
@@ -148,7 +148,9 @@
         if !self.queue.borrow().is_empty() {
             return None;
         }
-        self.reserve(now, &request.route.id, request.tried, eligibility)
+        let res = self.reserve(now, &request.route.id, request.tried, eligibility)?;
+        self.queue.borrow_mut().record_sent(now, &self.waiter(now, request));
+        Some(res)
     }
 
     /// Waits until an upstream has free capacity.
@@ -158,24 +160,16 @@
     /// Refuses immediately if no upstream accepts requests or the expected wait is too long, and
     /// later if the request can no longer be answered in time.
     pub async fn wait(self: &Rc<Self>, now: Instant, request: &Request<'_>) -> Result<Reservation> {
-        let service_time = self.expected_service_time(&request.route.id);
         self.check_open(now, request.tried)?;
-        let wait = self.expected_wait(now, request.route.priority, service_time);
-        let time_left = request.deadline.saturating_duration_since(now);
-        if wait > time_left.saturating_sub(service_time).mul_f64(MAX_WAIT_SHARE) {
-            return Err(Refusal::overload(retry_after(wait)));
-        }
-        let priority = request.route.priority;
-        let target = request.received + request.route.target_latency;
-        let waiter =
-            Waiter { priority, since: now, target, deadline: request.deadline, service_time };
-        let serial = self.queue.borrow_mut().push(waiter);
+        let waiter = self.waiter(now, request);
+        self.update_slots(now);
+        let serial = self.queue.borrow_mut().offer(now, waiter).map_err(Refusal::from)?;
         let (reply, receiver) = oneshot::channel();
         let (route, tried) = (request.route.id.clone(), request.tried.to_vec());
         self.waiting.borrow_mut().insert(serial, Waiting { reply, route, tried });
-        let _entry = Entry { dispatcher: self, priority, serial };
+        let _entry = Entry { dispatcher: self, serial };
         self.serve_queue(now);
-        receiver.await.unwrap_or_else(|_closed| Err(Refusal::overload(retry_after(wait))))
+        receiver.await.unwrap_or_else(|_closed| Err(Refusal::no_upstream()))
     }
 
     /// Assigns free capacity to waiting requests, and refuses those that can no longer be answered
@@ -184,9 +178,10 @@
         if self.queue.borrow().is_empty() {
             return;
         }
-        let expired = self.queue.borrow_mut().tick(now);
-        for it in expired {
-            self.reply(it, Err(Refusal::overload(MIN_RETRY_AFTER)));
+        self.update_slots(now);
+        let refused = self.queue.borrow_mut().tick(now);
+        for it in refused {
+            self.reply(it.serial, Err(it.into()));
         }
         if let Err(refusal) = self.check_open(now, &[]) {
             self.refuse_all(refusal);
@@ -194,8 +189,8 @@
         }
         // Upstreams that are unavailable to one request are unavailable to later ones of the same
         // kind.
-        while let Some((priority, serial, reservation)) = self.next_reservation(now) {
-            self.queue.borrow_mut().remove(priority, serial);
+        while let Some((serial, reservation)) = self.next_reservation(now) {
+            self.queue.borrow_mut().grant(now, serial);
             self.reply(serial, Ok(reservation));
         }
     }
@@ -210,34 +205,29 @@
     }
 
     fn refuse_all(&self, refusal: Refusal) {
-        let waiting: Vec<_> =
-            self.queue.borrow().iter().map(|(serial, it)| (it.priority, serial)).collect();
-        for (priority, serial) in waiting {
-            self.queue.borrow_mut().remove(priority, serial);
+        let waiting: Vec<_> = self.queue.borrow().iter().map(|(serial, _)| serial).collect();
+        for serial in waiting {
+            self.queue.borrow_mut().remove(serial);
             self.reply(serial, Err(refusal));
         }
     }
 
     /// Reserves an upstream for the first waiting request that has one available.
-    fn next_reservation(self: &Rc<Self>, now: Instant) -> Option<(u8, u64, Reservation)> {
+    fn next_reservation(self: &Rc<Self>, now: Instant) -> Option<(u64, Reservation)> {
         let candidates: Vec<_> = {
             let queue = self.queue.borrow();
             let candidate = |(serial, it): (u64, &Waiter)| {
                 let is_recent = now.saturating_duration_since(it.since) < MAX_NORMAL_WAIT;
-                (
-                    it.priority,
-                    serial,
-                    if is_recent { Eligibility::Normal } else { Eligibility::NormalOrIdle },
-                )
+                (serial, if is_recent { Eligibility::Normal } else { Eligibility::NormalOrIdle })
             };
             queue.iter().take(MAX_CANDIDATES).map(candidate).collect()
         };
-        for (priority, serial, eligibility) in candidates {
+        for (serial, eligibility) in candidates {
             let waiting =
                 self.waiting.borrow().get(&serial).map(|it| (it.route.clone(), it.tried.clone()));
             let Some((route, tried)) = waiting else { continue };
             if let Some(it) = self.reserve(now, &route, &tried, eligibility) {
-                return Some((priority, serial, it));
+                return Some((serial, it));
             }
         }
         None
@@ -249,10 +239,26 @@
         self.service.borrow().service_time(route).mul_f64(SERVICE_TIME_MARGIN)
     }
 
-    fn expected_wait(&self, now: Instant, priority: u8, service_time: Duration) -> Duration {
-        let own_capacity = self.service.borrow().capacity(now) / f64::from(self.daemon_count.get());
-        let ahead = self.queue.borrow().ahead(priority) as f64;
-        service_time.mul_f64(ahead / own_capacity.max(0.5))
+    fn waiter(&self, now: Instant, request: &Request<'_>) -> Waiter {
+        let work = self.service.borrow().work(&request.route.id);
+        Waiter {
+            route: request.route.id.clone(),
+            tenant: request.tenant.clone(),
+            priority: request.priority,
+            received: request.received,
+            since: now,
+            target_latency: request.route.target_latency,
+            target: request.received + request.route.target_latency,
+            deadline: request.deadline,
+            service_time: work.likely(),
+            work: work.mean(),
+        }
+    }
+
+    /// Tells the queue how many slots this daemon may expect for itself.
+    fn update_slots(&self, now: Instant) {
+        let capacity = self.service.borrow().capacity(now);
+        self.queue.borrow_mut().set_slots(capacity / f64::from(self.daemon_count.get()));
     }
 
     fn reserve(
@@ -279,7 +285,3 @@
         }
     }
 }
-
-fn retry_after(wait: Duration) -> Duration {
-    wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
-}
--- a/crates/gateway/src/dispatcher/entry.rs
+++ b/crates/gateway/src/dispatcher/entry.rs
@@ -5,13 +5,12 @@
 /// Entry in the queue of a dispatcher, removed when dropped.
 pub(super) struct Entry<'a> {
     pub(super) dispatcher: &'a Dispatcher,
-    pub(super) priority: u8,
     pub(super) serial: u64,
 }
 
 impl Drop for Entry<'_> {
     fn drop(&mut self) {
-        self.dispatcher.queue.borrow_mut().remove(self.priority, self.serial);
+        self.dispatcher.queue.borrow_mut().remove(self.serial);
         self.dispatcher.waiting.borrow_mut().remove(&self.serial);
     }
 }
--- a/crates/gateway/src/dispatcher/refusal.rs
+++ b/crates/gateway/src/dispatcher/refusal.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::load;
+
 /// `Retry-After` while no upstream accepts requests.
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -26,10 +28,15 @@
     pub fn paused(retry_after: Duration) -> Self {
         Self { reason: "upstreams-pause", retry_after }
     }
+}
 
-    /// Too many requests are waiting.
-    #[must_use]
-    pub fn overload(retry_after: Duration) -> Self {
-        Self { reason: "overload", retry_after }
+impl From<load::Refused> for Refusal {
+    fn from(it: load::Refused) -> Self {
+        let reason = match it.reason {
+            load::Reason::Overload => "overload",
+            load::Reason::Displaced => "displaced",
+            load::Reason::Expired => "expired",
+        };
+        Self { reason, retry_after: it.retry_after }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,7 +23,7 @@
     config::{self, Config, RouteId, ServiceId, Table, Version},
     decision::Limiter,
     dispatcher::Dispatcher,
-    load::{self, Budget, HostKey, Service},
+    load::{self, Budget, HostKey, Queue, Service},
     metrics::Metrics,
     peer::{
         self, Departure, Phase,
@@ -406,9 +406,10 @@
                 it.mark_load_changed(id);
             }
         });
+        let queue = Queue::new(load::Overload::default(), seed);
+        let clock = Arc::clone(&self.clock);
         let dispatcher =
-            Dispatcher::new(id.clone(), service, budget, Arc::clone(&self.clock), on_load_change);
-        let dispatcher = Rc::new(dispatcher);
+            Rc::new(Dispatcher::new(id.clone(), service, budget, queue, clock, on_load_change));
         self.invalidate_placement();
         self.dispatchers.borrow_mut().insert(id.clone(), Rc::clone(&dispatcher));
         self.share_budgets(now);
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -1,25 +1,35 @@
 //! Load balancing among the upstreams of a service: load estimates per upstream, upstream choice,
-//! the queue of waiting requests and the budget for repeated attempts.
+//! the queue of waiting requests with admission control, and the budget for repeated attempts.
 //!
 //! Does no input or output; the caller passes the current time to each call.
 
+mod accounts;
 mod budget;
+mod decayed;
+mod drain;
 mod eligibility;
+mod first_attempts;
 mod outcome;
+mod overload;
 mod queue;
 mod report;
 mod service;
 mod settings;
 mod upstream;
+mod waiter;
+mod work;
 
 pub use budget::{Budget, slack_share};
 pub use eligibility::Eligibility;
 pub use outcome::Outcome;
-pub use queue::{Queue, Waiter};
+pub use overload::Overload;
+pub use queue::{Queue, Reason, Refused};
 pub use report::Report;
 pub use service::Service;
 pub use settings::Settings;
 pub use upstream::{Condition, InFlight, Upstream};
+pub use waiter::Waiter;
+pub use work::Work;
 
 /// Identifies the incarnation of an entry host in messages between peers.
 pub type HostKey = u64;
--- a/crates/gateway/src/load/service.rs
+++ b/crates/gateway/src/load/service.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Condition, Eligibility, HostKey, Outcome, Report, Settings, Upstream};
+use super::{Condition, Eligibility, HostKey, Outcome, Report, Settings, Upstream, Work};
 use crate::{
     config::RouteId,
     registry::{Domain, Registration, UpstreamId, Withdrawal},
@@ -52,7 +52,7 @@
     domain: Domain,
     rng: fastrand::Rng,
     upstreams: BTreeMap<UpstreamId, Upstream>,
-    mean_times_s: HashMap<RouteId, f64>,
+    works: HashMap<RouteId, Work>,
     mean_pace: f64,
     normal_reports: u32,
     missing_reports: u32,
@@ -70,7 +70,7 @@
             domain,
             rng: fastrand::Rng::with_seed(seed),
             upstreams: BTreeMap::new(),
-            mean_times_s: HashMap::new(),
+            works: HashMap::new(),
             mean_pace: 1.0,
             normal_reports: 0,
             missing_reports: 0,
@@ -139,7 +139,13 @@
     /// Mean service time of a route's requests on an upstream at normal pace.
     #[must_use]
     pub fn service_time(&self, route: &str) -> Duration {
-        self.mean_times_s.get(route).map_or(INITIAL_SERVICE_TIME, |it| Duration::from_secs_f64(*it))
+        self.work(route).mean()
+    }
+
+    /// Work of a route's requests on an upstream at normal pace.
+    #[must_use]
+    pub fn work(&self, route: &str) -> Work {
+        self.works.get(route).copied().unwrap_or_else(|| Work::new(INITIAL_SERVICE_TIME))
     }
 
     /// Chooses the upstream with free capacity that is expected to answer soonest, except those in
@@ -326,8 +332,8 @@
             self.full_slowdown = (self.full_slowdown + step).clamp(1.0, MAX_FULL_SLOWDOWN);
             return;
         }
-        let mean = self.mean_times_s.entry(route.clone()).or_insert(sample);
-        *mean += (sample - *mean) * SAMPLE_WEIGHT;
+        let first = || Work::new(Duration::from_secs_f64(sample));
+        self.works.entry(route.clone()).or_insert_with(first).record(sample);
     }
 
     /// Decays the observed slowdown over `elapsed`, so that a service that slowed down when nearly
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -36,6 +36,15 @@
     pub route: String,
 }
 
+/// Labels of requests that waited for an upstream.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Wait {
+    /// Route.
+    pub route: String,
+    /// Why the wait ended without an upstream; empty if the request was sent.
+    pub reason: &'static str,
+}
+
 /// Labels of attempts at upstreams.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct Attempt {
@@ -61,6 +70,8 @@
     pub requests: Family<Request, Counter>,
     /// Time from reading a request to its answer.
     pub latency: Family<Route, Histogram>,
+    /// Time for which requests waited for an upstream until they were sent or refused.
+    pub waits: Family<Wait, Histogram>,
     /// Attempts at upstreams.
     pub attempts: Family<Attempt, Counter>,
     /// Calls to the platform's store.
@@ -85,6 +96,7 @@
         let mut res = Self {
             requests: Family::default(),
             latency: Family::new_with_constructor(latency_histogram),
+            waits: Family::new_with_constructor(latency_histogram),
             attempts: Family::default(),
             calls: Family::default(),
             probes: Counter::default(),
@@ -108,6 +120,12 @@
         self.requests.get_or_create(&Request { route, status, reason }).inc();
     }
 
+    /// Records the wait of a request that was sent, or refused for `reason`.
+    pub fn waited(&self, route: &str, reason: &'static str, took: Duration) {
+        let labels = Wait { route: route.to_owned(), reason };
+        self.waits.get_or_create(&labels).observe(took.as_secs_f64());
+    }
+
     /// Counts an attempt at an upstream.
     pub fn attempt(&self, service: &str, cause: &'static str) {
         self.attempts.get_or_create(&Attempt { service: service.to_owned(), cause }).inc();
@@ -133,6 +151,7 @@
         let it = &mut self.registry;
         it.register("requests", "Requests that have ended", self.requests.clone());
         it.register("latency_seconds", "From reading to answering", self.latency.clone());
+        it.register("wait_seconds", "Until sent to an upstream or refused", self.waits.clone());
         it.register("attempts", "Attempts at upstreams", self.attempts.clone());
         it.register("store_calls", "Calls to the platform's store", self.calls.clone());
         it.register("probes", "Probes of upstreams", self.probes.clone());
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -147,7 +147,8 @@
 
     fn request(&self) -> Request<'_> {
         let Context { route, received, deadline, .. } = *self.context;
-        Request { route, tried: &self.tried, received, deadline }
+        let (priority, tenant) = (route.priority, None);
+        Request { route, tried: &self.tried, received, deadline, priority, tenant }
     }
 
     /// Waits for an upstream that can take the request.
@@ -168,7 +169,11 @@
                 return Ok(it);
             }
         }
-        dispatcher.wait(self.now(), &self.request()).await.map_err(Refusal::from)
+        let since = self.now();
+        let res = dispatcher.wait(since, &self.request()).await;
+        let reason = res.as_ref().err().map_or("", |it| it.reason);
+        gateway.metrics.waited(&route.id, reason, self.now().saturating_duration_since(since));
+        res.map_err(Refusal::from)
     }
 
     /// When to send a hedge: as late as it can still be answered within the target, since most
--- a/crates/gateway/tests/waiting_order.rs
+++ b/crates/gateway/tests/waiting_order.rs
@@ -8,11 +8,16 @@
 
 fn waiter(now: Instant, priority: u8, target_ms: u32, deadline_ms: u32) -> Waiter {
     Waiter {
+        route: "route".into(),
+        tenant: None,
         priority,
+        received: now,
         since: now,
+        target_latency: MS * target_ms,
         target: now + MS * target_ms,
         deadline: now + MS * deadline_ms,
         service_time: MS * 100,
+        work: MS * 100,
     }
 }
 
@@ -20,6 +25,10 @@
     queue.iter().map(|(serial, _)| serial).collect()
 }
 
+fn expired(queue: &mut Queue, now: Instant) -> Vec<u64> {
+    queue.tick(now).iter().map(|it| it.serial).collect()
+}
+
 /// Many requests of low priority arrive along with urgent ones.
 #[test]
 fn urgent_first() {
@@ -43,7 +52,7 @@
     let low = queue.push(waiter(now, 2, 600, 3_000));
     assert!(queue.tick(now + MS * 250).is_empty());
     assert_eq!(order(&queue), [new, old, low]);
-    assert!(queue.remove(1, old).is_some());
+    assert!(queue.remove(old).is_some());
     assert_eq!(order(&queue), [new, low]);
 }
 
@@ -63,7 +72,7 @@
         queue.tick(now);
         let Some((serial, next)) = queue.iter().next() else { continue };
         let is_late = next.is_late(now);
-        queue.remove(1, serial);
+        queue.remove(serial);
         if is_late { late += 1 } else { in_time += 1 }
     }
     assert!(in_time > 2_900, "{in_time} in time, {late} late");
@@ -77,8 +86,8 @@
     let mut queue = Queue::default();
     let short = queue.push(waiter(now, 1, 300, 500));
     let long = queue.push(waiter(now, 1, 300, 900));
-    assert_eq!(queue.tick(now + MS * 400), [short]);
+    assert_eq!(expired(&mut queue, now + MS * 400), [short]);
     assert_eq!(order(&queue), [long]);
-    assert_eq!(queue.tick(now + MS * 450), [long], "late after half of its time");
+    assert_eq!(expired(&mut queue, now + MS * 450), [long], "late after half of its time");
     assert!(queue.is_empty());
 }
