--- a/crates/gateway/src/load/service/slow_start.rs
+++ b/crates/gateway/src/load/service/slow_start.rs
@@ -127,10 +127,10 @@
 
     /// Mean service time of all routes, in seconds.
     pub(super) fn mean_service_time_s(&self) -> f64 {
-        let times = &self.mean_times_s;
-        if times.is_empty() {
+        if self.works.is_empty() {
             return INITIAL_SERVICE_TIME.as_secs_f64();
         }
-        times.values().sum::<f64>() / times.len() as f64
+        let total: f64 = self.works.values().map(|it| it.mean().as_secs_f64()).sum();
+        total / self.works.len() as f64
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -52,6 +52,15 @@
     pub route: String,
 }
 
+/// Labels of requests that waited for an upstream.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Wait {
+    /// Route.
+    pub route: String,
+    /// Why the wait ended without an upstream; empty if the request was sent.
+    pub reason: &'static str,
+}
+
 /// Labels of attempts at upstreams.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct Attempt {
@@ -86,6 +95,8 @@
     pub tenant_requests: Family<TenantRequest, Counter>,
     /// Time from reading a request to its answer.
     pub latency: Family<Route, Histogram>,
+    /// Time for which requests waited for an upstream until they were sent or refused.
+    pub waits: Family<Wait, Histogram>,
     /// Attempts at upstreams.
     pub attempts: Family<Attempt, Counter>,
     /// Calls to the platform's store.
@@ -123,6 +134,7 @@
             requests: Family::default(),
             tenant_requests: Family::default(),
             latency: Family::new_with_constructor(latency_histogram),
+            waits: Family::new_with_constructor(latency_histogram),
             attempts: Family::default(),
             calls: Family::default(),
             probes: Counter::default(),
@@ -163,6 +175,12 @@
         self.tenant_requests.get_or_create(&TenantRequest { tenant, class: status / 100 }).inc();
     }
 
+    /// Records the wait of a request that was sent, or refused for `reason`.
+    pub fn waited(&self, route: &str, reason: &'static str, took: Duration) {
+        let labels = Wait { route: route.to_owned(), reason };
+        self.waits.get_or_create(&labels).observe(took.as_secs_f64());
+    }
+
     /// Counts an attempt at an upstream.
     pub fn attempt(&self, service: &str, cause: &'static str) {
         self.attempts.get_or_create(&Attempt { service: service.to_owned(), cause }).inc();
@@ -190,6 +208,7 @@
         let tenant_requests = self.tenant_requests.clone();
         it.register("tenant_requests", "Requests of tenants that have ended", tenant_requests);
         it.register("latency_seconds", "From reading to answering", self.latency.clone());
+        it.register("wait_seconds", "Until sent to an upstream or refused", self.waits.clone());
         it.register("attempts", "Attempts at upstreams", self.attempts.clone());
         it.register("store_calls", "Calls to the platform's store", self.calls.clone());
         it.register("probes", "Probes of upstreams", self.probes.clone());
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -168,14 +168,18 @@
     }
 
     async fn reserve(&self) -> Result<Reservation> {
-        let dispatcher = self.context.dispatcher;
+        let Context { gateway, dispatcher, route, .. } = *self.context;
         if dispatcher.queue_len() == 0 {
             let eligibility = self.refresh().await;
             if let Some(it) = dispatcher.try_reserve(self.now(), &self.request(), eligibility) {
                 return Ok(it);
             }
         }
-        dispatcher.wait(self.now(), &self.request()).await.map_err(Refusal::from)
+        let since = self.now();
+        let res = dispatcher.wait(since, &self.request()).await;
+        let reason = res.as_ref().err().map_or("", |it| it.reason);
+        gateway.metrics.waited(&route.id, reason, self.now().saturating_duration_since(since));
+        res.map_err(Refusal::from)
     }
 
     /// Probes upstreams that the request may be sent to, if their condition is unknown.
