gateway: everything held for callers is counted from its first byte

A daemon ran out of memory from bodies that were not complete: only complete bodies were counted, each attempt copied the body, each answer had 256 KiB free of the limit and was copied once more for the caller, and answers behind one that is read slowly were not counted.

New module `memory`: one account with one limit, from `memory_mb` (0.8 of it less what the process needs itself, which is measured every 250 ms). Bodies of requests and answers carry their charge until the last reference to them is dropped; the charge is the capacity, not the length. Bodies over 128 KiB are in pages of their own (memmap2), which grow without a copy and go back to the operating system when they are dropped. Heads and bodies are written separately, without a copy. When memory runs short, the connection that costs others most (bytes x time without progress and expected time for the rest, times the share of its address) gives it up: 503 with `Connection: close` while its request is read, its connection closed while it doesn't read its answer. Requests in progress are never given up, and connections that hold little have a reserve.

Answers are written as long as the caller takes 4 kB in 10 s (before: 10 s for the whole answer), and requests behind a slow answer go on. A head has `header_timeout` from its first byte; before, each byte began it again. Idle connections have no buffer. At the limit of descriptors the connection idle for longest is closed instead of refusing the new one; each socket has its own part, a quarter remains for upstreams, peers and the store (before: four sockets with a half each). Refusals are counted and logged, one line a second for each kind.

An upstream's answer without a length that is reset while the request is still written is no longer complete: the failed write takes the socket's error, and the read after it returns 0 bytes as after an orderly end.

Tests: crates/daemon/tests/hostile_crowd.rs, written before the change, 64 MB, at most 52,428 kB resident. Before: 7 of 13 fail: lengths_at_once 182,568 kB, lengths_in_pieces 181,816, large_chunks 172,860, small_chunks 139,340, unread_answers 358,876, slowly_read_answers 132,696, pipelined_bodies 184,140; the others hold (one_byte_chunks 42,928, reset_connections 27,300, the rest below 20,000). After: 13 pass, at most 50,596 kB (unread_answers). gateway/tests/memory_pressure.rs tests the choice without a network. The tests of gateway and adapter pass unchanged.

--- a/crates/gateway/src/caller/listener.rs
+++ b/crates/gateway/src/caller/listener.rs
@@ -2,19 +2,16 @@
 
 use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
 
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use tokio::net::TcpListener;
 
-use super::{Port, serve};
+use super::{Port, serve, shed};
 use crate::{gateway::Gateway, socket};
 
 /// Maximum number of connections waiting to be accepted.
 const BACKLOG: i32 = 1_024;
 /// Pause after a failed accept, for example when file descriptors or memory run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// One in this many descriptors is available to callers' connections; the rest is for upstreams and
-/// peers.
-const DESCRIPTOR_DIVISOR: usize = 2;
 
 /// Opens a listening socket.
 ///
@@ -37,6 +34,9 @@
 /// Fails if the address can't be bound.
 pub fn listen(gateway: &Rc<Gateway>, port: Port, address: SocketAddr) -> io::Result<()> {
     let listener = bind(address)?;
+    // Accepted connections inherit the size.
+    let bytes = gateway.settings().receive_buffer_bytes();
+    SockRef::from(&listener).set_recv_buffer_size(bytes)?;
     tokio::task::spawn_local(accept(Rc::clone(gateway), port, listener));
     Ok(())
 }
@@ -54,17 +54,31 @@
                 return;
             }
         };
-        let stream = match accepted {
-            Ok((it, _caller)) => it,
+        let (stream, caller) = match accepted {
+            Ok(it) => it,
             Err(e) => {
-                log::warn!("event=accept-failed port={port:?} error={e}");
+                shed::record(
+                    &gateway,
+                    "accept-failed",
+                    format_args!("port={port:?} error=\"{e}\""),
+                );
+                // Without a descriptor nothing can be accepted, so one is freed if possible.
+                let _freed = gateway.memory.close_idle(port as usize, gateway.now());
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
-        if open.get() >= gateway.settings().descriptor_limit / DESCRIPTOR_DIVISOR {
-            log::warn!("event=connection-refused port={port:?} open={}", open.get());
-            continue;
+        let limit = port.connection_limit(gateway.settings().descriptor_limit);
+        if open.get() >= limit {
+            if gateway.memory.close_idle(port as usize, gateway.now()) {
+                // The connection that is closed has its turn before the next one is accepted.
+                tokio::task::yield_now().await;
+            }
+            if open.get() >= limit {
+                let details = format_args!("port={port:?} open={}", open.get());
+                shed::record(&gateway, "connection-refused", details);
+                continue;
+            }
         }
         if let Err(e) = socket::prepare(&stream) {
             log::warn!("event=socket-options-failed port={port:?} error={e}");
@@ -72,7 +86,7 @@
         let count = Count::new(&gateway, &open);
         let gateway = Rc::clone(&gateway);
         tokio::task::spawn_local(async move {
-            serve(gateway, port, stream).await;
+            serve(gateway, port, stream, caller.ip()).await;
             drop(count);
         });
     }
--- a/crates/gateway/src/caller/port.rs
+++ b/crates/gateway/src/caller/port.rs
@@ -24,6 +24,16 @@
 }
 
 impl Port {
+    /// Maximum number of connections to the socket, of `limit` descriptors. A quarter remains for
+    /// upstreams, peers and the store.
+    pub(super) fn connection_limit(self, limit: usize) -> usize {
+        match self {
+            Self::Callers => limit / 2,
+            Self::Directory => limit / 8,
+            Self::Ready | Self::Metrics => limit / 16,
+        }
+    }
+
     /// Answers a request received on this port.
     pub(super) async fn answer(
         self,
@@ -41,6 +51,7 @@
                 directory::answer(&gateway, &target)
             }
             Self::Metrics if path == b"/metrics" => {
+                gateway.metrics.set_memory(gateway.memory.account());
                 Reply::text(200, "text/plain; version=0.0.4", gateway.metrics.text())
             }
             _ => Reply::refuse(Refusal::no_route(), None),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
     decision::Limiter,
     dispatcher::Dispatcher,
     load::{self, Budget, HostKey, Service},
+    memory::Memory,
     metrics::Metrics,
     peer::{
         self, Departure, Phase,
@@ -32,7 +33,7 @@
     probe,
     registry::{Change, Fold, Index, Key, Registration, UpstreamId, Withdrawals},
     stop,
-    upstream::{Memory, Pool},
+    upstream::Pool,
     wire::Protocol,
 };
 
@@ -72,10 +73,8 @@
     pub metrics: Metrics,
     /// Rate limit of the log lines about requests.
     pub log_limiter: RefCell<Limiter>,
-    /// Memory of the answers being read.
-    pub answer_memory: Memory,
-    /// Bytes of request bodies in memory.
-    pub body_bytes: Cell<usize>,
+    /// Memory held for callers.
+    pub memory: Memory,
     /// Request rate and activity of the daemon.
     pub activity: RefCell<peer::Activity>,
     /// Whether this daemon is registered in the store, where other daemons find it.
@@ -139,8 +138,7 @@
             probe_budget: RefCell::new(probe::Bucket::new(now)),
             metrics: Metrics::default(),
             log_limiter: RefCell::new(Limiter::new(now)),
-            answer_memory: Memory::new(settings.body_memory_bytes()),
-            body_bytes: Cell::new(0),
+            memory: Memory::new(settings.caller_memory_bytes(0)),
             activity: RefCell::new(peer::Activity::new(now)),
             is_registered: Cell::new(false),
             config_confirmed: Cell::new(None),
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -14,7 +14,7 @@
 pub use body::{Body, Framing};
 pub use head::{Head, Header};
 pub use message::{Message, Reader};
-pub use write::{answer, request};
+pub use write::{answer, answer_head, request, request_head};
 
 /// Bytes that a read of a head may return; usual heads are smaller.
 const HEAD_READ_BYTES: usize = 4 << 10;
@@ -41,6 +41,9 @@
     /// The body exceeds the size limit.
     #[error("body of more than {0} bytes")]
     BodyTooLarge(usize),
+    /// The operating system gives no memory for the body.
+    #[error("no memory for the body")]
+    OutOfMemory,
     /// The length of the body is ambiguous or unknown.
     #[error("ambiguous framing: {0}")]
     Framing(&'static str),
--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -3,6 +3,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 
 use super::{Error, Result};
+use crate::memory::{Account, Buffer, Charge, Kind};
 
 /// Maximum length of a chunk size line or trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 4 << 10;
@@ -35,22 +36,36 @@
     framing: Framing,
     chunk: Chunk,
     limit: usize,
-    bytes: BytesMut,
+    bytes: Buffer,
 }
 
 impl Body {
-    /// Creates an empty body of at most `limit` bytes.
+    /// Creates an empty body of at most `limit` bytes whose memory is not counted.
     ///
     /// # Errors
     ///
     /// Fails if the declared length exceeds the limit.
     pub fn new(framing: Framing, limit: usize) -> Result<Self> {
+        Self::counted(framing, limit, Account::default().charge(Kind::Requests))
+    }
+
+    /// Creates an empty body of at most `limit` bytes, counted by `charge`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the declared length exceeds the limit.
+    pub fn counted(framing: Framing, limit: usize, charge: Charge) -> Result<Self> {
         if let Framing::Length(it) = framing
             && it > limit as u64
         {
             return Err(Error::BodyTooLarge(limit));
         }
-        Ok(Self { framing, chunk: Chunk::Size, limit, bytes: BytesMut::new() })
+        let max_bytes = match framing {
+            // The length is within the limit.
+            Framing::Length(it) => usize::try_from(it).unwrap_or(limit),
+            Framing::Chunked | Framing::UntilClose => limit,
+        };
+        Ok(Self { framing, chunk: Chunk::Size, limit, bytes: Buffer::new(max_bytes, charge) })
     }
 
     /// Moves bytes of the body from the front of `buffer`; returns true once the body is complete.
@@ -91,6 +106,21 @@
         self.bytes.is_empty()
     }
 
+    /// Bytes of memory in use.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.bytes.held()
+    }
+
+    /// Number of bytes that are missing, if the length is known.
+    #[must_use]
+    pub fn rest(&self) -> Option<usize> {
+        match self.framing {
+            Framing::Length(it) => usize::try_from(it).ok().map(|it| it - self.len()),
+            Framing::Chunked | Framing::UntilClose => None,
+        }
+    }
+
     /// The bytes received.
     #[must_use]
     pub fn into_bytes(self) -> Bytes {
@@ -102,12 +132,8 @@
         if self.bytes.len() + count > self.limit {
             return Err(Error::BodyTooLarge(self.limit));
         }
-        if self.bytes.is_empty() {
-            self.bytes = buffer.split_to(count);
-        } else {
-            self.bytes.extend_from_slice(&buffer[..count]);
-            buffer.advance(count);
-        }
+        self.bytes.extend(&buffer[..count]).map_err(|_e| Error::OutOfMemory)?;
+        buffer.advance(count);
         Ok(())
     }
 
@@ -132,14 +158,17 @@
                     if buffer.len() < 2 {
                         return Ok(false);
                     }
-                    if buffer.split_to(2) != b"\r\n"[..] {
+                    let is_line_end = buffer.starts_with(b"\r\n");
+                    buffer.advance(2);
+                    if !is_line_end {
                         return Err(Error::Malformed("no line end behind a chunk".to_owned()));
                     }
                     self.chunk = Chunk::Size;
                 }
                 Chunk::Trailer(count) => {
-                    let Some(line) = take_line(buffer)? else { return Ok(false) };
-                    if line.is_empty() {
+                    let Some(len) = find_line(buffer)? else { return Ok(false) };
+                    buffer.advance(len + 2);
+                    if len == 0 {
                         self.chunk = Chunk::Done;
                     } else if count == MAX_TRAILERS {
                         return Err(Error::Malformed("too many trailers".to_owned()));
@@ -154,17 +183,19 @@
 }
 
 fn take_size(buffer: &mut BytesMut) -> Result<Option<u64>> {
-    let Some(line) = take_line(buffer)? else { return Ok(None) };
-    let digits = line.split(|it| *it == b';').next().unwrap_or_default().trim_ascii_end();
+    let Some(len) = find_line(buffer)? else { return Ok(None) };
+    let digits = buffer[..len].split(|it| *it == b';').next().unwrap_or_default().trim_ascii_end();
     let is_number = !digits.is_empty() && digits.len() <= 15;
     let text = std::str::from_utf8(digits)
         .ok()
         .filter(|it| is_number && it.bytes().all(|it| it.is_ascii_hexdigit()));
     let size = text.and_then(|it| u64::from_str_radix(it, 16).ok());
+    buffer.advance(len + 2);
     size.map(Some).ok_or_else(|| Error::Malformed("chunk size that is no number".to_owned()))
 }
 
-fn take_line(buffer: &mut BytesMut) -> Result<Option<Bytes>> {
+/// Length of the line at the front of `buffer`, without its end; `None` if it is incomplete.
+fn find_line(buffer: &BytesMut) -> Result<Option<usize>> {
     let Some(end) = buffer.iter().position(|it| *it == b'\n') else {
         if buffer.len() > MAX_LINE_BYTES {
             return Err(Error::Malformed("line too long".to_owned()));
@@ -174,7 +205,5 @@
     if end == 0 || buffer[end - 1] != b'\r' {
         return Err(Error::Malformed("line that doesn't end in CR LF".to_owned()));
     }
-    let mut line = buffer.split_to(end + 1);
-    line.truncate(end - 1);
-    Ok(Some(line.freeze()))
+    Ok(Some(end - 1))
 }
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -2,7 +2,7 @@
 
 use std::ops::Range;
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 
 use super::{Error, Framing, Result};
 
@@ -70,7 +70,7 @@
         let target = range(base, parsed.path.unwrap_or_default().as_bytes());
         let minor_version = parsed.version.unwrap_or_default();
         let ranges = ranges(base, parsed.headers);
-        let bytes = buffer.split_to(len).freeze();
+        let bytes = take(buffer, len);
         Ok(Some(Self {
             method: bytes.slice(method),
             target: bytes.slice(target),
@@ -98,7 +98,7 @@
         let (status, minor_version) =
             (parsed.code.unwrap_or_default(), parsed.version.unwrap_or_default());
         let ranges = ranges(base, parsed.headers);
-        let bytes = buffer.split_to(len).freeze();
+        let bytes = take(buffer, len);
         let headers = slices(&bytes, ranges);
         Ok(Some(Self { status, minor_version, headers, ..Self::default() }))
     }
@@ -222,6 +222,13 @@
     }
 }
 
+/// Copies the head out of `buffer`. A slice would keep the whole allocation of the buffer alive.
+fn take(buffer: &mut BytesMut, len: usize) -> Bytes {
+    let res = Bytes::copy_from_slice(&buffer[..len]);
+    buffer.advance(len);
+    res
+}
+
 fn range(base: usize, part: &[u8]) -> Range<usize> {
     let start = part.as_ptr() as usize - base;
     start..start + part.len()
--- a/crates/gateway/src/http/message.rs
+++ b/crates/gateway/src/http/message.rs
@@ -3,6 +3,7 @@
 use bytes::{Bytes, BytesMut};
 
 use super::{Body, Head, Result};
+use crate::memory::{Account, Kind};
 
 /// A complete request or answer.
 #[derive(Clone, Debug, Default)]
@@ -16,10 +17,17 @@
 /// Reads consecutive requests from the bytes of a connection.
 #[derive(Debug, Default)]
 pub struct Reader {
+    account: Account,
     partial: Option<(Head, Body)>,
 }
 
 impl Reader {
+    /// Creates a reader whose bodies are counted in `account`.
+    #[must_use]
+    pub fn new(account: Account) -> Self {
+        Self { account, partial: None }
+    }
+
     /// Takes the next complete request from the front of `buffer`; returns `None` if it is
     /// incomplete.
     ///
@@ -34,7 +42,8 @@
     ) -> Result<Option<Message>> {
         if self.partial.is_none() {
             let Some(head) = Head::parse_request(buffer, head_limit)? else { return Ok(None) };
-            let body = Body::new(head.request_framing()?, body_limit)?;
+            let charge = self.account.charge(Kind::Requests);
+            let body = Body::counted(head.request_framing()?, body_limit, charge)?;
             self.partial = Some((head, body));
         }
         let Some((head, mut body)) = self.partial.take() else { return Ok(None) };
@@ -45,9 +54,9 @@
         Ok(None)
     }
 
-    /// Head of the request whose body is being read.
+    /// The body that is being read.
     #[must_use]
-    pub fn partial(&self) -> Option<&Head> {
-        self.partial.as_ref().map(|(head, _)| head)
+    pub fn partial(&self) -> Option<&Body> {
+        self.partial.as_ref().map(|(_, body)| body)
     }
 }
--- a/crates/gateway/src/http/write.rs
+++ b/crates/gateway/src/http/write.rs
@@ -2,23 +2,29 @@
 
 use std::io::Write;
 
-use bytes::Bytes;
-
 use super::Message;
 
 /// Serializes a request to an upstream: the caller's request with `extra` headers, which replace
 /// those of the same name.
 #[must_use]
 pub fn request(message: &Message, extra: &[(&str, &str)]) -> Vec<u8> {
+    let mut out = request_head(message, extra);
+    out.extend_from_slice(&message.body);
+    out
+}
+
+/// As [`request`], without the body.
+#[must_use]
+pub fn request_head(message: &Message, extra: &[(&str, &str)]) -> Vec<u8> {
     let head = &message.head;
-    let mut out = Vec::with_capacity(256 + head.headers.len() * 48 + message.body.len());
+    let mut out = Vec::with_capacity(256 + head.headers.len() * 48);
     out.extend_from_slice(&head.method);
     out.push(b' ');
     out.extend_from_slice(&head.target);
     out.extend_from_slice(b" HTTP/1.1\r\n");
     forward(&mut out, message, extra);
     let has_body = !message.body.is_empty() || matches!(&*head.method, b"POST" | b"PUT" | b"PATCH");
-    finish(&mut out, &message.body, has_body);
+    finish(&mut out, message.body.len(), has_body);
     out
 }
 
@@ -27,8 +33,18 @@
 /// The answer to a `HEAD` request (`without_body`) keeps its declared length.
 #[must_use]
 pub fn answer(message: &Message, without_body: bool, is_last: bool) -> Vec<u8> {
+    let mut out = answer_head(message, without_body, is_last);
+    if !without_body {
+        out.extend_from_slice(&message.body);
+    }
+    out
+}
+
+/// As [`answer`], without the body.
+#[must_use]
+pub fn answer_head(message: &Message, without_body: bool, is_last: bool) -> Vec<u8> {
     let head = &message.head;
-    let mut out = Vec::with_capacity(256 + head.headers.len() * 48 + message.body.len());
+    let mut out = Vec::with_capacity(256 + head.headers.len() * 48);
     write(&mut out, format_args!("HTTP/1.1 {} {}\r\n", head.status, reason_phrase(head.status)));
     forward(&mut out, message, &[]);
     if is_last {
@@ -39,12 +55,10 @@
         write(&mut out, format_args!("Content-Length: {it}\r\n"));
     }
     let has_length = declared.is_none() && !matches!(head.status, 100..=199 | 204 | 304);
-    finish(&mut out, if without_body { &EMPTY } else { &message.body }, has_length);
+    finish(&mut out, if without_body { 0 } else { message.body.len() }, has_length);
     out
 }
 
-static EMPTY: Bytes = Bytes::new();
-
 fn forward(out: &mut Vec<u8>, message: &Message, extra: &[(&str, &str)]) {
     for it in &message.head.headers {
         let is_replaced =
@@ -63,12 +77,11 @@
     }
 }
 
-fn finish(out: &mut Vec<u8>, body: &Bytes, has_length: bool) {
+fn finish(out: &mut Vec<u8>, body_len: usize, has_length: bool) {
     if has_length {
-        write(out, format_args!("Content-Length: {}\r\n", body.len()));
+        write(out, format_args!("Content-Length: {body_len}\r\n"));
     }
     out.extend_from_slice(b"\r\n");
-    out.extend_from_slice(body);
 }
 
 fn write(out: &mut Vec<u8>, text: std::fmt::Arguments<'_>) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,6 +1,6 @@
 //! The request path of a daemon whose configuration and upstreams are kept by a platform.
 //!
-//! `config`, `registry`, `load`, `peer` and `http` contain the logic and do no input or output; the
+//! `config`, `registry`, `load`, `memory`, `peer` and `http` contain the logic and do no input or output; the
 //! other modules hold sockets and timers. The adapter to a platform implements
 //! [`platform::Platform`]. A daemon runs on one thread, since the hosts that it is designed for
 //! give it half a core.
@@ -15,6 +15,7 @@
 pub mod http;
 pub mod load;
 pub mod logs;
+pub mod memory;
 pub mod mesh;
 pub mod metrics;
 pub mod peer;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -13,6 +13,8 @@
     registry::Registry,
 };
 
+use crate::memory::{Account, Kind};
+
 /// Upper bound of the first latency bucket in seconds; each further bucket doubles it.
 const FIRST_BUCKET_S: f64 = 0.002;
 /// Number of latency buckets; the last ends at 16 s.
@@ -54,6 +56,20 @@
     pub ok: &'static str,
 }
 
+/// Labels of memory.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Memory {
+    /// What the memory is held for.
+    pub kind: &'static str,
+}
+
+/// Labels of what is refused to clients that use up memory or descriptors.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Shed {
+    /// Why.
+    pub kind: &'static str,
+}
+
 /// Counters, gauges and histograms of one daemon.
 #[derive(Debug)]
 pub struct Metrics {
@@ -71,6 +87,12 @@
     pub panics: Counter,
     /// Omitted log lines about requests.
     pub lines_omitted: Counter,
+    /// Bytes held for callers.
+    pub held_bytes: Family<Memory, Gauge>,
+    /// Bytes that may be held for callers.
+    pub held_bytes_limit: Gauge,
+    /// Bodies and connections given up because memory or descriptors ran short.
+    pub shed: Family<Shed, Counter>,
     /// Connections of callers.
     pub connections: Gauge,
     /// Live peers.
@@ -90,6 +112,9 @@
             probes: Counter::default(),
             panics: Counter::default(),
             lines_omitted: Counter::default(),
+            held_bytes: Family::default(),
+            held_bytes_limit: Gauge::default(),
+            shed: Family::default(),
             connections: Gauge::default(),
             peers: Gauge::default(),
             config_version: Gauge::default(),
@@ -119,6 +144,21 @@
         self.calls.get_or_create(&Call { call, ok }).inc();
     }
 
+    /// Counts a body or connection that was given up.
+    pub fn count_shed(&self, kind: &'static str) {
+        self.shed.get_or_create(&Shed { kind }).inc();
+    }
+
+    /// Sets what is held for callers.
+    pub fn set_memory(&self, account: &Account) {
+        let bytes = |it: usize| i64::try_from(it).unwrap_or(i64::MAX);
+        self.held_bytes_limit.set(bytes(account.limit()));
+        for it in Kind::ALL {
+            let gauge = self.held_bytes.get_or_create(&Memory { kind: it.name() });
+            gauge.set(bytes(account.used_for(it)));
+        }
+    }
+
     /// All metrics in the Prometheus text format.
     #[must_use]
     pub fn text(&self) -> String {
@@ -138,6 +178,10 @@
         it.register("probes", "Probes of upstreams", self.probes.clone());
         it.register("panics", "Panics of tasks", self.panics.clone());
         it.register("log_lines_omitted", "Lines left out", self.lines_omitted.clone());
+        it.register("held_bytes", "Bytes held for callers", self.held_bytes.clone());
+        let limit = self.held_bytes_limit.clone();
+        it.register("held_bytes_limit", "Bytes that may be held for callers", limit);
+        it.register("shed", "Bodies and connections given up", self.shed.clone());
         it.register("connections", "Connections of callers", self.connections.clone());
         it.register("peers", "Peers that are alive", self.peers.clone());
         it.register("config_version", "Configuration in force", self.config_version.clone());
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use tokio::task::JoinHandle;
 
@@ -178,15 +179,16 @@
     if !gateway.accepts_requests(upstream) {
         return None;
     }
-    let bytes = http::request(&message(upstream, path), &[]);
+    let head = http::request_head(&message(upstream, path), &[]);
     let names = &gateway.protocol.names;
     let exchange = Exchange {
-        bytes: &bytes,
+        head: &head,
+        body: &Bytes::new(),
         method: b"GET",
         id_name: names.request_id,
         id: None,
         body_limit: MAX_BODY_BYTES,
-        memory: &gateway.answer_memory,
+        memory: &gateway.memory,
     };
     let completed = exchange.run(connection).await.ok()?;
     gateway.pool.put(id, gateway.now(), completed.connection, completed.keep_alive, idle_limit);
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -31,6 +31,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which idle connections to upstreams are checked.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which the memory of the process is measured.
+const MEMORY_INTERVAL: Duration = Duration::from_millis(250);
 /// Difference between the advance of two clocks from which the host is assumed to have been
 /// suspended.
 const SUSPENSION_THRESHOLD: Duration = Duration::from_millis(250);
@@ -260,6 +262,7 @@
 /// Runs periodic work until the task is dropped.
 async fn tick(gateway: Rc<Gateway>) {
     let mut last_sweep = gateway.now();
+    let mut last_measured = gateway.now();
     let mut last_clocks = (gateway.now(), since_boot());
     loop {
         tokio::time::sleep(TICK_INTERVAL).await;
@@ -269,6 +272,10 @@
             it.service.borrow_mut().decay(TICK_INTERVAL);
             it.serve_queue(now);
         }
+        if now.duration_since(last_measured) >= MEMORY_INTERVAL {
+            last_measured = now;
+            set_memory_limit(&gateway);
+        }
         if now.duration_since(last_sweep) >= SWEEP_INTERVAL {
             last_sweep = now;
             gateway.pool.sweep(now);
@@ -277,6 +284,22 @@
     }
 }
 
+/// Sets what may be held for callers to the rest of the process's memory. What isn't counted is the
+/// difference between what is resident and what is counted.
+fn set_memory_limit(gateway: &Gateway) {
+    let account = gateway.memory.account();
+    let uncounted = resident_bytes().unwrap_or_default().saturating_sub(account.used() as u64);
+    account.set_limit(gateway.settings().caller_memory_bytes(uncounted));
+    gateway.metrics.set_memory(account);
+}
+
+/// Resident memory of the process, if the operating system tells it.
+fn resident_bytes() -> Option<u64> {
+    let text = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: u64 = text.split(' ').nth(1)?.parse().ok()?;
+    Some(pages * rustix::param::page_size() as u64)
+}
+
 /// Detects that the host was suspended: the monotonic clock stops during suspension, the clock
 /// since boot does not. The registry may be outdated then and is read again.
 fn check_suspension(
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -106,14 +106,15 @@
         let names = gateway.protocol.names;
         let left = left.to_string();
         let extra = [(names.deadline_ms, &*left), (names.expected_instance, &*upstream.id)];
-        let bytes = http::request(self.message, &extra);
+        let head = http::request_head(self.message, &extra);
         let exchange = Exchange {
-            bytes: &bytes,
+            head: &head,
+            body: &self.message.body,
             method: &self.message.head.method,
             id_name: names.request_id,
             id: self.message.head.get(names.request_id),
             body_limit: MAX_BODY_BYTES,
-            memory: &gateway.answer_memory,
+            memory: &gateway.memory,
         };
         match exchange.run(connection).await {
             Ok(it) => {
--- a/crates/gateway/src/request/reply.rs
+++ b/crates/gateway/src/request/reply.rs
@@ -5,6 +5,10 @@
 use super::Refusal;
 use crate::http::{self, Head, Header, Message};
 
+/// Size up to which a body is copied behind its head, in bytes: one part is cheaper to write than
+/// two.
+const COPIED_BYTES: usize = 4 << 10;
+
 /// An answer to a caller.
 #[derive(Clone, Debug, Default)]
 pub struct Reply {
@@ -49,10 +53,14 @@
         res
     }
 
-    /// Serializes the answer; `is_last` announces that the connection is closed after it.
+    /// Serializes the answer without a copy of a large body; `is_last` announces that the connection
+    /// is closed after it.
     #[must_use]
-    pub fn bytes(&self, is_last: bool) -> Vec<u8> {
-        http::answer(&self.message, self.without_body, is_last)
+    pub fn into_parts(self, is_last: bool) -> (Vec<u8>, Bytes) {
+        if self.without_body || self.message.body.len() <= COPIED_BYTES {
+            return (http::answer(&self.message, self.without_body, is_last), Bytes::new());
+        }
+        (http::answer_head(&self.message, false, is_last), self.message.body)
     }
 }
 
--- a/crates/gateway/src/rpc.rs
+++ b/crates/gateway/src/rpc.rs
@@ -28,6 +28,8 @@
 const TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest answer, in bytes; configurations with many routes stay below.
 const MAX_ANSWER_BYTES: u32 = 16 << 20;
+/// Largest call, in bytes; calls have no parameters.
+const MAX_CALL_BYTES: u32 = 16 << 10;
 /// Maximum number of simultaneous connections from peers.
 const MAX_CONNECTIONS: u32 = 64;
 /// Maximum number of peers called per fetch.
@@ -102,6 +104,7 @@
 /// Fails if the address can't be bound.
 pub async fn serve(shared: Shared, address: SocketAddr) -> std::io::Result<ServerHandle> {
     let config = ServerConfig::builder()
+        .max_request_body_size(MAX_CALL_BYTES)
         .max_response_body_size(MAX_ANSWER_BYTES)
         .max_connections(MAX_CONNECTIONS)
         .set_batch_request_config(BatchRequestConfig::Disabled)
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -13,8 +13,22 @@
 pub const SECTION: &str = "gateway";
 /// Longest duration accepted for a setting.
 const MAX_DURATION: Duration = Duration::from_mins(10);
-/// Request bodies may use one part in this many of the host's memory, answers as much again.
-const BODY_MEMORY_DIVISOR: u64 = 4;
+/// Share of the host's memory that the process may use, as 4 in 5.
+const MEMORY_SHARE: (u64, u64) = (4, 5);
+/// Least memory set aside for what isn't counted: the program itself, configuration, registry,
+/// peers and the log queue. A daemon that has just started uses 10 MB; 16 MB in a debug build.
+const RUNTIME_BYTES: u64 = 20 << 20;
+/// One part in this many of the host's memory is the receive buffer of a caller's connection.
+const RECEIVE_BUFFER_DIVISOR: u64 = 2_048;
+/// Smallest and largest receive buffer, in bytes. 64 kB carry 50 Mbit/s at a round trip of 10 ms.
+const RECEIVE_BUFFER_BYTES: (usize, usize) = (64 << 10, 256 << 10);
+/// Memory set aside beyond what isn't counted: answers in progress may exceed the limit for a moment.
+const MARGIN_BYTES: u64 = 2 << 20;
+/// One part in this many of the process's share is the most that measured memory takes from callers:
+/// a process that also hosts something else still serves.
+const MAX_UNCOUNTED_DIVISOR: u64 = 3;
+/// One part in this many of the process's share is for callers in any case.
+const MIN_CALLER_DIVISOR: u64 = 4;
 
 /// Settings of one daemon.
 #[derive(Clone, Debug, PartialEq)]
@@ -153,10 +167,23 @@
         if findings.is_empty() { Ok(res) } else { Err(findings) }
     }
 
-    /// Memory that the bodies of requests may use, in bytes, and answers as much again.
+    /// Memory that may be held for callers, in bytes, when the process uses `uncounted` bytes for
+    /// other things.
     #[must_use]
-    pub fn body_memory_bytes(&self) -> usize {
-        usize::try_from(self.memory_bytes / BODY_MEMORY_DIVISOR).unwrap_or(usize::MAX)
+    pub fn caller_memory_bytes(&self, uncounted: u64) -> usize {
+        let share = self.memory_bytes / MEMORY_SHARE.1 * MEMORY_SHARE.0;
+        let uncounted = (uncounted + MARGIN_BYTES).min(share / MAX_UNCOUNTED_DIVISOR);
+        let rest = share.saturating_sub(uncounted.max(RUNTIME_BYTES));
+        usize::try_from(rest.max(share / MIN_CALLER_DIVISOR)).unwrap_or(usize::MAX)
+    }
+
+    /// Receive buffer of a caller's connection, in bytes. Bytes that were received and not yet read
+    /// use the host's memory as well.
+    #[must_use]
+    pub fn receive_buffer_bytes(&self) -> usize {
+        let (min, max) = RECEIVE_BUFFER_BYTES;
+        usize::try_from(self.memory_bytes / RECEIVE_BUFFER_DIVISOR)
+            .map_or(max, |it| it.clamp(min, max))
     }
 
     /// Whether this daemon takes configuration and registry from its peers when it starts: on the
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -1,14 +1,14 @@
 //! Connections to upstreams, and request-answer exchanges on them.
 
 mod exchange;
-mod memory;
 mod notice;
 mod pool;
 
 pub use exchange::{Completed, Exchange, Failure};
-pub use memory::{Memory, Share};
 pub use notice::Notice;
 pub use pool::{Connection, Pool};
 
+pub use crate::memory::{Memory, Share};
+
 /// A complete answer, or why there is none.
 pub type Result<T, E = Failure> = std::result::Result<T, E>;
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -1,12 +1,18 @@
 //! A request and its answer on a connection.
 
-use std::time::Duration;
+use std::{
+    io,
+    time::{Duration, Instant},
+};
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-use super::{Connection, Memory, Result};
-use crate::http::{self, Body, Head, Message};
+use super::{Connection, Memory, Result, Share};
+use crate::{
+    http::{self, Body, Head, Message},
+    memory::Kind,
+};
 
 /// Maximum size of the head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
@@ -14,8 +20,9 @@
 const MAX_INTERIM: usize = 16;
 /// Number of answers to other requests that are skipped before the exchange fails.
 const MAX_MISMATCHED: usize = 4;
-/// Value of `written` once the connection accepts no more bytes.
-const WRITE_CLOSED: usize = usize::MAX;
+/// Number of times that an answer waits for memory that others give up, and the pause between them.
+const MEMORY_WAITS: u32 = 10;
+const MEMORY_PAUSE: Duration = Duration::from_millis(10);
 
 /// Why an exchange gave no complete answer. Except for [`Self::NotSent`], the request may have run.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
@@ -45,8 +52,10 @@
 /// A request to an upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct Exchange<'a> {
-    /// The serialized request.
-    pub bytes: &'a [u8],
+    /// The serialized head of the request.
+    pub head: &'a [u8],
+    /// The body of the request.
+    pub body: &'a Bytes,
     /// Its method, which determines the framing of the answer.
     pub method: &'a [u8],
     /// Name of the header that identifies requests.
@@ -68,7 +77,10 @@
     ///
     /// Fails if the connection breaks or the bytes received are not an answer to this request.
     pub async fn run(self, mut connection: Connection) -> Result<Completed> {
-        let mut written = 0;
+        // Body and head are written without a copy.
+        let mut unwritten = Buf::chain(self.head, &**self.body);
+        let length = unwritten.remaining();
+        let mut sending = Sending::Open;
         let (mut mismatched, mut interim) = (0, 0);
         let mut share = self.memory.share();
         let mut partial: Option<(Head, Body)> = None;
@@ -89,7 +101,8 @@
                 if !is_own_answer {
                     return Err(Failure::Malformed("answer to another request".to_owned()));
                 }
-                let is_reusable = written == self.bytes.len()
+                let is_reusable = !unwritten.has_remaining()
+                    && sending == Sending::Open
                     && connection.buffer.is_empty()
                     && head.keeps_connection()
                     && !body.ends_with_connection();
@@ -102,28 +115,52 @@
                     keep_alive,
                 });
             }
-            let body_bytes = partial.as_ref().map_or(0, |(_, body)| body.len());
-            if !share.resize(body_bytes + connection.buffer.len()) {
-                return Err(Failure::Malformed("answers use up the memory for them".to_owned()));
-            }
-            let unwritten = self.bytes.get(written..).unwrap_or_default();
             let Connection { stream, buffer, .. } = &mut connection;
             http::reserve(buffer, partial.is_some());
+            let body_bytes = partial.as_ref().map_or(0, |(_, body)| body.held());
+            self.await_memory(&mut share, buffer.capacity(), body_bytes).await?;
             let (mut reader, mut writer) = stream.split();
             tokio::select! {
                 res = reader.read_buf(buffer) => match res {
-                    Ok(0) => return self.finish_at_close(&connection, partial),
+                    Ok(0) => return self.finish_at_close(&connection, partial, sending),
                     Ok(_) => {}
                     Err(e) => return Err(Failure::Broken(e.to_string())),
                 },
-                res = writer.write(unwritten), if !unwritten.is_empty() => match res {
-                    Ok(count) => written += count,
-                    // The upstream may have answered before it closed the connection.
-                    Err(_) if written > 0 => written = WRITE_CLOSED,
-                    Err(e) => return Err(Failure::NotSent(e.to_string())),
-                },
+                res = writer.write_buf(&mut unwritten),
+                    if sending == Sending::Open && unwritten.has_remaining() =>
+                {
+                    match res {
+                        Ok(_) => {}
+                        Err(e) if unwritten.remaining() == length => {
+                            return Err(Failure::NotSent(e.to_string()));
+                        }
+                        // The upstream may have answered before it closed the connection.
+                        Err(e) => sending = Sending::after(&e),
+                    }
+                }
+            }
+        }
+    }
+
+    /// Counts the bytes read ahead and waits until the answer may grow, since others give memory up.
+    async fn await_memory(
+        self,
+        share: &mut Share,
+        buffer_bytes: usize,
+        body_bytes: usize,
+    ) -> Result<()> {
+        let account = self.memory.account();
+        let mut waits = 0;
+        while !share.resize(buffer_bytes) || !self.memory.allows_answer(body_bytes) {
+            if waits == MEMORY_WAITS {
+                return Err(Failure::Malformed("answers use up the memory for them".to_owned()));
             }
+            waits += 1;
+            let excess = account.used().saturating_sub(account.limit());
+            self.memory.relieve(Instant::now(), excess, None);
+            tokio::time::sleep(MEMORY_PAUSE).await;
         }
+        Ok(())
     }
 
     /// Parses the bytes received; returns an answer once it is complete.
@@ -140,7 +177,9 @@
                 Head::parse_answer(&mut connection.buffer, MAX_HEAD_BYTES).map_err(malformed)?;
             let Some(head) = head else { return Ok(None) };
             let framing = head.answer_framing(self.method).map_err(malformed)?;
-            *partial = Some((head, Body::new(framing, self.body_limit).map_err(malformed)?));
+            let charge = self.memory.account().charge(Kind::Answers);
+            let body = Body::counted(framing, self.body_limit, charge).map_err(malformed)?;
+            *partial = Some((head, body));
         }
         let Some((_, body)) = partial else { return Ok(None) };
         if body.feed(&mut connection.buffer).map_err(malformed)? {
@@ -154,8 +193,12 @@
         self,
         connection: &Connection,
         partial: Option<(Head, Body)>,
+        sending: Sending,
     ) -> Result<Completed> {
         match partial {
+            Some((_, body)) if body.ends_with_connection() && sending == Sending::Broken => {
+                Err(Failure::Broken("reset before its end".to_owned()))
+            }
             Some((head, body)) if body.ends_with_connection() && self.is_own_answer(&head) => {
                 let message = Message { head, body: body.into_bytes() };
                 Ok(Completed { message, connection: None, keep_alive: None })
@@ -173,6 +216,24 @@
     }
 }
 
+/// Whether more of the request can be written.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Sending {
+    Open,
+    /// The upstream has closed the connection in order and accepts nothing more.
+    Closed,
+    /// The connection broke. The operating system reports that once: a read after the write that
+    /// has got the error returns 0 bytes, as if the upstream had closed the connection.
+    Broken,
+}
+
+impl Sending {
+    /// State after a failed write. A reset behind the upstream's orderly end is a broken pipe.
+    fn after(e: &io::Error) -> Self {
+        if e.kind() == io::ErrorKind::BrokenPipe { Self::Closed } else { Self::Broken }
+    }
+}
+
 // Used with `map_err`, which passes the error by value.
 #[expect(clippy::needless_pass_by_value)]
 fn malformed(e: http::Error) -> Failure {
