gateway, daemon: signal handlers are installed before anything else

The handlers were installed once the daemon had read its settings and bound its sockets. A SIGHUP or SIGTERM until then ended the process by its default action.

`Start` builds the runtime and installs the handlers as the first thing in `main`, for both kinds of settings; signals that arrive before the daemon waits for them are kept. A daemon with a section [daemon] ignores SIGHUP now; before, it ended. Nothing can be done about a signal before `main`.

Tests: crates/daemon/tests/early_signals.rs sends SIGHUP and SIGTERM while the daemon reads its settings from a pipe, and 40 times as soon as the handlers are there.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,6 +3,7 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use daemon::{Process, Settings};
+use gateway::Start;
 use lexopt::prelude::*;
 
 const HELP: &str = "\
@@ -25,6 +26,14 @@
 }
 
 fn main() -> ExitCode {
+    // A signal must find its handler from the first moment on.
+    let start = match Start::new() {
+        Ok(it) => it,
+        Err(e) => {
+            eprintln!("fireflydrumd: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
     let arguments = match parse_arguments() {
         Ok(Some(it)) => it,
         Ok(None) => return ExitCode::SUCCESS,
@@ -45,8 +54,8 @@
         return ExitCode::SUCCESS;
     }
     match settings {
-        Role::Daemon(it) => run(*it),
-        Role::Gateway(it) => run_gateway(*it, &arguments.settings),
+        Role::Daemon(it) => run(start, *it),
+        Role::Gateway(it) => run_gateway(start, *it, &arguments.settings),
     }
 }
 
@@ -95,20 +104,20 @@
     })
 }
 
-fn run_gateway(settings: gateway::Settings, path: &std::path::Path) -> ExitCode {
+fn run_gateway(start: Start, settings: gateway::Settings, path: &std::path::Path) -> ExitCode {
     if let Err(e) = gateway::logs::start(log::LevelFilter::Info, std::io::stdout()) {
         eprintln!("fireflydrumd: log: {e}");
         return ExitCode::FAILURE;
     }
     let store = adapter::Store::new(settings.store_address);
-    if let Err(e) = gateway::run(settings, path, store) {
+    if let Err(e) = start.run(settings, path, store) {
         eprintln!("fireflydrumd: {e}");
         return ExitCode::FAILURE;
     }
     ExitCode::SUCCESS
 }
 
-fn run(settings: Settings) -> ExitCode {
+fn run(start: Start, settings: Settings) -> ExitCode {
     if let Err(e) = daemon::logs::dispatch(settings.log_level).chain(std::io::stderr()).apply() {
         eprintln!("fireflydrumd: log: {e}");
         return ExitCode::FAILURE;
@@ -120,7 +129,7 @@
             return ExitCode::FAILURE;
         }
     };
-    process.wait_for_leave();
+    process.wait_for_leave(start.signals);
     process.stop();
     ExitCode::SUCCESS
 }
--- a/crates/daemon/src/process.rs
+++ b/crates/daemon/src/process.rs
@@ -10,6 +10,7 @@
     time::Duration,
 };
 
+use gateway::start::{Order, Signals};
 use tokio::{
     runtime::{Builder, Runtime},
     sync::watch,
@@ -169,20 +170,13 @@
     }
 
     /// Waits for a request to leave, from a signal, an operator or the host list.
-    pub fn wait_for_leave(&self) {
-        use tokio::signal::unix::{SignalKind, signal};
+    /// A signal to reload changes nothing: the configuration is followed anyway.
+    pub fn wait_for_leave(&self, mut signals: Signals) {
         let mut leave = self.state.leave.subscribe();
         self.control.block_on(async {
-            let terminate = signal(SignalKind::terminate());
-            let interrupt = signal(SignalKind::interrupt());
-            let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
-                log::error!("signals can't be received");
-                let _requested = leave.wait_for(|it| *it).await;
-                return;
-            };
+            let stop = async { while signals.next().await == Order::Reload {} };
             tokio::select! {
-                _ = terminate.recv() => {}
-                _ = interrupt.recv() => {}
+                () = stop => {}
                 _ = leave.wait_for(|it| *it) => {}
             }
         });
--- /dev/null
+++ b/crates/daemon/tests/early_signals.rs
@@ -0,0 +1,134 @@
+//! Signals in the first moments of a process: SIGHUP is a reload and SIGTERM a planned stop, also
+//! while the settings are being read. Before, the handlers were installed once the daemon listened,
+//! and a signal until then ended the process by its default action.
+
+use std::{
+    fs::{self, File},
+    io::Write,
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    path::{Path, PathBuf},
+    process::{self, Child, Command, ExitStatus, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+use platform_standin::Store;
+use rustix::process::{Pid, Signal, kill_process};
+
+/// Timeout of every wait.
+const TIMEOUT: Duration = Duration::from_secs(30);
+/// Processes started and signalled one after the other.
+const ROUNDS: u32 = 40;
+/// Numbers of the signals in the mask of `/proc/PID/status`: bit 0 is signal 1.
+const HANG_UP_AND_TERMINATE: u64 = 1 | 1 << 14;
+/// Base of the loopback addresses; the process id is added to it.
+const BASE: u32 = 0x7f40_0000;
+
+fn await_condition(what: &str, mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + TIMEOUT;
+    while !holds() {
+        assert!(Instant::now() < until, "not in time: {what}");
+    }
+}
+
+fn settings(store: &Store) -> (String, SocketAddr) {
+    let ip = Ipv4Addr::from_bits(BASE + process::id());
+    let listeners = [(); 5].map(|()| TcpListener::bind((ip, 0)).expect("a free port"));
+    let [callers, ready, directory, peers, metrics] =
+        listeners.map(|it| it.local_addr().expect("an address"));
+    let text = format!(
+        "[gateway]\nhost = h\ndomain = a\ncaller_address = {callers}\nready_address = {ready}\n\
+         directory_address = {directory}\npeer_address = {peers}\nmetrics_address = {metrics}\n\
+         store_address = {}\ngrace = 1s\n",
+        store.address
+    );
+    (text, ready)
+}
+
+fn start(settings: &Path) -> Child {
+    let program = env!("CARGO_BIN_EXE_fireflydrumd");
+    Command::new(program).arg(settings).stdout(Stdio::null()).spawn().expect("the daemon starts")
+}
+
+/// Sends a signal as soon as the process has handlers. Nothing can be done about a signal before:
+/// the program has not been loaded then.
+fn signal(child: &mut Child, signal: Signal) {
+    await_condition("handlers are installed", || {
+        assert_eq!(child.try_wait().unwrap(), None, "it has ended");
+        let text = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+        let mask = text.lines().find_map(|it| it.strip_prefix("SigCgt:"));
+        let mask = mask.and_then(|it| u64::from_str_radix(it.trim(), 16).ok()).unwrap_or_default();
+        mask & HANG_UP_AND_TERMINATE == HANG_UP_AND_TERMINATE
+    });
+    let pid = i32::try_from(child.id()).ok().and_then(Pid::from_raw).expect("an id");
+    kill_process(pid, signal).expect("the signal is sent");
+}
+
+fn await_end(child: &mut Child) -> ExitStatus {
+    let mut status = None;
+    await_condition("the process ends", || {
+        thread::sleep(Duration::from_millis(5));
+        status = child.try_wait().unwrap();
+        status.is_some()
+    });
+    status.expect("a status")
+}
+
+/// A settings file that the daemon has to wait for, and what is to be written to it.
+fn pipe(name: &str, store: &Store) -> (PathBuf, String, SocketAddr) {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    // It may be left over from an earlier run.
+    let _left = fs::remove_file(&path);
+    assert!(Command::new("mkfifo").arg(&path).status().expect("mkfifo runs").success());
+    let (text, ready) = settings(store);
+    (path, text, ready)
+}
+
+/// Lets the daemon read its settings, and puts a file in the place of the pipe.
+fn write_settings(path: &Path, text: &str) {
+    let mut pipe = File::options().write(true).open(path).expect("the daemon reads the pipe");
+    let file = path.with_extension("new");
+    fs::write(&file, text).expect("settings are written");
+    fs::rename(&file, path).expect("the pipe is replaced");
+    pipe.write_all(text.as_bytes()).expect("the daemon reads its settings");
+}
+
+#[test]
+fn reload_while_settings_are_read() {
+    let store = Store::start();
+    let (path, text, ready) = pipe("early-reload.ini", &store);
+    let mut child = start(&path);
+    signal(&mut child, Signal::HUP);
+    write_settings(&path, &text);
+    await_condition("the daemon listens", || {
+        assert_eq!(child.try_wait().unwrap(), None, "it has ended");
+        TcpStream::connect(ready).is_ok()
+    });
+    signal(&mut child, Signal::TERM);
+    assert_eq!(await_end(&mut child).code(), Some(0));
+}
+
+#[test]
+fn stop_while_settings_are_read() {
+    let store = Store::start();
+    let (path, text, _ready) = pipe("early-stop.ini", &store);
+    let mut child = start(&path);
+    signal(&mut child, Signal::TERM);
+    write_settings(&path, &text);
+    assert_eq!(await_end(&mut child).code(), Some(0));
+}
+
+/// Signals at any moment of the start: SIGHUP, a little later SIGTERM.
+#[test]
+fn signals_after_spawn() {
+    let store = Store::start();
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("early-signals.ini");
+    fs::write(&path, settings(&store).0).expect("settings are written");
+    for round in 0..ROUNDS {
+        let mut child = start(&path);
+        signal(&mut child, Signal::HUP);
+        thread::sleep(Duration::from_micros(u64::from(round) * 100));
+        signal(&mut child, Signal::TERM);
+        assert_eq!(await_end(&mut child).code(), Some(0), "round {round}");
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod rpc;
 pub mod settings;
 pub mod socket;
+pub mod start;
 pub mod stop;
 pub mod supervisor;
 pub mod upstream;
@@ -34,3 +35,4 @@
 
 pub use process::run;
 pub use settings::Settings;
+pub use start::Start;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -9,10 +9,7 @@
 };
 
 use clock::Clock;
-use tokio::{
-    signal::unix::{Signal, SignalKind, signal},
-    task::LocalSet,
-};
+use tokio::{runtime::Runtime, task::LocalSet};
 
 use crate::{
     Settings,
@@ -23,7 +20,9 @@
     mesh::Mesh,
     peer::Phase,
     platform::Platform,
-    probe, rpc, stop,
+    probe, rpc,
+    start::{Order, Signals, Start},
+    stop,
     supervisor::supervise,
 };
 
@@ -38,8 +37,6 @@
 const SUSPENSION_THRESHOLD: Duration = Duration::from_millis(250);
 /// Interval at which a leaving daemon checks whether it may stop.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// Time for the last log lines to be written when the process ends.
-const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
 /// Interval at which the settings file is checked for changes without a signal.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -65,14 +62,19 @@
 ///
 /// Fails if an address can't be bound, or the runtime or a signal handler can't be set up.
 pub fn run<P: Platform>(settings: Settings, path: &Path, platform: P) -> Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(|source| Error::Io { what: "cannot start the runtime", source })?;
-    let local = LocalSet::new();
-    let res = local.block_on(&runtime, Process::start(settings, path.to_owned(), platform));
-    logs::flush(FLUSH_TIMEOUT);
-    res
+    Start::new()?.run(settings, path, platform)
+}
+
+/// Serves on `runtime` until a signal to stop arrives.
+pub(crate) fn serve<P: Platform>(
+    runtime: &Runtime,
+    signals: Signals,
+    settings: Settings,
+    path: &Path,
+    platform: P,
+) -> Result<()> {
+    let process = Process::start(settings, path.to_owned(), platform, signals);
+    LocalSet::new().block_on(runtime, process)
 }
 
 struct Process<P> {
@@ -84,7 +86,7 @@
 }
 
 impl<P: Platform> Process<P> {
-    async fn start(settings: Settings, path: PathBuf, platform: P) -> Result<()> {
+    async fn start(settings: Settings, path: PathBuf, platform: P, signals: Signals) -> Result<()> {
         let clock: Arc<dyn Clock> = Arc::new(clock::System);
         let seed = fastrand::u64(1..);
         let text = std::fs::read_to_string(&path).unwrap_or_default();
@@ -114,7 +116,6 @@
         for (port, address) in addresses {
             listen(&gateway, port, address).map_err(io("cannot bind a listening address"))?;
         }
-        let signals = Signals::new().map_err(io("cannot install signal handlers"))?;
         let process = Self { gateway, platform: Rc::new(platform), mesh, path, text };
         process.spawn(shared);
         process.serve(signals).await;
@@ -145,9 +146,10 @@
     async fn serve(mut self, mut signals: Signals) {
         let reason = loop {
             tokio::select! {
-                _ = signals.terminate.recv() => break "terminate",
-                _ = signals.interrupt.recv() => break "interrupt",
-                _ = signals.hang_up.recv() => self.reload("signal"),
+                it = signals.next() => match it {
+                    Order::Stop(reason) => break reason,
+                    Order::Reload => self.reload("signal"),
+                },
                 () = tokio::time::sleep(SETTINGS_CHECK_INTERVAL) => self.reload("file"),
             }
         };
@@ -243,22 +245,6 @@
     }
 }
 
-struct Signals {
-    terminate: Signal,
-    interrupt: Signal,
-    hang_up: Signal,
-}
-
-impl Signals {
-    fn new() -> io::Result<Self> {
-        Ok(Self {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-            hang_up: signal(SignalKind::hangup())?,
-        })
-    }
-}
-
 /// Runs periodic work until the task is dropped.
 async fn tick(gateway: Rc<Gateway>) {
     let mut last_sweep = gateway.now();
