--- a/crates/gateway/src/http/write.rs
+++ b/crates/gateway/src/http/write.rs
@@ -2,8 +2,6 @@
 
 use std::io::Write;
 
-use bytes::Bytes;
-
 use super::Message;
 
 /// Serializes a request to an upstream: the caller's request with `extra` headers, which replace
@@ -13,15 +11,23 @@
 /// and removed as well.
 #[must_use]
 pub fn request(message: &Message, extra: &[(&str, &str)], removed: &[&str]) -> Vec<u8> {
+    let mut out = request_head(message, extra, removed);
+    out.extend_from_slice(&message.body);
+    out
+}
+
+/// As [`request`], without the body.
+#[must_use]
+pub fn request_head(message: &Message, extra: &[(&str, &str)], removed: &[&str]) -> Vec<u8> {
     let head = &message.head;
-    let mut out = Vec::with_capacity(256 + head.headers.len() * 48 + message.body.len());
+    let mut out = Vec::with_capacity(256 + head.headers.len() * 48);
     out.extend_from_slice(&head.method);
     out.push(b' ');
     out.extend_from_slice(&head.target);
     out.extend_from_slice(b" HTTP/1.1\r\n");
     forward(&mut out, message, extra, removed);
     let has_body = !message.body.is_empty() || matches!(&*head.method, b"POST" | b"PUT" | b"PATCH");
-    finish(&mut out, &message.body, has_body);
+    finish(&mut out, message.body.len(), has_body);
     out
 }
 
@@ -30,8 +36,18 @@
 /// The answer to a `HEAD` request (`without_body`) keeps its declared length.
 #[must_use]
 pub fn answer(message: &Message, without_body: bool, is_last: bool) -> Vec<u8> {
+    let mut out = answer_head(message, without_body, is_last);
+    if !without_body {
+        out.extend_from_slice(&message.body);
+    }
+    out
+}
+
+/// As [`answer`], without the body.
+#[must_use]
+pub fn answer_head(message: &Message, without_body: bool, is_last: bool) -> Vec<u8> {
     let head = &message.head;
-    let mut out = Vec::with_capacity(256 + head.headers.len() * 48 + message.body.len());
+    let mut out = Vec::with_capacity(256 + head.headers.len() * 48);
     write(&mut out, format_args!("HTTP/1.1 {} {}\r\n", head.status, reason_phrase(head.status)));
     forward(&mut out, message, &[], &[]);
     if is_last {
@@ -42,12 +58,10 @@
         write(&mut out, format_args!("Content-Length: {it}\r\n"));
     }
     let has_length = declared.is_none() && !matches!(head.status, 100..=199 | 204 | 304);
-    finish(&mut out, if without_body { &EMPTY } else { &message.body }, has_length);
+    finish(&mut out, if without_body { 0 } else { message.body.len() }, has_length);
     out
 }
 
-static EMPTY: Bytes = Bytes::new();
-
 fn forward(out: &mut Vec<u8>, message: &Message, extra: &[(&str, &str)], removed: &[&str]) {
     for it in &message.head.headers {
         let is_replaced = extra.iter().any(|(name, _)| is_same_name(&it.name, name))
@@ -72,12 +86,11 @@
     name.len() == known.len() && name.iter().map(normal).eq(known.as_bytes().iter().map(normal))
 }
 
-fn finish(out: &mut Vec<u8>, body: &Bytes, has_length: bool) {
+fn finish(out: &mut Vec<u8>, body_len: usize, has_length: bool) {
     if has_length {
-        write(out, format_args!("Content-Length: {}\r\n", body.len()));
+        write(out, format_args!("Content-Length: {body_len}\r\n"));
     }
     out.extend_from_slice(b"\r\n");
-    out.extend_from_slice(body);
 }
 
 fn write(out: &mut Vec<u8>, text: std::fmt::Arguments<'_>) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,6 +1,6 @@
 //! The request path of a daemon whose configuration and upstreams are kept by a platform.
 //!
-//! `config`, `registry`, `load`, `peer` and `http` contain the logic and do no input or output; the
+//! `config`, `registry`, `load`, `memory`, `peer` and `http` contain the logic and do no input or output; the
 //! other modules hold sockets and timers. The adapter to a platform implements
 //! [`platform::Platform`]. A daemon runs on one thread, since the hosts that it is designed for
 //! give it half a core.
@@ -15,6 +15,7 @@
 pub mod http;
 pub mod load;
 pub mod logs;
+pub mod memory;
 pub mod mesh;
 pub mod metrics;
 pub mod peer;
@@ -27,6 +28,7 @@
 pub mod rpc;
 pub mod settings;
 pub mod socket;
+pub mod start;
 pub mod stop;
 pub mod supervisor;
 pub mod upstream;
@@ -34,3 +36,4 @@
 
 pub use process::run;
 pub use settings::Settings;
+pub use start::Start;
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -126,14 +126,15 @@
         let extra = [(names.deadline_ms, &*left), (names.expected_instance, &*upstream.id)];
         let tenant = tenant.as_ref().map(|it| (names.tenant, &*it.id));
         let extra: Vec<_> = extra.into_iter().chain(tenant).collect();
-        let bytes = http::request(self.message, &extra, &[names.credential, names.tenant]);
+        let head = http::request_head(self.message, &extra, &[names.credential, names.tenant]);
         let exchange = Exchange {
-            bytes: &bytes,
+            head: &head,
+            body: &self.message.body,
             method: &self.message.head.method,
             id_name: names.request_id,
             id: self.message.head.get(names.request_id),
             body_limit: MAX_BODY_BYTES,
-            memory: &gateway.answer_memory,
+            memory: &gateway.memory,
         };
         match exchange.run(connection).await {
             Ok(it) => {
