gateway: assign daemons of an evacuated domain upstreams of the others

In fleets of more than six daemons upstreams are assigned to daemons of their own domain first. With the domain evacuated its daemons, which callers still use, were assigned no upstream that may be used and chose among all others without knowing their load.

These daemons are now divided among the other domains of the service by rendezvous hashing, and the number of daemons for each upstream follows from the upstreams that are in service. Without an evacuation nothing changes.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -335,7 +335,7 @@
         if self.activity.borrow().is_active() || daemons.is_empty() {
             daemons.push(own.clone());
         }
-        placement.reset(own, daemons);
+        placement.reset(own, daemons, self.evacuations().domains);
         for dispatcher in self.dispatchers.borrow().values() {
             placement.add_service(&mut dispatcher.service.borrow_mut());
         }
--- a/crates/gateway/src/peer/placement.rs
+++ b/crates/gateway/src/peer/placement.rs
@@ -5,7 +5,12 @@
 //! reports and datagrams then does not grow with the product of daemons and upstreams. Every daemon
 //! computes the same placement from the same members, without communication.
 
-use std::{collections::HashMap, net::SocketAddr, rc::Rc};
+use std::{
+    borrow::Cow,
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+};
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -37,6 +42,7 @@
 pub struct Placement {
     own: Option<Daemon>,
     daemons: Vec<Daemon>,
+    evacuated: BTreeSet<Domain>,
     assigned: HashMap<UpstreamId, Rc<[SocketAddr]>>,
     is_valid: bool,
 }
@@ -54,19 +60,25 @@
     }
 
     /// Discards all assignments and starts a new placement on `daemons`, which may include `own`.
-    pub fn reset(&mut self, own: Daemon, daemons: Vec<Daemon>) {
-        (self.own, self.daemons) = (Some(own), daemons);
+    /// `evacuated` are the evacuated failure domains.
+    pub fn reset(&mut self, own: Daemon, daemons: Vec<Daemon>, evacuated: BTreeSet<Domain>) {
+        (self.own, self.daemons, self.evacuated) = (Some(own), daemons, evacuated);
         self.assigned.clear();
         self.is_valid = true;
     }
 
     /// Assigns the upstreams of a service, and marks in it those that are assigned to this daemon.
+    ///
+    /// A daemon in an evacuated domain counts as one of another domain: otherwise it would be assigned
+    /// no upstreams that it may use, and would choose among upstreams whose load it does not know.
     pub fn add_service(&mut self, service: &mut Service) {
         let own = self.own.as_ref().map(|it| it.address);
-        let count = daemons_per_upstream(self.daemons.len(), service.iter().count());
+        let usable = service.iter().filter(|it| !it.is_evacuated).count();
+        let count = daemons_per_upstream(self.daemons.len(), usable);
+        let moved = outside_evacuated(&self.daemons, &self.evacuated, service);
         for it in service.iter_mut() {
             let Registration { id, domain, .. } = &it.registration;
-            let mut daemons = assign(id, domain, &self.daemons, count);
+            let mut daemons = assign(id, domain, &moved, count);
             let before = daemons.len();
             daemons.retain(|it| Some(*it) != own);
             it.is_assigned = daemons.len() < before;
@@ -107,6 +119,30 @@
     res.into_iter().map(|(_, _, address)| address).collect()
 }
 
+/// The daemons, of which those in an evacuated domain are divided among the other domains of the
+/// service's upstreams.
+fn outside_evacuated<'a>(
+    daemons: &'a [Daemon],
+    evacuated: &BTreeSet<Domain>,
+    service: &Service,
+) -> Cow<'a, [Daemon]> {
+    if evacuated.is_empty() {
+        return Cow::Borrowed(daemons);
+    }
+    let usable = service.iter().filter(|it| !it.is_evacuated);
+    let domains: BTreeSet<_> = usable.map(|it| &it.registration.domain).collect();
+    let domain_of = |it: &Daemon| {
+        if !evacuated.contains(&it.domain) {
+            return it.domain.clone();
+        }
+        let hash = hash_of(it.address).to_le_bytes();
+        let order = |domain: &&&Domain| xxh3_64(&[&hash, domain.as_bytes()].concat());
+        domains.iter().min_by_key(order).map_or(&it.domain, |it| *it).clone()
+    };
+    let moved = |it: &Daemon| Daemon { address: it.address, domain: domain_of(it) };
+    Cow::Owned(daemons.iter().map(moved).collect())
+}
+
 fn hash_of(address: SocketAddr) -> u64 {
     match address {
         SocketAddr::V4(it) => xxh3_64(&it.ip().octets()),
--- a/crates/gateway/tests/upstream_placement.rs
+++ b/crates/gateway/tests/upstream_placement.rs
@@ -1,8 +1,16 @@
 //! Placement of upstreams on daemons, which every daemon computes by itself.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
-use gateway::peer::placement::{Daemon, assign, daemons_per_upstream};
+use gateway::{
+    load::{Service, Settings},
+    peer::placement::{Daemon, Placement, assign, daemons_per_upstream},
+    registry::{Domain, Registration, State},
+};
 use quickcheck::quickcheck;
 
 fn daemons(count: u8) -> Vec<Daemon> {
@@ -73,3 +81,45 @@
         before == after || before.contains(&gone.address)
     }
 }
+
+/// Number of upstreams in service that the daemon `own` is assigned, of a service with 120 upstreams in
+/// four domains.
+fn assigned_in_service(own: u8, evacuated: &[&str]) -> usize {
+    let now = Instant::now();
+    let daemons = daemons(48);
+    let own = daemons[usize::from(own)].clone();
+    let evacuated: BTreeSet<_> = evacuated.iter().map(|it| Domain::from(*it)).collect();
+    let mut service = Service::new(Settings::default(), own.domain.clone(), 1);
+    for upstream in 0..120 {
+        let registration = Registration {
+            id: format!("u-{upstream}").into(),
+            born_ms: 1,
+            service: "s".into(),
+            address: SocketAddr::from(([10, 0, 0, 1], 80)),
+            domain: format!("domain-{}", upstream % 4).into(),
+            slots: 4,
+            state: State::Ready,
+            cold_for: Duration::ZERO,
+        };
+        service.put(now, registration);
+    }
+    service.set_evacuated(&evacuated);
+    let mut placement = Placement::default();
+    placement.reset(own, daemons, evacuated);
+    placement.add_service(&mut service);
+    service.iter().filter(|it| it.is_assigned && !it.is_evacuated).count()
+}
+
+/// A daemon whose own domain is evacuated is assigned upstreams of the other domains, so that it learns
+/// their load from its peers, and all daemons together keep as many as before.
+#[test]
+fn evacuated_domain() {
+    for evacuated in [&[][..], &["domain-0"], &["domain-1", "domain-0"]] {
+        let counts: Vec<_> = (0..48).map(|it| assigned_in_service(it, evacuated)).collect();
+        assert!(counts.iter().all(|it| (1..=24).contains(it)), "{counts:?} without {evacuated:?}");
+        let mean = |counts: Vec<usize>| counts.iter().sum::<usize>() as f64 / counts.len() as f64;
+        let in_first = mean(counts.iter().copied().step_by(4).collect());
+        assert!(in_first >= 6.0, "mean of {in_first} in domain-0 without {evacuated:?}");
+        assert!(mean(counts) >= 8.0, "without {evacuated:?}");
+    }
+}
