--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -353,7 +353,7 @@
         if self.activity.borrow().is_active() || daemons.is_empty() {
             daemons.push(own.clone());
         }
-        placement.reset(own, daemons);
+        placement.reset(own, daemons, self.evacuations().domains);
         if let Some(it) = warmers {
             placement.set_warmers(it);
         }
