--- a/crates/cli/src/trace/cause.rs
+++ b/crates/cli/src/trace/cause.rs
@@ -3,7 +3,7 @@
 use super::Line;
 
 /// Values of `reason` and their meaning.
-const REASONS: [(&str, &str); 12] = [
+const REASONS: [(&str, &str); 15] = [
     (
         "overload",
         "no upstream had a free slot in time; the request was refused before it reached an upstream",
@@ -21,6 +21,9 @@
         "no-route",
         "no route of the configuration named in the line matches the host and path of the request",
     ),
+    ("unauthorized", "the request did not carry exactly one key that the configuration has"),
+    ("quota", "the tenant had used up its quota"),
+    ("route-changed", "the route no longer led to this service when the request was to be sent"),
     ("not-ready", "the host had no configuration yet"),
     ("bad-request", "the request has no host, no id or a malformed target or deadline"),
     ("body-memory", "bodies of other requests used all the memory for bodies"),
--- a/crates/gateway/src/config/key_index.rs
+++ b/crates/gateway/src/config/key_index.rs
@@ -1,11 +1,10 @@
 //! Lookup of tenants by their keys.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, fmt, sync::Arc};
 
 use super::{KeyDigest, Tenant};
 
 /// Tenants by the digests of their keys. The cost of a lookup does not depend on the number of keys.
-#[derive(Debug)]
 pub(super) struct KeyIndex {
     by_prefix: HashMap<[u8; 8], Vec<(KeyDigest, Arc<Tenant>)>>,
 }
@@ -30,3 +29,11 @@
         candidates.iter().find(|(key, _)| key == digest).map(|(_, tenant)| tenant)
     }
 }
+
+impl fmt::Debug for KeyIndex {
+    /// Shows only the number of keys: a short key could be found from a part of its digest by trial.
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let keys: usize = self.by_prefix.values().map(Vec::len).sum();
+        out.debug_struct("KeyIndex").field("keys", &keys).finish_non_exhaustive()
+    }
+}
