gateway: headers other than key and tenant are forwarded as before

Headers with `_` for `-` were also dropped if they resembled one that the daemon adds, such as the deadline; only the credential and the tenant header need that.

--- a/crates/gateway/src/http/write.rs
+++ b/crates/gateway/src/http/write.rs
@@ -9,8 +9,8 @@
 /// Serializes a request to an upstream: the caller's request with `extra` headers, which replace
 /// those of the same name, and without the headers called one of `removed`.
 ///
-/// Some servers treat `_` in a header name as `-`, so names that differ only in this are replaced
-/// and removed as well.
+/// Some servers treat `_` in a header name as `-`, so names that differ only in this are removed as
+/// well.
 #[must_use]
 pub fn request(message: &Message, extra: &[(&str, &str)], removed: &[&str]) -> Vec<u8> {
     let head = &message.head;
@@ -50,8 +50,9 @@
 
 fn forward(out: &mut Vec<u8>, message: &Message, extra: &[(&str, &str)], removed: &[&str]) {
     for it in &message.head.headers {
-        let is_replaced = extra.iter().any(|(name, _)| is_same_name(&it.name, name))
-            || removed.iter().any(|name| is_same_name(&it.name, name));
+        let is_replaced =
+            extra.iter().any(|(name, _)| it.name.eq_ignore_ascii_case(name.as_bytes()))
+                || removed.iter().any(|name| is_same_name(&it.name, name));
         let is_length = it.name.eq_ignore_ascii_case(b"content-length");
         if is_replaced || is_length || message.head.is_hop_by_hop(it) {
             continue;
--- a/crates/gateway/tests/message_reading.rs
+++ b/crates/gateway/tests/message_reading.rs
@@ -88,6 +88,20 @@
     assert_eq!(sent, "GET /a?b HTTP/1.1\r\nHost: h\r\nX-End: 2\r\ndeadline: 5\r\n\r\n");
 }
 
+/// A removed header must not get through in another spelling, nor one that is added and removed twice.
+#[test]
+fn removed_headers() {
+    let text = "GET / HTTP/1.1\r\nHost: h\r\nSECRET-key: 1\r\nSecret_Key: 2\r\nsecret-key: 3\r\n\
+                Connection: Owner\r\nowner: 4\r\nOWNER: 5\r\nSecret-Keys: 6\r\nDead_line: 7\r\n\r\n";
+    let message = read(text).unwrap().unwrap();
+    let extra = [("owner", "8"), ("dead-line", "9")];
+    let sent = http::request(&message, &extra, &["Secret-Key", "owner"]);
+    let sent = String::from_utf8(sent).unwrap();
+    let expected = "GET / HTTP/1.1\r\nHost: h\r\nSecret-Keys: 6\r\nDead_line: 7\r\nowner: 8\r\n\
+                    dead-line: 9\r\n\r\n";
+    assert_eq!(sent, expected);
+}
+
 quickcheck! {
     fn arbitrary_pieces(body: Vec<u8>, cuts: Vec<u8>) -> bool {
         let body = &body[..body.len().min(BODY_LIMIT)];
