gateway: admission counts on demand to come and on callers that return

Cause: requests that were accepted behind a short queue were overtaken by more urgent or cheaper ones that arrived later, and refused after a long wait. Callers were told to return when they could no longer be in time. Slots were assumed to be shared by all live daemons, though callers use only a part of them. While short time limits were counted with a weight of 0.02, a few callers refused by other daemons hid that limits are uniform.

Change: the expected wait subtracts the demand of classes that go first. Retry-After lies within 0.4 of the time until a request must be sent to be in time. The daemon's share is the slots that it holds, or an equal share of those of active daemons. Ties are ordered by arrival. Types of the queue have files of their own.

--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     config::{Route, RouteId, ServiceId, TenantId},
-    load::{Budget, Eligibility, Queue, Service, Waiter},
+    load::{Budget, Eligibility, Queue, Service, Upstream, Waiter},
     registry::UpstreamId,
 };
 
@@ -80,6 +80,7 @@
     queue: RefCell<Queue>,
     waiting: RefCell<HashMap<u64, Waiting>>,
     daemon_count: Cell<u32>,
+    active_count: Cell<u32>,
     connection_limit: Cell<u32>,
     clock: Arc<dyn Clock>,
     on_load_change: Rc<dyn Fn(&UpstreamId)>,
@@ -104,6 +105,7 @@
             queue: RefCell::new(queue),
             waiting: RefCell::default(),
             daemon_count: Cell::new(1),
+            active_count: Cell::new(1),
             connection_limit: Cell::new(0),
             clock,
             on_load_change,
@@ -115,6 +117,11 @@
         self.daemon_count.set(daemon_count.max(1));
     }
 
+    /// Sets the number of daemons that callers use, this one among them.
+    pub fn set_active_count(&self, active_count: u32) {
+        self.active_count.set(active_count.max(1));
+    }
+
     /// Sets the number of connections that one upstream accepts from all daemons; 0 if unknown.
     pub fn set_connection_limit(&self, limit: u32) {
         self.connection_limit.set(limit);
@@ -255,10 +262,14 @@
         }
     }
 
-    /// Tells the queue how many slots this daemon may expect for itself.
+    /// Tells the queue how many slots this daemon may expect for itself: those that it holds, or an
+    /// equal share if that is more. Slots that it holds usually stay its own while all are in use,
+    /// since it is the first to learn that one is free.
     fn update_slots(&self, now: Instant) {
-        let capacity = self.service.borrow().capacity(now);
-        self.queue.borrow_mut().set_slots(capacity / f64::from(self.daemon_count.get()));
+        let service = self.service.borrow();
+        let equal = service.capacity(now) / f64::from(self.active_count.get());
+        let held: u32 = service.iter().map(Upstream::own_in_flight).sum();
+        self.queue.borrow_mut().set_slots(equal.max(held.into()));
     }
 
     fn reserve(
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -369,9 +369,12 @@
         let is_known_active = self.activity.borrow().is_active_for(now, known_after);
         let slack = settings.retry_slack * load::slack_share(sharers, is_known_active);
         let live = peers.live_count(now) + 1;
+        let active = peers.live_peers(now).filter(|(_, it)| it.heartbeat.is_active).count() + 1;
+        let active = u32::try_from(active).unwrap_or(u32::MAX);
         let mut upstreams = 0;
         for it in self.dispatchers.borrow().values() {
             it.set_daemon_count(live);
+            it.set_active_count(active);
             it.budget.borrow_mut().set(settings.retry_ratio, slack);
             upstreams += it.service.borrow().iter().count();
         }
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -3,6 +3,7 @@
 //!
 //! Does no input or output; the caller passes the current time to each call.
 
+mod account;
 mod accounts;
 mod budget;
 mod decayed;
@@ -11,7 +12,10 @@
 mod first_attempts;
 mod outcome;
 mod overload;
+mod position;
 mod queue;
+mod reason;
+mod refused;
 mod report;
 mod service;
 mod settings;
@@ -23,7 +27,9 @@
 pub use eligibility::Eligibility;
 pub use outcome::Outcome;
 pub use overload::Overload;
-pub use queue::{Queue, Reason, Refused};
+pub use queue::Queue;
+pub use reason::Reason;
+pub use refused::Refused;
 pub use report::Report;
 pub use service::Service;
 pub use settings::Settings;
--- a/crates/gateway/src/load/accounts.rs
+++ b/crates/gateway/src/load/accounts.rs
@@ -6,51 +6,15 @@
     time::{Duration, Instant},
 };
 
-use super::decayed::Decayed;
+use super::account::{
+    Account, DEMAND_PERIOD, MIN_REQUESTS, SERVICE_PERIOD, USE_PERIOD, USUAL_PERIOD,
+};
 
-/// Time over which served and refused requests lose their weight.
-const SERVICE_PERIOD: Duration = Duration::from_secs(4);
-/// Time over which work that was given slots loses its weight.
-const USE_PERIOD: Duration = Duration::from_secs(2);
-/// Time over which usual demand loses its weight.
-const USUAL_PERIOD: Duration = Duration::from_mins(1);
-/// Weight of recent requests below which an account is not judged.
-const MIN_REQUESTS: f64 = 3.0;
 /// Maximum number of accounts; further names share one.
 const MAX_ACCOUNTS: usize = 2_048;
 /// Usual demand, in seconds of work, below which an account is dropped when space is needed.
 const IDLE_WORK_S: f64 = 0.01;
 
-/// Recent service of one name.
-#[derive(Clone, Copy, Debug)]
-struct Account {
-    served: Decayed,
-    settled: Decayed,
-    used_s: Decayed,
-    usual_s: Decayed,
-}
-
-impl Account {
-    fn new(now: Instant) -> Self {
-        let empty = Decayed::new(now);
-        Self { served: empty, settled: empty, used_s: empty, usual_s: empty }
-    }
-
-    fn settle(&mut self, now: Instant, is_served: bool, work_s: f64) {
-        self.settled.add(now, SERVICE_PERIOD, 1.0);
-        if is_served {
-            self.served.add(now, SERVICE_PERIOD, 1.0);
-            self.used_s.add(now, USE_PERIOD, work_s);
-        }
-    }
-
-    /// Share of the recent requests that were served, if there were enough of them.
-    fn served_share(&self, now: Instant) -> Option<f64> {
-        let settled = self.settled.get(now, SERVICE_PERIOD);
-        (settled >= MIN_REQUESTS).then(|| self.served.get(now, SERVICE_PERIOD) / settled)
-    }
-}
-
 /// Recent service by name, in bounded memory.
 #[derive(Debug)]
 pub(super) struct Accounts {
@@ -67,11 +31,20 @@
         Self { by_name: HashMap::new(), others: empty, total: empty }
     }
 
-    /// Records the work of a request that arrived while there was no overload.
-    pub(super) fn record_usual(&mut self, now: Instant, name: &Arc<str>, work: Duration) {
+    /// Records the work of a request that has arrived; `is_usual` says whether there was no overload.
+    pub(super) fn arrive(&mut self, now: Instant, name: &Arc<str>, work: Duration, is_usual: bool) {
         let work_s = work.as_secs_f64();
-        self.account(now, name).usual_s.add(now, USUAL_PERIOD, work_s);
-        self.total.usual_s.add(now, USUAL_PERIOD, work_s);
+        let account = self.account(now, name);
+        account.demand_s.add(now, DEMAND_PERIOD, work_s);
+        if is_usual {
+            account.usual_s.add(now, USUAL_PERIOD, work_s);
+            self.total.usual_s.add(now, USUAL_PERIOD, work_s);
+        }
+    }
+
+    /// Work per second that arrives for a name.
+    pub(super) fn demand(&self, now: Instant, name: &str) -> f64 {
+        self.get(name).demand_s.get(now, DEMAND_PERIOD) / DEMAND_PERIOD.as_secs_f64()
     }
 
     /// Records that a request was sent or refused.
--- a/crates/gateway/src/load/first_attempts.rs
+++ b/crates/gateway/src/load/first_attempts.rs
@@ -7,13 +7,14 @@
 
 use crate::config::RouteId;
 
-/// Weight of a new sample in a running mean.
-const SAMPLE_WEIGHT: f64 = 0.02;
+/// Weight of a new sample in a running mean. When a burst begins, the first callers refused by other
+/// daemons arrive here among usual requests; with a weight of 0.02 they hid that limits are uniform.
+const SAMPLE_WEIGHT: f64 = 0.005;
 /// Time limits within this factor of the usual one count as equal.
 const EQUAL_FACTOR: f64 = 0.97;
 /// Share of requests with a shorter time limit from which callers of the route are assumed to set
 /// limits of their own.
-const MAX_SHORT_SHARE: f64 = 0.05;
+const MAX_SHORT_SHARE: f64 = 0.1;
 /// Requests from which the usual time limit is known.
 const MIN_REQUESTS: u32 = 20;
 
@@ -40,7 +41,7 @@
         let is_short = limit < it.usual.mul_f64(EQUAL_FACTOR);
         it.short_share += (f64::from(u8::from(is_short)) - it.short_share) * SAMPLE_WEIGHT;
         // Grows at once, and decays when no request has the longest limit any more.
-        let weight = if limit > it.usual { 1.0 } else { SAMPLE_WEIGHT / 10.0 };
+        let weight = if limit > it.usual { 1.0 } else { SAMPLE_WEIGHT / 2.0 };
         it.usual = it.usual.mul_f64(1.0 - weight) + limit.mul_f64(weight);
     }
 
--- a/crates/gateway/src/load/overload.rs
+++ b/crates/gateway/src/load/overload.rs
@@ -15,7 +15,8 @@
     pub free_hold_share: f64,
     /// Share of the time left that a request may be expected to wait when there is no overload.
     pub max_wait_share: f64,
-    /// Factor on the expected wait when it is compared with what is left until the target.
+    /// Factor on the expected wait when it is compared with what is left until the target while more
+    /// work arrives than is given slots.
     pub wait_margin: f64,
     /// Share of the overall service rate below which a route's or a tenant's requests go first. The
     /// callers' bound is a quarter; the difference covers what one daemon does not see.
@@ -29,6 +30,9 @@
     pub max_retry_after: Duration,
     /// Share of the time left that `Retry-After` may take; callers honour up to a third.
     pub retry_share: f64,
+    /// Share of the time until a request must be sent to meet its target that `Retry-After` may
+    /// take; the rest is for the wait on return.
+    pub in_time_retry_share: f64,
 }
 
 impl Default for Overload {
@@ -40,9 +44,10 @@
             wait_margin: 2.0,
             floor: 0.4,
             tenant_tolerance: 1.25,
-            min_retry_after: Duration::from_millis(100),
+            min_retry_after: Duration::from_millis(50),
             max_retry_after: Duration::from_secs(2),
             retry_share: 0.3,
+            in_time_retry_share: 0.4,
         }
     }
 }
--- a/crates/gateway/src/load/queue.rs
+++ b/crates/gateway/src/load/queue.rs
@@ -3,56 +3,27 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    ops::RangeBounds,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use super::{
-    Overload, Waiter, accounts::Accounts, decayed::Decayed, drain::Drain,
-    first_attempts::FirstAttempts,
+    Overload, Reason, Refused, Waiter, accounts::Accounts, decayed::Decayed, drain::Drain,
+    first_attempts::FirstAttempts, position::Position,
 };
 
 /// Time over which arriving work loses its weight.
 const DEMAND_PERIOD: Duration = Duration::from_secs(1);
+/// Lowest rate assumed, in slots.
+const MIN_RATE: f64 = 0.05;
+/// Share of the slots that is assumed to be left for requests behind others.
+const MIN_RATE_SHARE: f64 = 0.1;
 /// Time after the last refusal from which all callers count as making their first attempt.
 const CALM_AFTER: Duration = Duration::from_secs(3);
 /// Ratio of two requests' work up to which they count as equally costly.
 const COST_CLASS_RATIO: f64 = 1.5;
 
-/// Why a request is refused.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Reason {
-    /// It would wait too long; decided on arrival.
-    Overload,
-    /// It would be late behind requests of more value that arrived after it.
-    Displaced,
-    /// It can no longer be answered in time.
-    Expired,
-}
-
-/// A refused request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Refused {
-    /// Serial of the request; 0 if it was refused on arrival.
-    pub serial: u64,
-    /// Why it was refused.
-    pub reason: Reason,
-    /// When the caller should come back.
-    pub retry_after: Duration,
-}
-
-/// Position in the queue; the lowest goes first.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct Position {
-    is_not_owed: bool,
-    priority: u8,
-    is_late: bool,
-    is_over_share: bool,
-    cost_class: i32,
-    /// Latest time of dispatch in microseconds when the wait is long; otherwise newest first.
-    order: i64,
-}
-
 /// Waiting requests, the one to serve next first.
 ///
 /// While the expected wait is short, they are ordered by priority, then those that can still meet
@@ -67,11 +38,12 @@
     serial: u64,
     /// Latest time passed in.
     now: Option<Instant>,
-    /// When the queue got its first request; origin of the times in [`Position`].
+    /// When the first request arrived; origin of the times in positions.
     epoch: Option<Instant>,
     slots: Option<f64>,
     drain: Drain,
-    demand_s: Option<Decayed>,
+    /// Arriving work by priority and cost class.
+    demands_s: BTreeMap<(u8, i32), Decayed>,
     routes: Option<Accounts>,
     tenants: Option<Accounts>,
     first_attempts: FirstAttempts,
@@ -98,7 +70,7 @@
             epoch: None,
             slots: None,
             drain: Drain::default(),
-            demand_s: None,
+            demands_s: BTreeMap::new(),
             routes: None,
             tenants: None,
             first_attempts: FirstAttempts::default(),
@@ -203,8 +175,8 @@
         let mut ahead = Duration::ZERO;
         for (position, serial) in self.order() {
             let Some(it) = self.waiters.get(&serial) else { continue };
-            let wait = self.wait_behind(ahead);
             let is_long = long.contains(&position.priority);
+            let wait = self.wait_behind(now, ahead, is_long.then_some((&position, it)));
             let is_hopeless = is_overload && is_long && wait > it.slack(now);
             let held = now.saturating_duration_since(it.since);
             let reason = if !it.is_viable(now) || is_hopeless && position.is_late {
@@ -236,8 +208,9 @@
         }
         let may_wait = wait <= waiter.time_left(now).mul_f64(self.settings.max_wait_share);
         let is_long = self.is_long(now, waiter);
-        let is_late = wait.mul_f64(self.settings.wait_margin) > waiter.slack(now);
-        may_wait && !(is_long && is_late && self.is_overload(now))
+        let margin = if self.is_overload(now) { self.settings.wait_margin } else { 1.0 };
+        let is_late = wait.mul_f64(margin) > waiter.slack(now);
+        may_wait && !(is_long && is_late)
     }
 
     /// Expected wait of a new request.
@@ -252,25 +225,55 @@
             other < position || !is_long && it.priority <= waiter.priority
         };
         let ahead = self.waiters.iter().filter(is_ahead).map(|(_, it)| it.work).sum();
-        self.wait_behind(ahead)
+        self.wait_behind(now, ahead, is_long.then_some((&position, waiter)))
     }
 
-    fn wait_behind(&self, ahead: Duration) -> Duration {
+    /// Expected wait behind work that is ahead in the queue. With `position`, the work that will
+    /// probably arrive and go ahead of that position counts as well.
+    fn wait_behind(
+        &self,
+        now: Instant,
+        ahead: Duration,
+        position: Option<(&Position, &Waiter)>,
+    ) -> Duration {
         let Some(slots) = self.slots else { return Duration::ZERO };
-        ahead.div_f64(self.drain.rate(slots).max(0.05))
+        let rate = self.drain.rate(slots).max(MIN_RATE);
+        let preceding =
+            position.map_or(0.0, |(position, it)| self.demand_before(now, position, it));
+        ahead.div_f64((rate - preceding).max(rate * MIN_RATE_SHARE))
+    }
+
+    /// Work per second that arrives and goes ahead of a position.
+    fn demand_before(&self, now: Instant, position: &Position, waiter: &Waiter) -> f64 {
+        if !position.is_not_owed {
+            return 0.0;
+        }
+        let class = (position.priority, position.cost_class);
+        if !position.is_over_share {
+            return self.demand(now, ..class);
+        }
+        let own = waiter.tenant.as_ref().zip(self.tenants.as_ref());
+        let own = own.map_or(0.0, |(tenant, accounts)| accounts.demand(now, tenant));
+        self.demand(now, ..=(position.priority, i32::MAX)) - own
+    }
+
+    /// Work per second that arrives in a range of classes.
+    fn demand(&self, now: Instant, classes: impl RangeBounds<(u8, i32)>) -> f64 {
+        let sum: f64 =
+            self.demands_s.range(classes).map(|(_, it)| it.get(now, DEMAND_PERIOD)).sum();
+        sum / DEMAND_PERIOD.as_secs_f64()
     }
 
     /// Whether more work arrives than is given slots.
     fn is_overload(&self, now: Instant) -> bool {
-        let Some((slots, demand)) = self.slots.zip(self.demand_s) else { return false };
-        demand.get(now, DEMAND_PERIOD) / DEMAND_PERIOD.as_secs_f64() > self.drain.rate(slots)
+        self.slots.is_some_and(|it| self.demand(now, ..) > self.drain.rate(it))
     }
 
     /// Whether requests of the waiter's priority, the waiter among them, wait for long.
     fn is_long(&self, now: Instant, waiter: &Waiter) -> bool {
         let queued = self.waiters.values().filter(|it| it.priority <= waiter.priority);
         let work = queued.filter(|it| !it.is_late(now)).map(|it| it.work).sum();
-        self.wait_behind(work) > self.long_wait(waiter)
+        self.wait_behind(now, work, None) > self.long_wait(waiter)
     }
 
     /// Expected wait that counts as long.
@@ -293,7 +296,7 @@
         let mut res = BTreeSet::new();
         for (priority, (work, long_wait)) in works {
             ahead += work;
-            if self.wait_behind(ahead) > long_wait {
+            if self.wait_behind(now, ahead, None) > long_wait {
                 res.insert(priority);
             }
         }
@@ -324,6 +327,7 @@
                 is_over_share,
                 cost_class,
                 order,
+                serial,
             };
         }
         let until_target =
@@ -338,6 +342,7 @@
             cost_class: cost_class(waiter.work),
             // Once late, the newest has the most time left.
             order: if is_late { -order } else { order },
+            serial,
         }
     }
 
@@ -358,33 +363,35 @@
         accounts.is_over_share(now, tenant, self.settings.tenant_tolerance)
     }
 
-    /// When the caller of a refused request should come back. Times are spread over what callers
-    /// honour, so that they don't return together.
+    /// When the caller of a refused request should come back: spread over the time in which it can
+    /// still be answered within its target, or else over what callers honour.
     fn retry_after(&mut self, now: Instant, waiter: &Waiter, wait: Duration) -> Duration {
-        let Overload { min_retry_after: min, max_retry_after: max, retry_share, .. } =
-            self.settings;
+        let Overload { min_retry_after: min, max_retry_after: max, .. } = self.settings;
+        let slack = waiter.slack(now);
         let time_left = waiter.deadline.saturating_duration_since(now);
-        let latest = time_left.mul_f64(retry_share).clamp(Duration::ZERO, max);
-        let earliest = wait.saturating_sub(waiter.slack(now)).max(min).min(latest);
+        let honoured = time_left.mul_f64(self.settings.retry_share).min(max);
+        let in_time = slack.mul_f64(self.settings.in_time_retry_share);
+        let latest = if in_time >= min { honoured.min(in_time) } else { honoured };
+        // At least half of the time serves to spread the callers.
+        let earliest = wait.saturating_sub(slack).clamp(min.min(latest / 2), latest / 2);
         earliest + latest.saturating_sub(earliest).mul_f64(self.rng.f64())
     }
 
     fn arrive(&mut self, now: Instant, waiter: &Waiter) {
         self.advance(now);
-        let work = waiter.work.as_secs_f64();
-        self.demand_s.get_or_insert_with(|| Decayed::new(now)).add(now, DEMAND_PERIOD, work);
+        let class = (waiter.priority, cost_class(waiter.work));
+        let demand = self.demands_s.entry(class).or_insert_with(|| Decayed::new(now));
+        demand.add(now, DEMAND_PERIOD, waiter.work.as_secs_f64());
         let is_calm =
             self.refused_at.is_none_or(|it| now.saturating_duration_since(it) > CALM_AFTER);
         if is_calm {
             let limit = waiter.deadline.saturating_duration_since(waiter.received);
             self.first_attempts.record(&waiter.route, limit);
         }
-        if let Some(tenant) = &waiter.tenant
-            && is_calm
-            && !self.is_long(now, waiter)
-        {
+        let is_usual = is_calm && !self.is_long(now, waiter);
+        if let Some(tenant) = &waiter.tenant {
             let accounts = self.tenants.get_or_insert_with(|| Accounts::new(now));
-            accounts.record_usual(now, tenant, waiter.work);
+            accounts.arrive(now, tenant, waiter.work, is_usual);
         }
     }
 
--- a/crates/gateway/tests/overload/current.rs
+++ b/crates/gateway/tests/overload/current.rs
@@ -16,6 +16,10 @@
         Self(queue)
     }
 
+    fn set_slots(&mut self, slots: f64) {
+        self.0.set_slots(slots);
+    }
+
     fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
--- a/crates/gateway/tests/overload/model.rs
+++ b/crates/gateway/tests/overload/model.rs
@@ -10,10 +10,10 @@
 
 use super::{Pattern, Policy, Scores, Source};
 
-const BURST_AT_MS: u64 = 10_000;
+const BURST_AT_MS: u64 = 8_000;
 /// Time after the burst during which requests still count.
 const RECOVERY_MS: u64 = 3_000;
-const TICK_MS: u64 = 50;
+const TICK_MS: u64 = 20;
 /// Share of the time left that callers wait for `Retry-After`.
 const MAX_RETRY_SHARE: f64 = 1.0 / 3.0;
 
@@ -51,6 +51,7 @@
 struct Daemon<P> {
     queue: P,
     waiting: HashMap<u64, (Call, Duration)>,
+    in_flight: usize,
 }
 
 struct Model<'a, P> {
@@ -75,9 +76,12 @@
     let mut rng = fastrand::Rng::with_seed(seed);
     let slots = pattern.slots as f64 / pattern.daemons as f64;
     let daemons = (0..pattern.daemons)
-        .map(|it| Daemon { queue: P::new(slots, seed ^ it as u64), waiting: HashMap::new() })
+        .map(|it| {
+            let queue = P::new(slots, seed ^ it as u64);
+            Daemon { queue, waiting: HashMap::new(), in_flight: 0 }
+        })
         .collect();
-    let weights: Vec<_> = (0..pattern.daemons).map(|_| 0.7 + 0.6 * rng.f64()).collect();
+    let weights: Vec<_> = (0..pattern.daemons).map(|_| 0.5 + rng.f64()).collect();
     let mut model = Model {
         pattern,
         start: Instant::now(),
@@ -119,13 +123,16 @@
             Event::Retry(it) => self.attempt(at, it),
             Event::Finished { daemon, call, is_answered } => {
                 self.free += 1;
+                self.daemons[daemon].in_flight -= 1;
                 self.settle(at, call, is_answered);
                 // The daemon itself learns first that the slot is free.
                 self.serve(at, daemon);
-                self.serve_others(at);
+                if self.free > 0 {
+                    self.serve_all(at);
+                }
             }
             Event::Tick => {
-                self.serve_others(at);
+                self.serve_all(at);
                 self.schedule(at + ms(TICK_MS), Event::Tick);
             }
         }
@@ -157,6 +164,7 @@
             self.send(at, daemon, call);
             return;
         }
+        self.update_slots(daemon);
         match self.daemons[daemon].queue.offer(now, waiter) {
             Ok(serial) => {
                 self.daemons[daemon].waiting.insert(serial, (call, at));
@@ -194,6 +202,7 @@
 
     fn send(&mut self, at: Duration, daemon: usize, call: Call) {
         self.free -= 1;
+        self.daemons[daemon].in_flight += 1;
         let kind = call.source.kind;
         let factor = if self.rng.f64() < kind.tail { 7.0 } else { 1.0 };
         let work = ms(kind.work_ms.into()).mul_f64((0.9 + 0.2 * self.rng.f64()) * factor);
@@ -204,6 +213,7 @@
 
     fn serve(&mut self, at: Duration, daemon: usize) {
         let now = self.start + at;
+        self.update_slots(daemon);
         for (serial, retry_after) in self.daemons[daemon].queue.tick(now) {
             if let Some((call, since)) = self.daemons[daemon].waiting.remove(&serial) {
                 self.refuse(at, call, since, retry_after);
@@ -218,7 +228,14 @@
         }
     }
 
-    fn serve_others(&mut self, at: Duration) {
+    /// As the dispatcher does: a daemon's share is what it holds, or an equal one if that is more.
+    fn update_slots(&mut self, daemon: usize) {
+        let equal = self.pattern.slots as f64 / self.daemons.len() as f64;
+        let daemon = &mut self.daemons[daemon];
+        daemon.queue.set_slots(equal.max(daemon.in_flight as f64));
+    }
+
+    fn serve_all(&mut self, at: Duration) {
         let first = self.rng.usize(..self.daemons.len());
         for it in 0..self.daemons.len() {
             let daemon = (first + it) % self.daemons.len();
--- a/crates/gateway/tests/overload/pattern.rs
+++ b/crates/gateway/tests/overload/pattern.rs
@@ -37,7 +37,7 @@
     pub burst: f64,
 }
 
-/// A load pattern. The burst begins after 10 s.
+/// A load pattern. The burst begins after 8 s.
 #[derive(Clone, Debug)]
 pub struct Pattern {
     /// Name.
@@ -83,7 +83,7 @@
     vec![
         pattern("usual load", 60, 8, vec![source(SEARCH, 0.7, 1.0)]),
         pattern("one kind", 60, 8, vec![source(SEARCH, 0.7, 2.5)]),
-        pattern("one kind, 40 daemons", 120, 40, vec![source(SEARCH, 0.7, 2.5)]),
+        pattern("one kind, 40 daemons", 100, 40, vec![source(SEARCH, 0.7, 2.5)]),
         pattern("non-idempotent", 60, 8, vec![source(ORDER, 0.7, 2.3)]),
         pattern("reads and uploads", 60, 8, quarter(2.3)),
         pattern("similar kinds", 60, 8, vec![source(LIST, 0.35, 2.3), source(DETAIL, 0.35, 2.3)]),
@@ -99,6 +99,12 @@
             8,
             vec![source(DOWNLOAD, 0.35, 1.0), source(URGENT, 0.35, 4.0)],
         ),
+        pattern(
+            "urgent alone over capacity",
+            60,
+            8,
+            vec![source(DOWNLOAD, 0.2, 1.0), source(URGENT, 0.6, 4.0)],
+        ),
         pattern(
             "one tenant floods",
             60,
@@ -111,7 +117,7 @@
             ],
         ),
         pattern(
-            "tenant floods urgent",
+            "one tenant floods two kinds",
             60,
             8,
             vec![
--- a/crates/gateway/tests/overload/policy.rs
+++ b/crates/gateway/tests/overload/policy.rs
@@ -8,6 +8,8 @@
 pub trait Policy {
     /// Creates an empty queue of a daemon that may expect `slots` for itself.
     fn new(slots: f64, seed: u64) -> Self;
+    /// Sets the number of slots that the daemon may expect for itself.
+    fn set_slots(&mut self, slots: f64);
     /// Whether no request waits.
     fn is_empty(&self) -> bool;
     /// Records a request that was sent without waiting.
--- a/crates/gateway/tests/overload/previous.rs
+++ b/crates/gateway/tests/overload/previous.rs
@@ -29,6 +29,9 @@
         Self { slots: slots.max(0.5), serial: 0, waiters: BTreeMap::new() }
     }
 
+    /// Was an equal share.
+    fn set_slots(&mut self, _slots: f64) {}
+
     fn is_empty(&self) -> bool {
         self.waiters.is_empty()
     }
--- a/crates/gateway/tests/overload/score.rs
+++ b/crates/gateway/tests/overload/score.rs
@@ -6,7 +6,7 @@
 const LATE_WORTH: f64 = 0.1;
 
 /// What became of some requests.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Score {
     /// Requests, each counted once however often its caller tried.
     pub requests: u32,
