--- a/crates/gateway/tests/overload/pattern.rs
+++ b/crates/gateway/tests/overload/pattern.rs
@@ -99,12 +99,15 @@
             8,
             vec![source(DOWNLOAD, 0.35, 1.0), source(URGENT, 0.35, 4.0)],
         ),
-        pattern(
-            "urgent alone over capacity",
-            60,
-            8,
-            vec![source(DOWNLOAD, 0.2, 1.0), source(URGENT, 0.6, 4.0)],
-        ),
+        Pattern {
+            burst_ms: 12_000,
+            ..pattern(
+                "urgent alone over capacity",
+                30,
+                4,
+                vec![source(DOWNLOAD, 0.2, 1.0), source(URGENT, 0.6, 5.0)],
+            )
+        },
         pattern(
             "one tenant floods",
             60,
