gateway: a deadline shortened by a planned stop is no returning caller

Cause: the time since a caller's first attempt was taken from the deadline, which a leaving daemon sets sooner, so its waiting requests counted as late.

Change: requests and waiters carry the time limit that the caller stated.

Tested: cargo test -p gateway; leaving_daemon.

--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -56,6 +56,8 @@
     pub received: Instant,
     /// When the caller must have its answer.
     pub deadline: Instant,
+    /// Time that its caller had left when it was read, at most the limit of the route.
+    pub time_limit: Duration,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
     /// Tenant whose key the request carries, if any.
@@ -257,6 +259,7 @@
             target_latency: request.route.target_latency,
             target: request.received + request.route.target_latency,
             deadline: request.deadline,
+            time_limit: request.time_limit,
             service_time: work.likely(),
             work: work.mean(),
         }
--- a/crates/gateway/src/load/first_attempts.rs
+++ b/crates/gateway/src/load/first_attempts.rs
@@ -45,10 +45,9 @@
         it.usual = it.usual.mul_f64(1.0 - weight) + limit.mul_f64(weight);
     }
 
-    /// When the first attempt of a request was probably made.
-    pub(super) fn at(&self, route: &str, received: Instant, deadline: Instant) -> Instant {
+    /// When the first attempt of a request with the time limit `limit` was probably made.
+    pub(super) fn at(&self, route: &str, received: Instant, limit: Duration) -> Instant {
         let Some(it) = self.routes.get(route) else { return received };
-        let limit = deadline.saturating_duration_since(received);
         let is_known = it.count >= MIN_REQUESTS && it.short_share < MAX_SHORT_SHARE;
         if !is_known || limit >= it.usual.mul_f64(EQUAL_FACTOR) {
             return received;
--- a/crates/gateway/src/load/queue.rs
+++ b/crates/gateway/src/load/queue.rs
@@ -115,7 +115,7 @@
     /// Refuses it if it should not wait.
     pub fn offer(&mut self, now: Instant, mut waiter: Waiter) -> Result<u64, Refused> {
         self.arrive(now, &waiter);
-        let first = self.first_attempts.at(&waiter.route, waiter.received, waiter.deadline);
+        let first = self.first_attempts.at(&waiter.route, waiter.received, waiter.time_limit);
         let earlier = waiter.received.saturating_duration_since(first);
         waiter.target = waiter.target.checked_sub(earlier).unwrap_or(waiter.target);
         let wait = self.expected_wait(now, &waiter);
@@ -385,8 +385,7 @@
         let is_calm =
             self.refused_at.is_none_or(|it| now.saturating_duration_since(it) > CALM_AFTER);
         if is_calm {
-            let limit = waiter.deadline.saturating_duration_since(waiter.received);
-            self.first_attempts.record(&waiter.route, limit);
+            self.first_attempts.record(&waiter.route, waiter.time_limit);
         }
         let is_usual = is_calm && !self.is_long(now, waiter);
         if let Some(tenant) = &waiter.tenant {
--- a/crates/gateway/src/load/waiter.rs
+++ b/crates/gateway/src/load/waiter.rs
@@ -26,6 +26,9 @@
     pub target: Instant,
     /// When the caller must have its answer.
     pub deadline: Instant,
+    /// Time that its caller had left when the request was read, at most the limit of the route. The
+    /// deadline may be sooner, because the daemon leaves.
+    pub time_limit: Duration,
     /// Service time within which an upstream probably answers.
     pub service_time: Duration,
     /// Mean time for which it occupies a slot of an upstream.
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -148,7 +148,8 @@
     fn request(&self) -> Request<'_> {
         let Context { route, received, deadline, .. } = *self.context;
         let (priority, tenant) = (route.priority, None);
-        Request { route, tried: &self.tried, received, deadline, priority, tenant }
+        let (tried, time_limit) = (&*self.tried, self.trace.time_left);
+        Request { route, tried, received, deadline, time_limit, priority, tenant }
     }
 
     /// Waits for an upstream that can take the request.
--- a/crates/gateway/tests/overload/model.rs
+++ b/crates/gateway/tests/overload/model.rs
@@ -195,6 +195,7 @@
             target_latency: call.target(),
             target: received + call.target(),
             deadline: self.start + call.deadline(),
+            time_limit: call.deadline().saturating_sub(at),
             service_time: ms(kind.work_ms.into()).mul_f64(1.08),
             work: Duration::from_secs_f64(kind.mean_s()),
         }
--- a/crates/gateway/tests/overload_policy.rs
+++ b/crates/gateway/tests/overload_policy.rs
@@ -20,6 +20,7 @@
         target_latency: MS * target_ms,
         target: now + MS * target_ms,
         deadline: now + MS * deadline_ms,
+        time_limit: MS * deadline_ms,
         service_time: MS * work_ms,
         work: MS * work_ms,
     }
@@ -235,13 +236,31 @@
     }
     queue.set_slots(8.0);
     let now = start + MS * 40_000;
-    let returning = Waiter { deadline: now + MS * 1_600, ..search(now) };
+    let returning = waiter(now, "search", 260, 800, 1_600);
     let fresh = queue.offer(now, search(now)).expect("an empty queue");
     let late = queue.offer(now, returning).expect("a short queue");
     let order: Vec<_> = queue.iter().map(|(serial, _)| serial).collect();
     assert_eq!(order, [fresh, late], "sent to be in time first");
 }
 
+/// The daemon leaves, so that deadlines are sooner than usual. Callers don't count as returning.
+#[test]
+fn leaving_daemon() {
+    let start = Instant::now();
+    let mut queue = queue(1.0);
+    for it in 0..60 {
+        let now = start + MS * 1_000 * it;
+        queue.record_sent(now, &search(now));
+    }
+    queue.set_slots(8.0);
+    let now = start + MS * 70_000;
+    let other = queue.offer(now, search(now)).expect("an empty queue");
+    let waiter = Waiter { deadline: now + MS * 1_200, ..search(now) };
+    let shortened = queue.offer(now, waiter).expect("a short queue");
+    let order: Vec<_> = queue.iter().map(|(serial, _)| serial).collect();
+    assert_eq!(order, [shortened, other], "the newest first");
+}
+
 /// Callers of a route that set time limits of their own. A short one is not taken for a sign that
 /// the caller has tried before.
 #[test]
@@ -251,13 +270,12 @@
     for it in 0..300 {
         let now = start + MS * 200 * it;
         let limit = if it % 3 == 0 { 900 } else { 2_500 };
-        queue.record_sent(now, &Waiter { deadline: now + MS * limit, ..search(now) });
+        queue.record_sent(now, &waiter(now, "search", 260, 800, limit));
     }
     queue.set_slots(8.0);
     let now = start + MS * 70_000;
     let long = queue.offer(now, search(now)).expect("an empty queue");
-    let short = Waiter { deadline: now + MS * 900, ..search(now) };
-    let short = queue.offer(now, short).expect("a short queue");
+    let short = queue.offer(now, waiter(now, "search", 260, 800, 900)).expect("a short queue");
     let order: Vec<_> = queue.iter().map(|(serial, _)| serial).collect();
     assert_eq!(order, [short, long], "the newest first, as in every short queue");
 }
--- a/crates/gateway/tests/waiting_order.rs
+++ b/crates/gateway/tests/waiting_order.rs
@@ -16,6 +16,7 @@
         target_latency: MS * target_ms,
         target: now + MS * target_ms,
         deadline: now + MS * deadline_ms,
+        time_limit: MS * deadline_ms,
         service_time: MS * 100,
         work: MS * 100,
     }
