--- a/crates/cli/src/trace/cause.rs
+++ b/crates/cli/src/trace/cause.rs
@@ -3,7 +3,7 @@
 use super::Line;
 
 /// Values of `reason` and their meaning.
-const REASONS: [(&str, &str); 4] = [
+const REASONS: [(&str, &str); 17] = [
     (
         "overload",
         "no upstream had a free slot in time; the request was refused before it reached an upstream",
--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     config::{Route, RouteId, ServiceId, TenantId},
-    load::{Budget, Domains, Eligibility, Queue, Service, Waiter},
+    load::{Budget, Domains, Eligibility, Queue, Service, Upstream, Waiter},
     registry::UpstreamId,
 };
 
@@ -62,6 +62,8 @@
     pub received: Instant,
     /// When the caller must have its answer.
     pub deadline: Instant,
+    /// Time that its caller had left when it was read, at most the limit of the route.
+    pub time_limit: Duration,
 }
 
 /// A waiting request, with the channel for its result.
@@ -85,6 +87,7 @@
     /// Number of waiting requests that may be sent to some failure domains only.
     restricted: Cell<usize>,
     daemon_count: Cell<u32>,
+    active_count: Cell<u32>,
     connection_limit: Cell<u32>,
     clock: Arc<dyn Clock>,
     on_load_change: Rc<dyn Fn(&UpstreamId)>,
@@ -110,6 +113,7 @@
             waiting: RefCell::default(),
             restricted: Cell::new(0),
             daemon_count: Cell::new(1),
+            active_count: Cell::new(1),
             connection_limit: Cell::new(0),
             clock,
             on_load_change,
@@ -121,6 +125,11 @@
         self.daemon_count.set(daemon_count.max(1));
     }
 
+    /// Sets the number of daemons that callers use, this one among them.
+    pub fn set_active_count(&self, active_count: u32) {
+        self.active_count.set(active_count.max(1));
+    }
+
     /// Sets the number of connections that one upstream accepts from all daemons; 0 if unknown.
     pub fn set_connection_limit(&self, limit: u32) {
         self.connection_limit.set(limit);
@@ -308,15 +317,20 @@
             target_latency: request.route.target_latency,
             target: request.received + request.route.target_latency,
             deadline: request.deadline,
+            time_limit: request.time_limit,
             service_time: work.likely(),
             work: work.mean(),
         }
     }
 
-    /// Tells the queue how many slots this daemon may expect for itself.
+    /// Tells the queue how many slots this daemon may expect for itself: those that it holds, or an
+    /// equal share if that is more. Slots that it holds usually stay its own while all are in use,
+    /// since it is the first to learn that one is free.
     fn update_slots(&self, now: Instant) {
-        let capacity = self.service.borrow().capacity(now);
-        self.queue.borrow_mut().set_slots(capacity / f64::from(self.daemon_count.get()));
+        let service = self.service.borrow();
+        let equal = service.capacity(now) / f64::from(self.active_count.get());
+        let held: u32 = service.iter().map(Upstream::own_in_flight).sum();
+        self.queue.borrow_mut().set_slots(equal.max(held.into()));
     }
 
     fn reserve(
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -155,6 +155,7 @@
             tried: &self.tried,
             received,
             deadline,
+            time_limit: self.trace.time_left,
         }
     }
 
--- a/crates/gateway/tests/evacuation.rs
+++ b/crates/gateway/tests/evacuation.rs
@@ -127,6 +127,7 @@
         tried: &[],
         received: now,
         deadline: now + Duration::from_secs(10),
+        time_limit: Duration::from_secs(10),
     }
 }
 
--- a/crates/gateway/tests/refusal_answers.rs
+++ b/crates/gateway/tests/refusal_answers.rs
@@ -5,7 +5,8 @@
 use gateway::request::{Refusal, Reply};
 
 fn text(refusal: Refusal) -> String {
-    String::from_utf8(Reply::refuse(refusal, None).bytes(false)).unwrap()
+    let (head, body) = Reply::refuse(refusal, None).into_parts(false);
+    String::from_utf8([head, body.to_vec()].concat()).unwrap()
 }
 
 /// Callers retry a 429 after the time it names, which may be a fraction of a second.
