--- a/crates/gateway/tests/cold_upstreams.rs
+++ b/crates/gateway/tests/cold_upstreams.rs
@@ -2,7 +2,7 @@
 //! each one gets some requests.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -107,7 +107,8 @@
     fn place(&mut self, number: usize, members: &[usize], presence: f64) {
         let host = &mut self.hosts[number];
         let mut placement = Placement::default();
-        placement.reset(daemon(number), members.iter().map(|it| daemon(*it)).collect());
+        let daemons = members.iter().map(|it| daemon(*it)).collect();
+        placement.reset(daemon(number), daemons, BTreeSet::new());
         placement.add_service(&mut host.service);
         host.presence = presence;
     }
