soak, gateway: evacuations among the faults; probes of domains in service

The soak puts two of its five upstreams and one of its daemons into the domain `b` and evacuates it at times, with random numbers of its own, so that the schedule of the other faults stays as it was. In the calm time it checks that an evacuated domain gets neither requests nor health checks after 5 s, and that it is used again once it is taken back.

The rate of probes counted the upstreams of evacuated domains, whose share went to the others. Only upstreams in service count now. A deleted key that a page of newest records lists with an empty value is no evacuation.

--- a/crates/gateway/src/follow/evacuation.rs
+++ b/crates/gateway/src/follow/evacuation.rs
@@ -22,10 +22,12 @@
         gateway.report_evacuation_finding(&format!("key-invalid key={key:?} bytes={bytes}"));
         return None;
     }
+    // A page of newest records may list a deleted key with an empty value.
+    let value = record.value.as_deref().filter(|it| !it.is_empty());
     let is_usual =
         |value: &[u8]| value.iter().filter(|it| !it.is_ascii_whitespace()).eq(USUAL_VALUE.iter());
-    if record.value.as_ref().is_some_and(|it| !is_usual(it)) {
+    if value.is_some_and(|it| !is_usual(it)) {
         gateway.report_evacuation_finding(&format!("value-unexpected key={key:?}"));
     }
-    Some(EvacuationRecord { offset: record.offset, domain, is_evacuated: record.value.is_some() })
+    Some(EvacuationRecord { offset: record.offset, domain, is_evacuated: value.is_some() })
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -378,7 +378,7 @@
         for it in self.dispatchers.borrow().values() {
             it.set_daemon_count(live);
             it.budget.borrow_mut().set(settings.retry_ratio, slack);
-            upstreams += it.service.borrow().iter().count();
+            upstreams += it.service.borrow().iter().filter(|it| !it.is_evacuated).count();
         }
         let rate = settings.probe_rate * upstreams as f64 / f64::from(sharers.all + 1);
         self.probe_budget.borrow_mut().set_rate(rate);
--- a/crates/gateway/src/gateway/evacuation.rs
+++ b/crates/gateway/src/gateway/evacuation.rs
@@ -62,7 +62,7 @@
         end: Offset,
         records: Vec<EvacuationRecord>,
     ) -> Progress {
-        let domains = records.into_iter().map(|it| it.domain);
+        let domains = records.into_iter().filter(|it| it.is_evacuated).map(|it| it.domain);
         self.update_evacuations("store", |it| it.apply_newest(started, end, domains))
     }
 
--- a/crates/gateway/tests/evacuation.rs
+++ b/crates/gateway/tests/evacuation.rs
@@ -159,6 +159,22 @@
     assert!(!gateway.metrics.text().contains("domain=\"b\""));
 }
 
+/// The rate of probes follows from the upstreams in service, so that these don't get the probes of an
+/// evacuated domain as well.
+#[test]
+fn probe_rate() {
+    let probes = |evacuated: &[&str]| {
+        let (gateway, clock) = daemon();
+        read_newest(&gateway, 1, evacuated);
+        gateway.share_budgets(gateway.now());
+        clock.advance(Duration::from_millis(500));
+        let mut budget = gateway.probe_budget.borrow_mut();
+        (0..100).filter(|_| budget.take(gateway.now())).count()
+    };
+    assert_eq!(probes(&[]), 40);
+    assert_eq!(probes(&["b"]), 20);
+}
+
 /// An upstream that registers, changes its registration or moves after the evacuation began is
 /// covered, and so is a service that a later configuration adds.
 #[test]
@@ -287,6 +303,10 @@
     read_newest(&gateway, 10, &["b"]);
     assert_eq!(open(&gateway, SERVICE), ["u"]);
     assert_eq!(gateway.evacuation_stamp(), stamp(0, 10));
+    // A deleted key may be listed without a value.
+    let records = vec![record(0, "a", true), record(0, "b", false)];
+    gateway.apply_newest_evacuations(gateway.evacuation_stamp(), 11, records);
+    assert_eq!(open(&gateway, SERVICE), ["v"]);
 }
 
 /// A deletion is read late: until then the domain stays evacuated, and afterwards neither a late
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -52,8 +52,9 @@
         let peer = |it: u8| SocketAddr::new(host(it), peer_port).to_string();
         let seeds: Vec<_> = (0..options.daemons).filter(|it| *it != number).map(peer).collect();
         let settings = options.folder.join(format!("daemon-{number}.ini"));
+        let domain = if number == 1 { "b" } else { "a" };
         let text = format!(
-            "[gateway]\nhost = daemon-{number}\ndomain = a\ncaller_address = {caller_address}\n\
+            "[gateway]\nhost = daemon-{number}\ndomain = {domain}\ncaller_address = {caller_address}\n\
              ready_address = {ready_address}\ndirectory_address = {directory_address}\npeer_address = {}\n\
              metrics_address = {metrics_address}\nseeds = {}\nstore_address = {store}\n\
              failure_lines_per_s = 500\n",
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -26,6 +26,10 @@
 
 /// Number of upstreams. All belong to one service.
 const UPSTREAMS: usize = 5;
+/// The upstreams in the failure domain `b`, which is evacuated at times; the others are in `a`.
+pub(crate) const UPSTREAMS_IN_B: std::ops::Range<usize> = 3..UPSTREAMS;
+/// Key of the record that evacuates the domain `b`.
+const EVACUATION_KEY: &str = "evacuate/b";
 /// Number of upstreams if the daemons are only stopped: enough for the work of all callers.
 const UPSTREAMS_FOR_STOPS: usize = 40;
 /// Time within which the daemons must be ready.
@@ -104,7 +108,7 @@
     /// Registers an upstream with its proxy's address.
     pub(crate) fn register(&self, number: usize, state: &str) {
         let (upstream, proxy) = &self.upstreams[number];
-        let entry = upstream.entry_at(proxy.address, "stock", state);
+        let entry = upstream.entry_at_in(proxy.address, domain(number), "stock", state);
         self.store.put(config::UPSTREAMS, &upstream.id, &entry);
     }
 
@@ -112,7 +116,7 @@
     pub(crate) fn register_reused_address(&self, number: usize) {
         let other = &self.upstreams[(number + 1) % self.upstreams.len()].1;
         let upstream = &self.upstreams[number].0;
-        let entry = upstream.entry_at(other.address, "stock", "ready");
+        let entry = upstream.entry_at_in(other.address, domain(number), "stock", "ready");
         self.store.put(config::UPSTREAMS, &upstream.id, &entry);
     }
 
@@ -121,6 +125,16 @@
         self.store.remove(config::UPSTREAMS, &self.upstreams[number].0.id);
     }
 
+    /// Evacuates the failure domain `b`.
+    pub(crate) fn evacuate(&self) {
+        self.store.put(config::TOPIC, EVACUATION_KEY, "{}");
+    }
+
+    /// Takes the failure domain `b` back.
+    pub(crate) fn take_back(&self) {
+        self.store.remove(config::TOPIC, EVACUATION_KEY);
+    }
+
     /// Publishes the next configuration: the routes that all configurations have, and one that only
     /// this one has.
     pub(crate) fn publish(&self) {
@@ -165,3 +179,8 @@
         self.context.ledger.close(&upstreams)
     }
 }
+
+/// Failure domain of an upstream.
+fn domain(upstream: usize) -> &'static str {
+    if UPSTREAMS_IN_B.contains(&upstream) { "b" } else { "a" }
+}
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -12,7 +12,11 @@
 };
 use rustix::process::Signal;
 
-use crate::{Result, environment::Environment, watcher};
+use crate::{
+    Result,
+    environment::{Environment, UPSTREAMS_IN_B},
+    watcher,
+};
 
 /// Time from the start of one fault to the start of the next, in milliseconds.
 const FAULT_INTERVAL_MS: std::ops::Range<u64> = 100..500;
@@ -32,6 +36,13 @@
 /// Requests that a daemon may send to an upstream during its pause.
 const PAUSED_REQUESTS: usize = 2;
 
+/// One in this many faults is accompanied by an evacuation, unless one is in force.
+const EVACUATION_EVERY: u8 = 6;
+/// Time within which every daemon must apply an evacuation.
+const EVACUATION_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for which an evacuated domain must get nothing.
+const EVACUATION_TIME: Duration = Duration::from_secs(2);
+
 /// Maximum resident memory of a daemon, in bytes. Default of its settings.
 const MEMORY_LIMIT_BYTES: u64 = 512 << 20;
 
@@ -46,18 +57,23 @@
     Pause(usize),
     Stop(usize),
     Kill(usize),
+    Evacuation,
 }
 
 /// Injects faults according to a seeded schedule.
 pub(crate) struct Faults<'a> {
     env: &'a Environment,
     rng: fastrand::Rng,
+    /// A generator of its own, so that the schedule of the other faults does not depend on evacuations.
+    evacuation_rng: fastrand::Rng,
     ends: Vec<(Instant, End)>,
 }
 
 impl<'a> Faults<'a> {
     pub(crate) fn new(env: &'a Environment, seed: u64) -> Self {
-        Self { env, rng: fastrand::Rng::with_seed(seed), ends: Vec::new() }
+        let (rng, evacuation_rng) =
+            (fastrand::Rng::with_seed(seed), fastrand::Rng::with_seed(!seed));
+        Self { env, rng, evacuation_rng, ends: Vec::new() }
     }
 
     /// Injects faults for `length`, then ends all faults that are still active.
@@ -65,6 +81,7 @@
         let until = Instant::now() + length;
         while Instant::now() < until {
             self.begin()?;
+            self.begin_evacuation();
             let next = Instant::now() + Duration::from_millis(self.rng.u64(FAULT_INTERVAL_MS));
             while Instant::now() < next {
                 self.end_due(false)?;
@@ -168,6 +185,17 @@
         Ok(())
     }
 
+    fn begin_evacuation(&mut self) {
+        let is_in_force = self.ends.iter().any(|(_, it)| matches!(it, End::Evacuation));
+        if is_in_force || self.evacuation_rng.u8(..EVACUATION_EVERY) != 0 {
+            return;
+        }
+        self.env.evacuate();
+        self.env.context.ledger.record_fault("evacuation");
+        let duration = Duration::from_millis(self.evacuation_rng.u64(FAULT_DURATION_MS));
+        self.ends.push((Instant::now() + duration, End::Evacuation));
+    }
+
     /// Whether a daemon runs and is not paused, stopping or killed.
     fn is_up(&self, daemon: usize) -> bool {
         !self.ends.iter().any(|(_, it)| match it {
@@ -208,6 +236,7 @@
                 }
                 daemons[*it].start()?;
             }
+            End::Evacuation => env.take_back(),
             End::Kill(it) => {
                 let mut daemons = env.daemons.borrow_mut();
                 daemons[*it].wait(STOP_TIMEOUT)?;
@@ -263,6 +292,32 @@
         env.context.is_fault_free.store(true, Ordering::Relaxed);
     }
 
+    /// Checks that an evacuated failure domain gets neither requests nor health checks once the time
+    /// limit has passed, and that it is used again once it is taken back.
+    fn check_evacuation(&self) {
+        let env = self.env;
+        let received = || -> usize {
+            let upstreams = env.upstreams[UPSTREAMS_IN_B].iter();
+            upstreams.map(|(it, _)| it.arrivals().len() + it.probes()).sum()
+        };
+        env.evacuate();
+        thread::sleep(EVACUATION_TIMEOUT);
+        let before = received();
+        thread::sleep(EVACUATION_TIME);
+        let sent = received() - before;
+        if sent > 0 {
+            let finding = format!("an evacuated failure domain got {sent} requests");
+            env.context.ledger.add_finding(finding);
+        }
+        env.take_back();
+        let before = received();
+        thread::sleep(EVACUATION_TIMEOUT);
+        if received() == before {
+            let finding = "a failure domain that was taken back got no requests";
+            env.context.ledger.add_finding(finding.to_owned());
+        }
+    }
+
     /// Checks that the daemons recover, that they apply a new configuration and an upstream's
     /// change of state in time, and that planned stops break no request in flight.
     pub(crate) fn check_recovery(&mut self) -> Result<()> {
@@ -287,6 +342,7 @@
         }
         self.check_memory();
         self.check_withdrawals();
+        self.check_evacuation();
         env.register(0, "draining");
         thread::sleep(PROPAGATION_TIMEOUT);
         let before = env.upstreams[0].0.runs();
