--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -402,7 +402,7 @@
             it.set_daemon_count(live);
             it.set_active_count(active);
             it.budget.borrow_mut().set(settings.retry_ratio, slack);
-            upstreams += it.service.borrow().iter().count();
+            upstreams += it.service.borrow().iter().filter(|it| !it.is_evacuated).count();
         }
         drop(peers);
         self.share_slow_starts(now);
