gateway: expected wait includes the time until a slot is free

Cause: with few slots for each daemon, a request behind no other still waits for a running one to end, so too many were accepted and refused late.

Change: half of the request's own work counts as work ahead of it while the wait is long.

Tested: cargo test -p gateway; adapter's whole_path, planned_stop, withdrawing_upstreams, caller_leaves, caller_left_line.

--- a/crates/gateway/src/load/queue.rs
+++ b/crates/gateway/src/load/queue.rs
@@ -224,7 +224,9 @@
             let other = self.position(now, **serial, it, is_long);
             other < position || !is_long && it.priority <= waiter.priority
         };
-        let ahead = self.waiters.iter().filter(is_ahead).map(|(_, it)| it.work).sum();
+        let ahead: Duration = self.waiters.iter().filter(is_ahead).map(|(_, it)| it.work).sum();
+        // Behind no other request, it still waits for a slot, on average half of a request's time.
+        let ahead = if is_long { ahead + waiter.work / 2 } else { ahead };
         self.wait_behind(now, ahead, is_long.then_some((&position, waiter)))
     }
 
