gateway: a kind that is always late is not starved under overload

Cause: only requests that could be in time were owed service, so a route whose work exceeds its target got nothing while others waited for long.

Change: owed requests go first and are accepted also if they are late.

Tested: starvation_of_late_kind failed before with none sent in 30 s; cargo test -p gateway.

--- a/crates/gateway/src/load/queue.rs
+++ b/crates/gateway/src/load/queue.rs
@@ -177,7 +177,8 @@
             let Some(it) = self.waiters.get(&serial) else { continue };
             let is_long = long.contains(&position.priority);
             let wait = self.wait_behind(now, ahead, is_long.then_some((&position, it)));
-            let is_hopeless = is_overload && is_long && wait > it.slack(now);
+            let is_hopeless =
+                is_overload && is_long && position.is_not_owed && wait > it.slack(now);
             let held = now.saturating_duration_since(it.since);
             let reason = if !it.is_viable(now) || is_hopeless && position.is_late {
                 Reason::Expired
@@ -210,7 +211,7 @@
         let is_long = self.is_long(now, waiter);
         let margin = if self.is_overload(now) { self.settings.wait_margin } else { 1.0 };
         let is_late = wait.mul_f64(margin) > waiter.slack(now);
-        may_wait && !(is_long && is_late)
+        may_wait && (!is_long || !is_late || self.is_owed(now, waiter))
     }
 
     /// Expected wait of a new request.
@@ -337,7 +338,7 @@
         let since_epoch = until_target.saturating_sub(waiter.service_time);
         let order = i64::try_from(since_epoch.as_micros()).unwrap_or(i64::MAX);
         Position {
-            is_not_owed: is_late || !self.is_owed(now, waiter),
+            is_not_owed: !self.is_owed(now, waiter),
             priority,
             is_late,
             is_over_share: self.is_over_share(now, waiter),
--- a/crates/gateway/tests/overload_policy.rs
+++ b/crates/gateway/tests/overload_policy.rs
@@ -182,6 +182,22 @@
     assert!(long > 0.25 * total && long < total, "{long} of {total}");
 }
 
+/// Short requests alone exceed the capacity for 30 s, beside a kind that needs more time than its
+/// target allows. It is always late, but must not be starved.
+#[test]
+fn starvation_of_late_kind() {
+    let arrivals = |step, now| {
+        let short = waiter(now, "read", 100, 300, 1_200);
+        let mut res = vec![short.clone(), short];
+        if step % 4 == 0 {
+            res.push(waiter(now, "report", 310, 200, 3_000));
+        }
+        res
+    };
+    let (total, late) = served_shares(arrivals, |it| &*it.route == "report");
+    assert!(late > 0.25 * total && late < total, "{late} of {total}");
+}
+
 /// A tenant floods while the others alone need the whole capacity. It pays first, but must not be
 /// starved.
 #[test]
