--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -48,7 +48,7 @@
 /// Size of waiting answers from which no further request of a connection starts, in bytes.
 const MAX_UNSENT_BYTES: usize = 256 << 10;
 /// Bytes counted for a connection, and for a request in progress: state and buffers of fixed size.
-const CONNECTION_BYTES: usize = 6 << 10;
+const CONNECTION_BYTES: usize = 12 << 10;
 const REQUEST_BYTES: usize = 8 << 10;
 /// Bytes that one read may add, for a head and for a body.
 const HEAD_STEP_BYTES: usize = 4 << 10;
--- a/crates/gateway/src/memory/buffer.rs
+++ b/crates/gateway/src/memory/buffer.rs
@@ -7,7 +7,7 @@
 
 /// Size up to which a body is in the heap, in bytes. Larger ones have pages of their own: those go
 /// back to the operating system when the body is dropped, and need no copy when the body grows.
-const MAX_HEAP_BYTES: usize = 128 << 10;
+const MAX_HEAP_BYTES: usize = 32 << 10;
 /// Pages are counted in units of this many bytes, the largest page size of arm64.
 const PAGE_BYTES: usize = 64 << 10;
 
--- a/crates/gateway/src/memory/pool.rs
+++ b/crates/gateway/src/memory/pool.rs
@@ -11,7 +11,7 @@
 use super::{Account, Holder, Kind, Share, Stage, share::FREE_BYTES};
 
 /// One part in this many of the limit is reserved for connections that hold little.
-const RESERVE_DIVISOR: usize = 16;
+const RESERVE_DIVISOR: usize = 32;
 /// Smallest and largest reserve, in bytes.
 const RESERVE_BYTES: (usize, usize) = (1 << 20, 16 << 20);
 /// Size up to which a connection may use the reserve, in bytes.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -31,7 +31,7 @@
 /// Interval at which idle connections to upstreams are checked.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which the memory of the process is measured.
-const MEMORY_INTERVAL: Duration = Duration::from_millis(250);
+const MEMORY_INTERVAL: Duration = Duration::from_millis(100);
 /// Difference between the advance of two clocks from which the host is assumed to have been
 /// suspended.
 const SUSPENSION_THRESHOLD: Duration = Duration::from_millis(250);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -17,13 +17,15 @@
 const MEMORY_SHARE: (u64, u64) = (4, 5);
 /// Least memory set aside for what isn't counted: the program itself, configuration, registry,
 /// peers and the log queue. A daemon that has just started uses 10 MB; 16 MB in a debug build.
-const RUNTIME_BYTES: u64 = 20 << 20;
+const RUNTIME_BYTES: u64 = 22 << 20;
 /// One part in this many of the host's memory is the receive buffer of a caller's connection.
 const RECEIVE_BUFFER_DIVISOR: u64 = 2_048;
 /// Smallest and largest receive buffer, in bytes. 64 kB carry 50 Mbit/s at a round trip of 10 ms.
 const RECEIVE_BUFFER_BYTES: (usize, usize) = (64 << 10, 256 << 10);
-/// Memory set aside beyond what isn't counted: answers in progress may exceed the limit for a moment.
+/// Memory set aside beyond what isn't counted, in bytes and as one part in this many of the share: the
+/// allocator's losses grow between two measurements, and answers in progress may exceed the limit.
 const MARGIN_BYTES: u64 = 2 << 20;
+const MARGIN_DIVISOR: u64 = 16;
 /// One part in this many of the process's share is the most that measured memory takes from callers:
 /// a process that also hosts something else still serves.
 const MAX_UNCOUNTED_DIVISOR: u64 = 3;
@@ -172,7 +174,8 @@
     #[must_use]
     pub fn caller_memory_bytes(&self, uncounted: u64) -> usize {
         let share = self.memory_bytes / MEMORY_SHARE.1 * MEMORY_SHARE.0;
-        let uncounted = (uncounted + MARGIN_BYTES).min(share / MAX_UNCOUNTED_DIVISOR);
+        let margin = MARGIN_BYTES + share / MARGIN_DIVISOR;
+        let uncounted = (uncounted + margin).min(share / MAX_UNCOUNTED_DIVISOR);
         let rest = share.saturating_sub(uncounted.max(RUNTIME_BYTES));
         usize::try_from(rest.max(share / MIN_CALLER_DIVISOR)).unwrap_or(usize::MAX)
     }
