gateway: quotas of tenants over all daemons

Cause: nothing held a tenant to its rate over all daemons together. Change: rate::Quotas, driven by the configuration's tenants; daemons in use exchange what each tenant has used in the window every 250 ms (Packet::Demand), only if there are quotas. Gateway::take_quota is what the request path calls; nothing calls it yet. Metric quota_requests, log line quota-exceeded, docs/design/fleet_rates.md.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 //! Requests read it; configuration, registry and peers update it. The routing table is replaced as
 //! a whole.
 
+mod quotas;
 mod temperatures;
 mod withdrawals;
 
@@ -31,6 +32,7 @@
         placement::{Daemon, Placement},
     },
     probe,
+    rate::{Quotas, Terms},
     registry::{Change, Fold, Index, Key, Registration, UpstreamId, Withdrawals},
     stop,
     upstream::{Memory, Pool},
@@ -67,6 +69,8 @@
     pub peers: RefCell<peer::Table>,
     /// Idle connections to upstreams.
     pub pool: Pool,
+    /// Quotas of tenants.
+    pub quotas: RefCell<Quotas>,
     /// Budget for probes.
     pub probe_budget: RefCell<probe::Bucket>,
     /// Counters and gauges.
@@ -119,6 +123,7 @@
     registry_read_once: Cell<bool>,
     /// Until when configuration and registry come from peers only.
     store_from: Instant,
+    has_quotas: Cell<bool>,
     started: Instant,
     seed: u64,
 }
@@ -141,6 +146,8 @@
             registry: RefCell::new(Fold::new(EXPIRY_GRACE)),
             peers: RefCell::new(peer::Table::new(settings.peer_address, link_mbps(&settings))),
             pool: Pool::default(),
+            quotas: RefCell::new(Quotas::new(now, Terms::default())),
+            has_quotas: Cell::new(false),
             probe_budget: RefCell::new(probe::Bucket::new(now)),
             metrics: Metrics::default(),
             log_limiter: RefCell::new(Limiter::new(now)),
@@ -252,6 +259,8 @@
             self.set_slow_start(&dispatcher, it.slow_start, it.warmup_per_s);
         }
         self.invalidate_placement();
+        let mut tenants = config.tenants.iter().flatten();
+        self.has_quotas.set(tenants.any(|it| it.rate_per_s > 0.0));
         *self.table.borrow_mut() = Some(Rc::new(Table::new(config)));
         log::info!(
             target: "belief",
@@ -397,6 +406,7 @@
             it.budget.borrow_mut().set(settings.retry_ratio, slack);
             upstreams += it.service.borrow().iter().count();
         }
+        self.share_quotas(now, &peers);
         drop(peers);
         self.share_slow_starts(now);
         let rate = settings.probe_rate * upstreams as f64 / f64::from(sharers.all + 1);
--- a/crates/gateway/src/load/temperature.rs
+++ b/crates/gateway/src/load/temperature.rs
@@ -144,9 +144,10 @@
     }
 
     /// Records what the upstream says in a health answer. Returns whether peers must be told: it
-    /// was warm or unknown before.
+    /// was warm before, or unknown and this daemon shares its rate.
     pub fn record_health(&mut self, now: Instant, cold_for: Duration, limit: &SlowStart) -> bool {
-        let is_news = !self.is_known || !self.is_cold(now) && !cold_for.is_zero();
+        let becomes_cold = !self.is_cold(now) && !cold_for.is_zero();
+        let is_news = becomes_cold || !self.is_known && self.shares_since.is_some();
         self.set(now, cold_for.min(limit.max_duration()), "health");
         self.told_at = Some(now);
         self.checked_at = Some(now);
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -7,6 +7,7 @@
 use crate::{
     gateway::Gateway,
     peer::{Departure, Event, Heartbeat, Load, Packet, Relay},
+    rate::REPORT_INTERVAL,
     registry::{self, UpstreamId},
 };
 
@@ -162,6 +163,20 @@
         }
     }
 
+    /// Sends the requests of tenants with quotas to the peers that share them, until the task is
+    /// dropped.
+    pub async fn send_demands(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(REPORT_INTERVAL).await;
+            let Some((peers, parts)) = self.gateway.demands_to_send(self.gateway.now()) else {
+                continue;
+            };
+            for it in parts {
+                self.send_all(&peers, &Packet::Demand(it));
+            }
+        }
+    }
+
     fn send_departures_to(&self, peers: &[SocketAddr], departures: &[Departure]) {
         for part in departures.chunks(CHANGES_PER_DATAGRAM) {
             self.send_all(peers, &Packet::Departures(part.to_vec()));
@@ -245,6 +260,10 @@
                     self.gateway.record_departure(it, &source);
                 }
             }
+            Packet::Demand(it) => {
+                self.gateway.peers.borrow_mut().record_datagram(now, from);
+                self.gateway.record_demands(now, &it);
+            }
             Packet::Temperatures(temperatures) => {
                 self.gateway.peers.borrow_mut().record_datagram(now, from);
                 for it in temperatures {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -54,6 +54,13 @@
     pub ok: &'static str,
 }
 
+/// Labels of requests that were checked against a quota.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Quota {
+    /// Whether the request was within the quota: admitted or refused.
+    pub outcome: &'static str,
+}
+
 /// Counters, gauges and histograms of one daemon.
 #[derive(Debug)]
 pub struct Metrics {
@@ -77,6 +84,8 @@
     pub cold_upstreams: Gauge,
     /// Requests that waited or were refused while a cold upstream with a free slot was at its limit.
     pub cold_requests_held: Counter,
+    /// Requests that were checked against a quota.
+    pub quota_requests: Family<Quota, Counter>,
     /// Live peers.
     pub peers: Gauge,
     /// Version of the configuration in force.
@@ -97,6 +106,7 @@
             connections: Gauge::default(),
             cold_upstreams: Gauge::default(),
             cold_requests_held: Counter::default(),
+            quota_requests: Family::default(),
             peers: Gauge::default(),
             config_version: Gauge::default(),
             registry: Registry::with_prefix("fireflydrum"),
@@ -119,6 +129,12 @@
         self.attempts.get_or_create(&Attempt { service: service.to_owned(), cause }).inc();
     }
 
+    /// Counts a request that was checked against a quota.
+    pub fn count_quota(&self, is_admitted: bool) {
+        let outcome = if is_admitted { "admitted" } else { "refused" };
+        self.quota_requests.get_or_create(&Quota { outcome }).inc();
+    }
+
     /// Counts a call to the store.
     pub fn call(&self, call: &'static str, is_ok: bool) {
         let ok = if is_ok { "yes" } else { "no" };
@@ -151,6 +167,11 @@
             "Requests that found only cold upstreams at their limit",
             self.cold_requests_held.clone(),
         );
+        it.register(
+            "quota_requests",
+            "Requests of tenants with quotas",
+            self.quota_requests.clone(),
+        );
         it.register("peers", "Peers that are alive", self.peers.clone());
         it.register("config_version", "Configuration in force", self.config_version.clone());
     }
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -10,9 +10,11 @@
 mod phase;
 pub mod placement;
 mod table;
+mod tenant_demands;
 
 pub use activity::Activity;
 pub use capacity::Capacity;
 pub use packet::{Departure, Heartbeat, Load, Packet, Relay, Temperature};
 pub use phase::Phase;
 pub use table::{Event, Peer, Sharers, Table};
+pub use tenant_demands::TenantDemands;
--- a/crates/gateway/src/peer/packet.rs
+++ b/crates/gateway/src/peer/packet.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::{Capacity, Phase};
+use super::{Capacity, Phase, TenantDemands};
 use crate::{
     config::Version,
     load::{HostKey, Report},
@@ -24,6 +24,8 @@
     Departures(Vec<Departure>),
     /// What upstreams have said in health answers about their slow starts.
     Temperatures(Vec<Temperature>),
+    /// Requests of tenants with quotas.
+    Demand(TenantDemands),
 }
 
 /// What an upstream has said in a health answer about its slow start.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -126,6 +126,7 @@
         tasks.spawn("heartbeats", |_, mesh| mesh.send_heartbeats());
         tasks.spawn("loads", |_, mesh| mesh.send_loads());
         tasks.spawn("departures", |_, mesh| mesh.send_departures());
+        tasks.spawn("demands", |_, mesh| mesh.send_demands());
         tasks.spawn("temperatures", |_, mesh| mesh.send_temperatures());
         tasks.spawn("temperature-checks", |gateway, _| probe::watch_temperatures(gateway));
         tasks.spawn("tick", |gateway, _| tick(gateway));
--- a/crates/gateway/src/rate.rs
+++ b/crates/gateway/src/rate.rs
@@ -2,6 +2,15 @@
 //!
 //! Does no input or output; the caller passes the current time to each call.
 
+mod account;
 mod bucket;
+mod demand;
+mod quotas;
+mod terms;
+mod window;
 
 pub use bucket::Bucket;
+pub use demand::{Demand, TenantKey, tenant_key};
+pub use quotas::{Quotas, REPORT_INTERVAL};
+pub use terms::Terms;
+pub use window::Window;
