gateway: retry and probe budgets in module rate

Cause: four rates that all daemons share were kept in three places. Change: load::Budget and slack_share move to rate, probe::Bucket becomes rate::Bucket with its burst as capacity; both behave as before and their tests are unchanged. Tested: all tests of gateway.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -32,7 +32,7 @@
         placement::{Daemon, Placement},
     },
     probe,
-    rate::{Quotas, Terms},
+    rate::{Bucket, Quotas, Terms},
     registry::{Change, Fold, Index, Key, Registration, UpstreamId, Withdrawals},
     stop,
     upstream::{Memory, Pool},
@@ -72,7 +72,7 @@
     /// Quotas of tenants.
     pub quotas: RefCell<Quotas>,
     /// Budget for probes.
-    pub probe_budget: RefCell<probe::Bucket>,
+    pub probe_budget: RefCell<Bucket>,
     /// Counters and gauges.
     pub metrics: Metrics,
     /// Rate limit of the log lines about requests.
@@ -148,7 +148,7 @@
             pool: Pool::default(),
             quotas: RefCell::new(Quotas::new(now, Terms::default())),
             has_quotas: Cell::new(false),
-            probe_budget: RefCell::new(probe::Bucket::new(now)),
+            probe_budget: RefCell::new(Bucket::new(now, probe::BURST)),
             metrics: Metrics::default(),
             log_limiter: RefCell::new(Limiter::new(now)),
             answer_memory: Memory::new(settings.body_memory_bytes()),
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -3,7 +3,6 @@
 //!
 //! Does no input or output; the caller passes the current time to each call.
 
-mod budget;
 mod eligibility;
 mod outcome;
 mod queue;
@@ -14,7 +13,7 @@
 mod temperature;
 mod upstream;
 
-pub use budget::{Budget, slack_share};
+pub use crate::rate::{Budget, slack_share};
 pub use eligibility::Eligibility;
 pub use outcome::Outcome;
 pub use queue::{Queue, Waiter};
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -1,9 +1,6 @@
 //! Probes of upstreams' loads just before a request is sent.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Duration};
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use tokio::task::JoinHandle;
@@ -31,40 +28,7 @@
 /// Maximum size of the body of a probe's answer, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 10;
 /// Capacity of the token bucket: probes that may be sent in one burst.
-const BURST: f64 = 50.0;
-
-/// Token bucket that limits the rate of probes.
-#[derive(Debug)]
-pub struct Bucket {
-    rate: f64,
-    tokens: f64,
-    refilled_at: Instant,
-}
-
-impl Bucket {
-    /// Creates an empty bucket with a rate of 0.
-    #[must_use]
-    pub fn new(now: Instant) -> Self {
-        Self { rate: 0.0, tokens: 0.0, refilled_at: now }
-    }
-
-    /// Sets the number of probes per second that this daemon may send.
-    pub fn set_rate(&mut self, rate: f64) {
-        self.rate = rate;
-    }
-
-    /// Takes a token for one probe; returns false if there is none.
-    pub fn take(&mut self, now: Instant) -> bool {
-        let elapsed = now.saturating_duration_since(self.refilled_at).as_secs_f64();
-        self.refilled_at = now;
-        self.tokens = (self.tokens + elapsed * self.rate).min(BURST);
-        let has_token = self.tokens >= 1.0;
-        if has_token {
-            self.tokens -= 1.0;
-        }
-        has_token
-    }
-}
+pub const BURST: f64 = 50.0;
 
 /// Probes some upstreams of unknown condition until one with normal pace is found. Returns the
 /// eligibility to use for the following choice.
--- a/crates/gateway/src/rate.rs
+++ b/crates/gateway/src/rate.rs
@@ -4,12 +4,14 @@
 
 mod account;
 mod bucket;
+mod budget;
 mod demand;
 mod quotas;
 mod terms;
 mod window;
 
 pub use bucket::Bucket;
+pub use budget::{Budget, slack_share};
 pub use demand::{Demand, TenantKey, tenant_key};
 pub use quotas::{Quotas, REPORT_INTERVAL};
 pub use terms::Terms;
--- a/crates/gateway/tests/cold_upstreams.rs
+++ b/crates/gateway/tests/cold_upstreams.rs
@@ -330,7 +330,11 @@
     assert!(is_cold(&service, now, 1), "added later, nothing known");
     service.put(now, upstream(1, Duration::ZERO));
     assert!(!is_cold(&service, now, 1), "its later registration says that it is warm");
+    service.put(now, upstream(3, Duration::ZERO));
+    assert!(!service.record_health(now, "u-3", Duration::ZERO), "those that share its rate tell");
     service.put(now, upstream(2, Duration::ZERO));
+    service.iter_mut().for_each(|it| it.temperature.set_rank(Some(1)));
+    service.share_slow_start(now, 1.0);
     assert!(service.record_health(now, "u-2", Duration::ZERO), "peers are told");
     assert!(!is_cold(&service, now, 2), "its health answer says that it is warm");
 
