--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -5,7 +5,6 @@
 
 mod account;
 mod accounts;
-mod budget;
 mod decayed;
 mod domains;
 mod drain;
@@ -26,7 +25,7 @@
 mod waiter;
 mod work;
 
-pub use budget::{Budget, slack_share};
+pub use crate::rate::{Budget, slack_share};
 pub use domains::Domains;
 pub use eligibility::Eligibility;
 pub use outcome::Outcome;
