gateway: logs and metrics tell who denied a request, and why

A 3xx or 4xx of the daemon could not be told from an upstream's, requests that were refused while they were read were not counted, and all malformed requests had one reason, so none of the hypotheses of the incident could be ruled out.

fireflydrum_denials_total has status, origin and reason; event=request has the origin, event=request-refused the origin and the version whose limits held. Reasons are fixed words and hold nothing that callers chose.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -28,6 +28,7 @@
 
 use crate::{
     config::Limits,
+    decision::Origin,
     gateway::Gateway,
     http::{self, Body, Message, Reader},
     memory::{Charge, Holder, Kind, Stage},
@@ -451,13 +452,14 @@
 }
 
 fn parse_error(gateway: &Gateway, e: &http::Error) -> Reply {
-    let (status, reason) = match e {
-        http::Error::HeadTooLarge(_) => (431, "head-too-large"),
-        http::Error::BodyTooLarge(_) => (413, "body-too-large"),
+    let status = match e {
+        http::Error::HeadTooLarge(_) => 431,
+        http::Error::BodyTooLarge(_) => 413,
         http::Error::OutOfMemory => return out_of_memory(gateway),
-        http::Error::Malformed(_) | http::Error::Framing(_) => (400, "bad-request"),
+        http::Error::Malformed(_) | http::Error::Framing(_) => 400,
     };
-    refuse(gateway, Refusal { status, reason, message: e.to_string(), retry_after: None })
+    let (reason, message) = (e.reason(), e.to_string());
+    refuse(gateway, Refusal { status, reason, message, retry_after: None })
 }
 
 fn request_timeout(gateway: &Gateway) -> Reply {
@@ -474,12 +476,15 @@
     Reply { closes_connection: true, ..refuse(gateway, refusal) }
 }
 
+/// Refuses a request that was not read to its end.
 fn refuse(gateway: &Gateway, refusal: Refusal) -> Reply {
+    gateway.metrics.count_unread(refusal.status, refusal.reason);
     let limit = gateway.settings().failure_lines_per_s;
     if gateway.log_limiter.borrow_mut().allows(gateway.now(), refusal.reason, limit) {
         log::info!(
             target: "request",
-            "event=request-refused status={} reason={}", refusal.status, refusal.reason
+            "event=request-refused status={} reason={} origin={} config={}",
+            refusal.status, refusal.reason, Origin::Daemon.name(), gateway.version()
         );
     }
     Reply::refuse(refusal, None)
--- a/crates/gateway/src/decision/trace.rs
+++ b/crates/gateway/src/decision/trace.rs
@@ -5,6 +5,7 @@
     time::{Duration, Instant},
 };
 
+use super::Origin;
 use crate::{
     config::{RouteId, ServiceId, TenantId, Version},
     registry::UpstreamId,
@@ -56,6 +57,8 @@
     pub attempts: Vec<Attempt>,
     /// Why the request was refused or failed; empty if it was answered.
     pub reason: &'static str,
+    /// Who made the answer.
+    pub origin: Origin,
 }
 
 impl Trace {
@@ -73,6 +76,7 @@
             waited: Duration::ZERO,
             attempts: Vec::new(),
             reason: "",
+            origin: Origin::Daemon,
         }
     }
 
@@ -93,10 +97,11 @@
     pub fn log_line(&self, status: u16, now: Instant) -> String {
         let attempts: Vec<_> = self.attempts.iter().map(ToString::to_string).collect();
         format!(
-            "event=request id={} status={status} reason={} route={} tenant={} service={} config={} left_ms={} \
+            "event=request id={} status={status} reason={} origin={} route={} tenant={} service={} config={} left_ms={} \
              waited_ms={} took_ms={} attempts=[{}]",
             self.id,
             if self.reason.is_empty() { "-" } else { self.reason },
+            self.origin.name(),
             self.route.as_deref().unwrap_or("-"),
             self.tenant.as_deref().map_or_else(|| "-".to_owned(), |it| printable(it.as_bytes())),
             self.service.as_deref().unwrap_or("-"),
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -34,7 +34,7 @@
 pub enum Error {
     /// The bytes are not a valid message.
     #[error("malformed message: {0}")]
-    Malformed(String),
+    Malformed(&'static str),
     /// The head exceeds the size limit.
     #[error("head of more than {0} bytes")]
     HeadTooLarge(usize),
@@ -48,3 +48,16 @@
     #[error("ambiguous framing: {0}")]
     Framing(&'static str),
 }
+
+impl Error {
+    /// What is wrong, as one word for logs and metrics. It holds nothing that the sender chose.
+    #[must_use]
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Self::Malformed(it) | Self::Framing(it) => it,
+            Self::HeadTooLarge(_) => "head-too-large",
+            Self::BodyTooLarge(_) => "body-too-large",
+            Self::OutOfMemory => "body-memory",
+        }
+    }
+}
--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -161,7 +161,7 @@
                     let is_line_end = buffer.starts_with(b"\r\n");
                     buffer.advance(2);
                     if !is_line_end {
-                        return Err(Error::Malformed("no line end behind a chunk".to_owned()));
+                        return Err(Error::Malformed("bad-chunk-end"));
                     }
                     self.chunk = Chunk::Size;
                 }
@@ -171,7 +171,7 @@
                     if len == 0 {
                         self.chunk = Chunk::Done;
                     } else if count == MAX_TRAILERS {
-                        return Err(Error::Malformed("too many trailers".to_owned()));
+                        return Err(Error::Malformed("too-many-trailers"));
                     } else {
                         self.chunk = Chunk::Trailer(count + 1);
                     }
@@ -191,19 +191,19 @@
         .filter(|it| is_number && it.bytes().all(|it| it.is_ascii_hexdigit()));
     let size = text.and_then(|it| u64::from_str_radix(it, 16).ok());
     buffer.advance(len + 2);
-    size.map(Some).ok_or_else(|| Error::Malformed("chunk size that is no number".to_owned()))
+    size.map(Some).ok_or(Error::Malformed("bad-chunk-size"))
 }
 
 /// Length of the line at the front of `buffer`, without its end; `None` if it is incomplete.
 fn find_line(buffer: &BytesMut) -> Result<Option<usize>> {
     let Some(end) = buffer.iter().position(|it| *it == b'\n') else {
         if buffer.len() > MAX_LINE_BYTES {
-            return Err(Error::Malformed("line too long".to_owned()));
+            return Err(Error::Malformed("line-too-long"));
         }
         return Ok(None);
     };
     if end == 0 || buffer[end - 1] != b'\r' {
-        return Err(Error::Malformed("line that doesn't end in CR LF".to_owned()));
+        return Err(Error::Malformed("bad-line-end"));
     }
     Ok(Some(end - 1))
 }
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -71,7 +71,7 @@
         }
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut parsed = httparse::Request::new(&mut headers);
-        let status = parsed.parse(buffer).map_err(|e| Error::Malformed(e.to_string()))?;
+        let status = parsed.parse(buffer).map_err(malformed)?;
         let Some(len) = complete_len(status, buffer.len(), limit)? else { return Ok(None) };
         let base = buffer.as_ptr() as usize;
         let method = range(base, parsed.method.unwrap_or_default().as_bytes());
@@ -100,7 +100,7 @@
         }
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut parsed = httparse::Response::new(&mut headers);
-        let status = parsed.parse(buffer).map_err(|e| Error::Malformed(e.to_string()))?;
+        let status = parsed.parse(buffer).map_err(malformed)?;
         let Some(len) = complete_len(status, buffer.len(), limit)? else { return Ok(None) };
         let base = buffer.as_ptr() as usize;
         let (status, minor_version) =
@@ -185,25 +185,37 @@
         let mut lengths = self.all("content-length");
         if let Some(encoding) = encodings.next() {
             if encodings.next().is_some() || !encoding.eq_ignore_ascii_case(b"chunked") {
-                return Err(Error::Framing("transfer coding other than chunked"));
+                return Err(Error::Framing("unknown-transfer-coding"));
             }
             if lengths.next().is_some() {
-                return Err(Error::Framing("both a length and chunks"));
+                return Err(Error::Framing("length-and-chunks"));
             }
             if self.minor_version == 0 {
-                return Err(Error::Framing("chunks in HTTP/1.0"));
+                return Err(Error::Framing("chunks-in-http-1.0"));
             }
             return Ok(Some(Framing::Chunked));
         }
         let Some(length) = lengths.next() else { return Ok(None) };
         if lengths.any(|it| it != length) || !length.iter().all(u8::is_ascii_digit) {
-            return Err(Error::Framing("more than one length, or one that is no number"));
+            return Err(Error::Framing("bad-length"));
         }
         let length = std::str::from_utf8(length).ok().and_then(|it| it.parse().ok());
-        length.map(|it| Some(Framing::Length(it))).ok_or(Error::Framing("length that is no number"))
+        length.map(|it| Some(Framing::Length(it))).ok_or(Error::Framing("bad-length"))
     }
 }
 
+fn malformed(e: httparse::Error) -> Error {
+    Error::Malformed(match e {
+        httparse::Error::HeaderName => "bad-header-name",
+        httparse::Error::HeaderValue => "bad-header-value",
+        httparse::Error::NewLine => "bad-line-end",
+        httparse::Error::Status => "bad-status",
+        httparse::Error::Token => "bad-token",
+        httparse::Error::TooManyHeaders => "too-many-headers",
+        httparse::Error::Version => "bad-version",
+    })
+}
+
 /// Whether `buffer` holds a long head without its end. Such a head is not parsed at each byte that
 /// arrives, since that would take time with the square of its length.
 fn is_long_and_incomplete(buffer: &[u8], limit: usize) -> Result<bool> {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     config::TenantId,
+    decision::Origin,
     memory::{Account, Kind},
 };
 
@@ -39,6 +40,17 @@
     pub reason: &'static str,
 }
 
+/// Labels of requests that ended with a status from 300 to 499.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Denial {
+    /// Status sent to the caller.
+    pub status: u16,
+    /// Who made the answer: daemon, upstream or unsigned.
+    pub origin: &'static str,
+    /// Why the daemon refused the request; empty if it did not.
+    pub reason: &'static str,
+}
+
 /// Labels of a tenant's requests.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct TenantRequest {
@@ -115,6 +127,8 @@
 pub struct Metrics {
     /// Requests that have ended.
     pub requests: Family<Request, Counter>,
+    /// Requests that ended with a status from 300 to 499.
+    pub denials: Family<Denial, Counter>,
     /// Requests of tenants that have ended.
     pub tenant_requests: Family<TenantRequest, Counter>,
     /// Time from reading a request to its answer.
@@ -164,6 +178,7 @@
     fn default() -> Self {
         let mut res = Self {
             requests: Family::default(),
+            denials: Family::default(),
             tenant_requests: Family::default(),
             latency: Family::new_with_constructor(latency_histogram),
             waits: Family::new_with_constructor(latency_histogram),
@@ -200,6 +215,19 @@
         self.requests.get_or_create(&Request { route, status, reason }).inc();
     }
 
+    /// Counts a request that was refused before it was read to its end.
+    pub fn count_unread(&self, status: u16, reason: &'static str) {
+        self.requests.get_or_create(&Request { route: String::new(), status, reason }).inc();
+        self.count_denial(status, Origin::Daemon, reason);
+    }
+
+    /// Counts a request that has ended if its status is from 300 to 499.
+    pub fn count_denial(&self, status: u16, origin: Origin, reason: &'static str) {
+        if (300..500).contains(&status) {
+            self.denials.get_or_create(&Denial { status, origin: origin.name(), reason }).inc();
+        }
+    }
+
     /// Counts a request of a tenant that has ended. The first tenants are counted by name, further
     /// ones together.
     pub fn count_tenant(&self, tenant: &TenantId, status: u16) {
@@ -262,6 +290,7 @@
     fn register(&mut self) {
         let it = &mut self.registry;
         it.register("requests", "Requests that have ended", self.requests.clone());
+        it.register("denials", "Requests ended with 3xx or 4xx", self.denials.clone());
         let tenant_requests = self.tenant_requests.clone();
         it.register("tenant_requests", "Requests of tenants that have ended", tenant_requests);
         it.register("latency_seconds", "From reading to answering", self.latency.clone());
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     config::{Route, Table, Tenant},
-    decision::Trace,
+    decision::{Origin, Trace},
     gateway::Gateway,
     http::{Head, Message},
 };
@@ -39,7 +39,11 @@
     let is_head = &*message.head.method == b"HEAD";
     let res = run(&gateway, message, received, &mut guard.trace).await;
     let mut reply = match res {
-        Ok(it) => Reply::forward(it),
+        Ok(it) => {
+            let is_signed = it.head.get(names.signature).is_some();
+            guard.trace.origin = if is_signed { Origin::Upstream } else { Origin::Unsigned };
+            Reply::forward(it)
+        }
         Err(it) => {
             guard.trace.reason = it.reason;
             Reply::refuse(it, id.as_ref().map(|id| (names.request_id, id)))
@@ -106,9 +110,9 @@
     let mut hosts = head.all("host");
     let host = hosts.next().and_then(|it| std::str::from_utf8(it).ok());
     let host = host.filter(|_| hosts.next().is_none());
-    let host = host.ok_or_else(|| Refusal::bad_request("no host, or more than one"))?;
+    let host = host.ok_or_else(|| Refusal::bad_request("bad-host", "no host, or more than one"))?;
     let target = std::str::from_utf8(&head.target)
-        .map_err(|_e| Refusal::bad_request("target that is no text"))?;
+        .map_err(|_e| Refusal::bad_request("bad-target", "target that is no text"))?;
     let path = path_of(target);
     table.find(host, path).map(Arc::clone).ok_or_else(Refusal::no_route)
 }
@@ -125,9 +129,8 @@
 /// Time limit of a request: the route's timeout, or the caller's deadline if that is sooner.
 fn time_left(head: &Head, name: &str, route: &Route) -> Result<Duration> {
     let Some(text) = head.text(name) else { return Ok(route.timeout) };
-    let deadline: u64 = text
-        .trim()
-        .parse()
-        .map_err(|_e| Refusal::bad_request("deadline that is no whole number of milliseconds"))?;
+    let deadline: u64 = text.trim().parse().map_err(|_e| {
+        Refusal::bad_request("bad-deadline", "deadline that is no whole number of milliseconds")
+    })?;
     Ok(route.timeout.min(Duration::from_millis(deadline)))
 }
--- a/crates/gateway/src/request/guard.rs
+++ b/crates/gateway/src/request/guard.rs
@@ -37,6 +37,7 @@
         let took = now.saturating_duration_since(self.trace.received);
         let route = self.trace.route.as_deref().unwrap_or_default();
         gateway.metrics.count(route, status, self.trace.reason, took);
+        gateway.metrics.count_denial(status, self.trace.origin, self.trace.reason);
         if let Some(it) = &self.trace.tenant {
             gateway.metrics.count_tenant(it, status);
         }
--- a/crates/gateway/src/request/refusal.rs
+++ b/crates/gateway/src/request/refusal.rs
@@ -27,10 +27,10 @@
 }
 
 impl Refusal {
-    /// The request is malformed.
+    /// The request is malformed; `reason` says in which part.
     #[must_use]
-    pub fn bad_request(message: impl Into<String>) -> Self {
-        Self { status: 400, reason: "bad-request", message: message.into(), retry_after: None }
+    pub fn bad_request(reason: &'static str, message: impl Into<String>) -> Self {
+        Self { status: 400, reason, message: message.into(), retry_after: None }
     }
 
     /// No route matches.
