gateway: chunk sizes may have leading zeros

Callers that write sizes of a fixed width of 16 digits or more got 400. Cause: the number of digits was bounded, not the number. The conversion itself refuses what exceeds 64 bits, and the length of the line is bounded.

Measured: padded_chunk_sizes failed before at 15 zeros, passes now.

--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -185,10 +185,9 @@
 fn take_size(buffer: &mut BytesMut) -> Result<Option<u64>> {
     let Some(len) = find_line(buffer)? else { return Ok(None) };
     let digits = buffer[..len].split(|it| *it == b';').next().unwrap_or_default().trim_ascii_end();
-    let is_number = !digits.is_empty() && digits.len() <= 15;
-    let text = std::str::from_utf8(digits)
-        .ok()
-        .filter(|it| is_number && it.bytes().all(|it| it.is_ascii_hexdigit()));
+    // The conversion would accept a sign.
+    let text =
+        std::str::from_utf8(digits).ok().filter(|it| it.bytes().all(|it| it.is_ascii_hexdigit()));
     let size = text.and_then(|it| u64::from_str_radix(it, 16).ok());
     buffer.advance(len + 2);
     size.map(Some).ok_or(Error::Malformed("bad-chunk-size"))
