gateway: trailers are limited by their size, not their number

A chunked body with more than 32 trailers got 400. Their bytes are discarded as they arrive, so a limit on the size bounds what an endless trailer can cost as well.

--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -7,8 +7,8 @@
 
 /// Maximum length of a chunk size line or trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 4 << 10;
-/// Maximum number of trailer lines after the last chunk.
-const MAX_TRAILERS: usize = 32;
+/// Maximum size of the trailers after the last chunk, in bytes; the same as of an upstream's head.
+const MAX_TRAILER_BYTES: usize = 64 << 10;
 
 /// How the end of a body is determined.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -26,6 +26,7 @@
     Size,
     Data(u64),
     DataEnd,
+    /// Trailers, with the bytes read of them.
     Trailer(usize),
     Done,
 }
@@ -165,15 +166,16 @@
                     }
                     self.chunk = Chunk::Size;
                 }
-                Chunk::Trailer(count) => {
+                Chunk::Trailer(bytes) => {
                     let Some(len) = find_line(buffer)? else { return Ok(false) };
+                    let bytes = bytes + len + 2;
                     buffer.advance(len + 2);
                     if len == 0 {
                         self.chunk = Chunk::Done;
-                    } else if count == MAX_TRAILERS {
-                        return Err(Error::Malformed("too-many-trailers"));
+                    } else if bytes > MAX_TRAILER_BYTES {
+                        return Err(Error::Malformed("trailers-too-large"));
                     } else {
-                        self.chunk = Chunk::Trailer(count + 1);
+                        self.chunk = Chunk::Trailer(bytes);
                     }
                 }
                 Chunk::Done => return Ok(true),
