gateway: the number of headers is limited by the size of the head only

A head with more than 100 headers got 400, though it was within the operator's limit on heads. Cause: the parser's room for headers was fixed. It grows with the head now, up to as many headers as the limit on its size can hold; an upstream's answer may have as many as their list takes the same limit again.

The list of short headers takes many times their size, so it is counted as memory of the request: while memory is short, such a request gets 503. The buffer for the head towards an upstream had 48 bytes for each header and has its size now.

--- a/crates/daemon/tests/hostile_crowd.rs
+++ b/crates/daemon/tests/hostile_crowd.rs
@@ -11,6 +11,7 @@
 };
 
 use crowd::{BODY_BYTES, CROWD, DESCRIPTORS, Setup, head, read};
+use platform_standin::config;
 use socket2::SockRef;
 
 /// Time for which a client goes on sending small parts.
@@ -141,6 +142,20 @@
     });
 }
 
+/// Failure: lists of many short headers, several times as large as the heads, are held without being
+/// counted while their requests run.
+#[test]
+fn short_headers() {
+    let path = "/read/1?work_ms=2500";
+    let usual = config::request("GET", path, "crowd", false);
+    let headers = "a:\r\n".repeat(3_900);
+    let request = usual.replace("\r\n\r\n", &format!("\r\n{headers}\r\n"));
+    Setup::start("short-headers").check(|mut it| {
+        it.write_all(request.repeat(PIPELINED).as_bytes())?;
+        Ok(it)
+    });
+}
+
 /// Failure: heads without an end use up memory or connections.
 #[test]
 fn open_heads() {
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -224,6 +224,14 @@
     fn start(&mut self, message: Message) {
         let received = self.gateway.now();
         self.since = received;
+        let mut charge = self.gateway.memory.account().charge(Kind::Requests);
+        charge.resize(excess_of_head(message.head.held()));
+        // The list of many short headers takes several times their size, which was not yet counted.
+        if charge.bytes() > 0 && self.gateway.memory.is_exceeded() {
+            shed::record(&self.gateway, "head-memory", format_args!("bytes={}", charge.bytes()));
+            self.end_with(Reply { closes_connection: true, ..out_of_memory(&self.gateway) });
+            return;
+        }
         let closes_connection = !message.head.keeps_connection();
         let is_safe = matches!(&*message.head.method, b"GET" | b"HEAD" | b"OPTIONS");
         self.is_exclusive = !is_safe;
@@ -234,6 +242,7 @@
         let holder = Rc::clone(&self.holder);
         self.pending.push_back(Box::pin(async move {
             let mut reply = answer.await;
+            drop(charge);
             holder.unsent.set(holder.unsent.get() + reply.message.body.len());
             reply.closes_connection |= closes_connection;
             reply
@@ -259,6 +268,7 @@
         let mut bytes = CONNECTION_BYTES + requests * REQUEST_BYTES + self.buffer.capacity();
         if body.is_some() {
             bytes += self.gateway.settings().receive_buffer_bytes();
+            bytes += excess_of_head(self.reader.held_by_head());
         }
         self.charge.resize(bytes);
         let holder = &self.holder;
@@ -451,6 +461,11 @@
     }
 }
 
+/// Bytes of a head beyond those that are counted for each request.
+fn excess_of_head(held: usize) -> usize {
+    held.saturating_sub(REQUEST_BYTES)
+}
+
 fn parse_error(gateway: &Gateway, e: &http::Error) -> Reply {
     let status = match e {
         http::Error::HeadTooLarge(_) => 431,
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -6,8 +6,10 @@
 
 use super::{Error, Framing, Result};
 
-/// Maximum number of headers in a message.
-const MAX_HEADERS: usize = 100;
+/// Number of headers for which a head is parsed first; few messages have more.
+const USUAL_HEADERS: usize = 64;
+/// Size of the shortest header line, in bytes: a name of one byte, the colon and a line feed.
+const MIN_HEADER_BYTES: usize = 3;
 /// Length up to which an incomplete head is parsed again when more of it arrives, in bytes.
 const MAX_REPARSED_BYTES: usize = 4 << 10;
 /// Last bytes of a head, with and without carriage returns.
@@ -69,9 +71,15 @@
         if is_long_and_incomplete(buffer, limit)? {
             return Ok(None);
         }
-        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut headers = vec![httparse::EMPTY_HEADER; USUAL_HEADERS];
         let mut parsed = httparse::Request::new(&mut headers);
-        let status = parsed.parse(buffer).map_err(malformed)?;
+        let mut res = parsed.parse(buffer);
+        if res == Err(httparse::Error::TooManyHeaders) {
+            headers = vec![httparse::EMPTY_HEADER; max_headers(buffer, limit)];
+            parsed = httparse::Request::new(&mut headers);
+            res = parsed.parse(buffer);
+        }
+        let status = res.map_err(malformed)?;
         let Some(len) = complete_len(status, buffer.len(), limit)? else { return Ok(None) };
         let base = buffer.as_ptr() as usize;
         let method = range(base, parsed.method.unwrap_or_default().as_bytes());
@@ -98,9 +106,17 @@
         if is_long_and_incomplete(buffer, limit)? {
             return Ok(None);
         }
-        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut headers = vec![httparse::EMPTY_HEADER; USUAL_HEADERS];
         let mut parsed = httparse::Response::new(&mut headers);
-        let status = parsed.parse(buffer).map_err(malformed)?;
+        let mut res = parsed.parse(buffer);
+        if res == Err(httparse::Error::TooManyHeaders) {
+            // Unlike a request's, the list of an answer's headers is not counted as memory held.
+            let count = max_headers(buffer, limit).min(limit / size_of::<Header>());
+            headers = vec![httparse::EMPTY_HEADER; count];
+            parsed = httparse::Response::new(&mut headers);
+            res = parsed.parse(buffer);
+        }
+        let status = res.map_err(malformed)?;
         let Some(len) = complete_len(status, buffer.len(), limit)? else { return Ok(None) };
         let base = buffer.as_ptr() as usize;
         let (status, minor_version) =
@@ -111,6 +127,20 @@
         Ok(Some(Self { status, minor_version, headers, ..Self::default() }))
     }
 
+    /// Size of the target and the headers as they are written, in bytes.
+    #[must_use]
+    pub fn text_len(&self) -> usize {
+        let line = |it: &Header| it.name.len() + it.value.len() + ": \r\n".len();
+        self.target.len() + self.headers.iter().map(line).sum::<usize>()
+    }
+
+    /// Bytes of memory in use while the request is in progress: the text, a copy that is sent to an
+    /// upstream, and the list of the headers, which for short ones is larger than the text.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        2 * self.text_len() + self.headers.capacity() * size_of::<Header>()
+    }
+
     /// Value of the first header called `name`.
     #[must_use]
     pub fn get(&self, name: &str) -> Option<&Bytes> {
@@ -216,6 +246,12 @@
     })
 }
 
+/// Number of headers that the part of `buffer` within `limit` bytes can hold. The limit on the size of
+/// a head is the operator's; there is none on the number of its headers.
+fn max_headers(buffer: &[u8], limit: usize) -> usize {
+    buffer.len().min(limit) / MIN_HEADER_BYTES
+}
+
 /// Whether `buffer` holds a long head without its end. Such a head is not parsed at each byte that
 /// arrives, since that would take time with the square of its length.
 fn is_long_and_incomplete(buffer: &[u8], limit: usize) -> Result<bool> {
--- a/crates/gateway/src/http/message.rs
+++ b/crates/gateway/src/http/message.rs
@@ -54,6 +54,12 @@
         Ok(None)
     }
 
+    /// Bytes of memory in use for the head of the request whose body is being read.
+    #[must_use]
+    pub fn held_by_head(&self) -> usize {
+        self.partial.as_ref().map_or(0, |(head, _)| head.held())
+    }
+
     /// The body that is being read.
     #[must_use]
     pub fn partial(&self) -> Option<&Body> {
--- a/crates/gateway/src/http/write.rs
+++ b/crates/gateway/src/http/write.rs
@@ -4,6 +4,9 @@
 
 use super::Message;
 
+/// Room for the first line and the headers that are added to a head, in bytes.
+const ADDED_BYTES: usize = 512;
+
 /// Serializes a request to an upstream: the caller's request with `extra` headers, which replace
 /// those of the same name, and without the headers called one of `removed`.
 ///
@@ -20,7 +23,7 @@
 #[must_use]
 pub fn request_head(message: &Message, extra: &[(&str, &str)], removed: &[&str]) -> Vec<u8> {
     let head = &message.head;
-    let mut out = Vec::with_capacity(256 + head.headers.len() * 48);
+    let mut out = Vec::with_capacity(ADDED_BYTES + head.text_len());
     out.extend_from_slice(&head.method);
     out.push(b' ');
     out.extend_from_slice(&head.target);
@@ -47,7 +50,7 @@
 #[must_use]
 pub fn answer_head(message: &Message, without_body: bool, is_last: bool) -> Vec<u8> {
     let head = &message.head;
-    let mut out = Vec::with_capacity(256 + head.headers.len() * 48);
+    let mut out = Vec::with_capacity(ADDED_BYTES + head.text_len());
     write(&mut out, format_args!("HTTP/1.1 {} {}\r\n", head.status, reason_phrase(head.status)));
     forward(&mut out, message, &[], &[]);
     if is_last {
