gateway: a time limit may have a fraction of a millisecond

A request with a deadline of 2500.5 ms got 400, and so did one beyond 64 bits. Cause: the header was parsed as a whole number, which the callers' interface doesn't ask for. What is no number from 0 on still gets 400.

--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -129,8 +129,11 @@
 /// Time limit of a request: the route's timeout, or the caller's deadline if that is sooner.
 fn time_left(head: &Head, name: &str, route: &Route) -> Result<Duration> {
     let Some(text) = head.text(name) else { return Ok(route.timeout) };
-    let deadline: u64 = text.trim().parse().map_err(|_e| {
-        Refusal::bad_request("bad-deadline", "deadline that is no whole number of milliseconds")
+    let milliseconds = text.trim().parse().ok().filter(|it: &f64| it.is_finite() && *it >= 0.0);
+    let milliseconds = milliseconds.ok_or_else(|| {
+        Refusal::bad_request("bad-deadline", "deadline that is no number of milliseconds from 0 on")
     })?;
-    Ok(route.timeout.min(Duration::from_millis(deadline)))
+    // A deadline beyond the range of the type is beyond every timeout.
+    let deadline = Duration::try_from_secs_f64(milliseconds / 1_000.0).unwrap_or(Duration::MAX);
+    Ok(route.timeout.min(deadline))
 }
