gateway: a final refusal needs a configuration that is known whole

Callers got 404, 401, 431 or 413, which they never repeat, where the daemon could not know better: before its first configuration the default limits held, and hosts, routes, tenants, keys and limits that can't be read were treated as if they did not exist.

The decoder names the parts of a configuration that it could not read. What depends on them, and what exceeds a default while there is no configuration, is answered 503 with Retry-After: it has not run, another daemon may know, and the next configuration may be readable. What needs no such part is served as before.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -27,7 +27,7 @@
 };
 
 use crate::{
-    config::Limits,
+    config::{Gap, Limits},
     decision::Origin,
     gateway::Gateway,
     http::{self, Body, Message, Reader},
@@ -467,16 +467,28 @@
 }
 
 fn parse_error(gateway: &Gateway, e: &http::Error) -> Reply {
-    let status = match e {
-        http::Error::HeadTooLarge(_) => 431,
-        http::Error::BodyTooLarge(_) => 413,
+    let (status, gap) = match e {
+        http::Error::HeadTooLarge(_) => (431, Some(Gap::HeadLimit)),
+        http::Error::BodyTooLarge(_) => (413, Some(Gap::BodyLimit)),
         http::Error::OutOfMemory => return out_of_memory(gateway),
-        http::Error::Malformed(_) | http::Error::Framing(_) => 400,
+        http::Error::Malformed(_) | http::Error::Framing(_) => (400, None),
     };
+    if let Some(it) = gap.and_then(|it| unknown_limit(gateway, it)) {
+        return refuse(gateway, it);
+    }
     let (reason, message) = (e.reason(), e.to_string());
     refuse(gateway, Refusal { status, reason, message, retry_after: None })
 }
 
+/// Refusal of a request that exceeds a default while the operator's own limit, which may be higher, is
+/// not known.
+fn unknown_limit(gateway: &Gateway, gap: Gap) -> Option<Refusal> {
+    match gateway.table() {
+        None => Some(Refusal::not_ready()),
+        Some(it) => it.gaps.contains(&gap).then(Refusal::config_incomplete),
+    }
+}
+
 fn request_timeout(gateway: &Gateway) -> Reply {
     let message = "the request was not whole in time".to_owned();
     close_with(gateway, Refusal { status: 408, reason: "slow-caller", message, retry_after: None })
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,5 +1,6 @@
 //! Configuration published by operators: routes, services and limits on callers.
 
+mod gap;
 mod idempotence;
 mod key_digest;
 mod key_index;
@@ -9,8 +10,9 @@
 mod table;
 mod tenant;
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
+pub use gap::Gap;
 pub use idempotence::Idempotence;
 pub use key_digest::KeyDigest;
 pub use limits::Limits;
@@ -71,6 +73,8 @@
     /// Tenants, whose keys requests must carry; `None` if the configuration has none, and then
     /// requests need no key.
     pub tenants: Option<Vec<Tenant>>,
+    /// Parts that could not be read.
+    pub gaps: BTreeSet<Gap>,
     /// What was not understood and how it is treated, each with its place.
     pub findings: Vec<String>,
 }
--- a/crates/gateway/src/config/table.rs
+++ b/crates/gateway/src/config/table.rs
@@ -6,7 +6,7 @@
 };
 
 use super::{
-    Config, KeyDigest, Limits, Region, Route, Service, ServiceId, Tenant, Version,
+    Config, Gap, KeyDigest, Limits, Region, Route, Service, ServiceId, Tenant, Version,
     key_index::KeyIndex,
 };
 
@@ -17,6 +17,8 @@
     pub version: Version,
     /// Limits on what callers may send.
     pub limits: Limits,
+    /// Parts of the configuration that could not be read.
+    pub gaps: BTreeSet<Gap>,
     /// Services by name.
     pub services: HashMap<ServiceId, Service>,
     hosts: HashMap<String, Prefixes>,
@@ -35,6 +37,7 @@
         let mut res = Self {
             version: config.version,
             limits: config.limits,
+            gaps: config.gaps,
             services: config.services.into_iter().map(|it| (it.id.clone(), it)).collect(),
             hosts: HashMap::new(),
             keys: config.tenants.map(KeyIndex::new),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -22,7 +22,7 @@
 pub use reply::Reply;
 
 use crate::{
-    config::{Route, Table, Tenant},
+    config::{Gap, Route, Table, Tenant},
     decision::{Origin, Trace},
     gateway::Gateway,
     http::{Head, Message},
@@ -114,7 +114,11 @@
     let target = std::str::from_utf8(&head.target)
         .map_err(|_e| Refusal::bad_request("bad-target", "target that is no text"))?;
     let path = path_of(target);
-    table.find(host, path).map(Arc::clone).ok_or_else(Refusal::no_route)
+    match table.find(host, path) {
+        Some(it) => Ok(Arc::clone(it)),
+        None if table.gaps.contains(&Gap::Routes) => Err(Refusal::config_incomplete()),
+        None => Err(Refusal::no_route()),
+    }
 }
 
 /// Path of a target in origin form, or in absolute form, as sent to proxies.
--- a/crates/gateway/src/request/admission.rs
+++ b/crates/gateway/src/request/admission.rs
@@ -5,7 +5,7 @@
 use super::{Refusal, Result};
 use crate::{
     Settings,
-    config::{Route, Table, Tenant},
+    config::{Gap, Route, Table, Tenant},
     gateway::Gateway,
     http::Head,
     load::Domains,
@@ -91,6 +91,9 @@
     match key.and_then(|it| table.tenant(it)) {
         Some(it) => Ok(Some(Arc::clone(it))),
         None if route.is_public => Ok(None),
+        None if key.is_some() && table.gaps.contains(&Gap::Keys) => {
+            Err(Refusal::config_incomplete())
+        }
         None => Err(Refusal::unauthorized()),
     }
 }
--- a/crates/gateway/src/request/refusal.rs
+++ b/crates/gateway/src/request/refusal.rs
@@ -7,6 +7,9 @@
 /// `Retry-After` while the daemon has no configuration.
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// `Retry-After` while a part of the configuration can't be read: operators have to publish another.
+const INCOMPLETE_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// `Retry-After` while the daemon is leaving: other hosts serve, and the directory lists only them.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -70,6 +73,14 @@
         Self { status: 503, reason: "not-ready", message, retry_after }
     }
 
+    /// What the request needs may be in a part of the configuration that can't be read.
+    #[must_use]
+    pub fn config_incomplete() -> Self {
+        let message =
+            "the request was not run: a part of the configuration can't be read".to_owned();
+        Self::not_run("config-incomplete", message, INCOMPLETE_RETRY_AFTER)
+    }
+
     /// The daemon is leaving and could not answer in time.
     #[must_use]
     pub fn leaving() -> Self {
