gateway: a request that waited is not denied for a newer configuration

Callers got a final 404 or 401 for requests that every configuration allowed when they were sent: since keys were added, a request that waited is checked again just before it is written, and one whose route or key was gone by then was denied.

Such a request gets 503 with Retry-After as well: it has not run, and the next attempt is admitted or denied under the new configuration.

--- a/crates/gateway/src/request/admission.rs
+++ b/crates/gateway/src/request/admission.rs
@@ -62,7 +62,7 @@
             .as_ref()
             .is_some_and(|earlier| self.tenant.as_ref().is_some_and(|it| it.id != earlier.id));
         if has_moved && !self.route.is_public {
-            return Err(Refusal::unauthorized());
+            return Err(Refusal::route_changed());
         }
         let service = &upstream.service;
         let serves = self.table.services.contains_key(service)
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -159,8 +159,10 @@
             return Ok(self.admission.tenant.clone());
         }
         let head = &self.message.head;
-        let route = find(&table, head)?;
-        let now = Admission::new(self.gateway, table, route, head)?;
+        // The request was proper when it was sent, so the denial must not be final.
+        let route = find(&table, head).map_err(|_denied| Refusal::route_changed())?;
+        let now = Admission::new(self.gateway, table, route, head)
+            .map_err(|_denied| Refusal::route_changed())?;
         now.check_earlier(self.admission, upstream, self.may_have_run)?;
         Ok(now.tenant)
     }
--- a/crates/gateway/src/request/refusal.rs
+++ b/crates/gateway/src/request/refusal.rs
@@ -58,10 +58,10 @@
     }
 
     /// The configuration has changed while the request waited, so that it can't run as it was
-    /// accepted. A new attempt of the caller runs under the new configuration.
+    /// accepted. A new attempt of the caller runs, or is denied, under the new configuration.
     #[must_use]
     pub fn route_changed() -> Self {
-        let message = "the request was not run: its route has changed meanwhile".to_owned();
+        let message = "the request was not run: its route or key has changed meanwhile".to_owned();
         Self::not_run("route-changed", message, ROUTE_CHANGED_RETRY_AFTER)
     }
 
