soak: proper requests of unusual form, and upstreams that deny requests

Half of the requests now have one or two unusual forms, chosen by the seed. One fault in six is accompanied by an upstream that answers 302, 400 or 404 at once while its health checks succeed, in three of four cases without its signature. A 3xx or 4xx other than 408, 421 and 429 to a proper request is a finding, one for each form, status and daemon, unless an upstream has sent just that status with its signature.

An own 4xx in a calm time is counted there and no longer reported a second time for each request.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -12,7 +12,10 @@
 
 use platform_standin::config;
 
-use crate::ledger::Ledger;
+use crate::{
+    form::{self, Form},
+    ledger::{Denial, Ledger},
+};
 
 /// Time-out for reading an answer. Slightly longer than the route's time-out.
 const READ_TIMEOUT: Duration = Duration::from_secs(6);
@@ -27,8 +30,13 @@
 /// One in this many rounds ends with a disconnect before the answer is read.
 const DISCONNECT_EVERY: u64 = 23;
 
+/// Pause in a request that is sent in two parts. On loopback, a daemon reads the first part by then.
+const PART_PAUSE: Duration = Duration::from_millis(5);
+
 /// State that callers, watchers and the fault injector share.
 pub(crate) struct Context {
+    /// Seed of the run.
+    pub(crate) seed: u64,
     pub(crate) addresses: Vec<SocketAddr>,
     pub(crate) ledger: Arc<Ledger>,
     pub(crate) stop: AtomicBool,
@@ -49,15 +57,26 @@
     pub(crate) body: String,
 }
 
+/// A request that is sent.
+struct Request {
+    id: String,
+    forms: Vec<Form>,
+    bytes: Vec<u8>,
+}
+
 /// A connection to a daemon.
 pub(crate) struct Connection {
     pub(crate) stream: TcpStream,
+    /// Number of the daemon.
+    pub(crate) daemon: usize,
     unread: String,
 }
 
 /// Sends requests until `stop` is set.
 pub(crate) fn run(context: &Context, number: u64) {
     let mut rng = fastrand::Rng::with_seed(number);
+    // Depends on the seed alone, whether or not a connection can be opened.
+    let mut form_rng = fastrand::Rng::with_seed(context.seed.rotate_left(32) ^ number);
     let mut connection = None;
     let mut serial = 0;
     let mut round = 0;
@@ -65,13 +84,19 @@
         round += 1;
         let count = if round % PIPELINE_EVERY == 0 { PIPELINE_LENGTH } else { 1 };
         let method = if count == 1 && round % ORDER_EVERY == 0 { "POST" } else { "GET" };
-        let ids: Vec<_> =
-            (0..count).map(|it| format!("{method}-{number}-{}", serial + it)).collect();
+        let path = if method == "POST" { "/order/1" } else { "/read/1" };
+        let request = |it| {
+            let (id, forms) =
+                (format!("{method}-{number}-{}", serial + it), Form::choose(&mut form_rng));
+            let bytes = form::request(&forms, method, path, &id, &mut form_rng);
+            Request { id, forms, bytes }
+        };
+        let requests: Vec<_> = (0..count).map(request).collect();
         serial += count;
         // Keeps a connection until it breaks, even while the daemon is stopping.
         let open = connection.take().map_or_else(|| connect(context, &mut rng), Ok);
         if let Ok(mut it) = open
-            && serve(context, &mut it, &ids, round % DISCONNECT_EVERY == 0)
+            && serve(context, &mut it, path, &requests, round % DISCONNECT_EVERY == 0)
         {
             connection = Some(it);
         }
@@ -84,28 +109,34 @@
 fn serve(
     context: &Context,
     connection: &mut Connection,
-    ids: &[String],
+    path: &str,
+    requests: &[Request],
     disconnects: bool,
 ) -> bool {
     let is_fault_free = context.is_fault_free.load(Ordering::Relaxed);
-    let path = if ids[0].starts_with("POST") { "/order/1" } else { "/read/1" };
-    let request = |id: &String| config::request(&id[..id.find('-').unwrap_or(0)], path, id, false);
-    let text: String = ids.iter().map(request).collect();
-    for _ in ids {
+    let bytes: Vec<u8> = requests.iter().flat_map(|it| it.bytes.iter().copied()).collect();
+    for _ in requests {
         context.ledger.record_request(Instant::now());
     }
     if is_fault_free {
-        context.fault_free_requests.fetch_add(ids.len() as u64, Ordering::Relaxed);
+        context.fault_free_requests.fetch_add(requests.len() as u64, Ordering::Relaxed);
     }
-    let mut is_open = connection.stream.write_all(text.as_bytes()).is_ok();
+    let is_in_parts = requests.iter().any(|it| it.forms.contains(&Form::Parts));
+    let (first, second) = bytes.split_at(if is_in_parts { bytes.len() / 2 } else { 0 });
+    let mut is_open = connection.stream.write_all(first).is_ok();
+    if is_in_parts {
+        std::thread::sleep(PART_PAUSE);
+    }
+    is_open = is_open && connection.stream.write_all(second).is_ok();
     if disconnects {
         return false;
     }
-    for id in ids {
+    for Request { id, forms, .. } in requests {
         let answer =
             if is_open { connection.read() } else { Err(io::ErrorKind::NotConnected.into()) };
         if let Ok(it) = answer {
-            check(context, id, &it, is_fault_free && !it.is_leaving());
+            let is_calm = is_fault_free && !it.is_leaving();
+            check(context, connection.daemon, id, forms, &it, is_calm);
             if it.is_leaving() {
                 resend(context, path, id, is_fault_free);
             }
@@ -125,11 +156,11 @@
 
 /// Sends a request again that a leaving daemon has refused: another daemon must serve it.
 fn resend(context: &Context, path: &str, id: &str, is_fault_free: bool) {
-    for (number, address) in context.addresses.iter().enumerate() {
+    for number in 0..context.addresses.len() {
         let id = format!("{id}-again-{number}");
         let text = config::request(&id[..id.find('-').unwrap_or(0)], path, &id, true);
         context.ledger.record_request(Instant::now());
-        let answer = connect_to(*address).and_then(|mut it| {
+        let answer = connect_to(context, number).and_then(|mut it| {
             it.stream.write_all(text.as_bytes())?;
             it.read()
         });
@@ -137,7 +168,7 @@
         if let Ok(it) = answer
             && !it.is_leaving()
         {
-            check(context, &id, &it, is_fault_free);
+            check(context, number, &id, &[], &it, is_fault_free);
             return;
         }
     }
@@ -146,35 +177,55 @@
     }
 }
 
-/// Checks an answer and records it.
-pub(crate) fn check(context: &Context, id: &str, answer: &Answer, is_fault_free: bool) {
+/// Checks an answer of a daemon to a proper request and records it.
+pub(crate) fn check(
+    context: &Context,
+    daemon: usize,
+    id: &str,
+    forms: &[Form],
+    answer: &Answer,
+    is_fault_free: bool,
+) {
     let ledger = &context.ledger;
     ledger.record_answer(id, answer.status);
     let is_success = (200..300).contains(&answer.status);
     if is_success && !answer.body.ends_with(&format!(" to {id}")) {
         ledger.add_finding(format!("{id} got the body \"{}\"", answer.body));
     }
-    if is_success && !answer.head.contains(config::SIGNATURE) {
+    let is_signed = answer.head.contains(config::SIGNATURE);
+    if is_success && !is_signed {
         ledger.add_finding(format!("{id} got a success without a signature"));
     }
-    if matches!(answer.status, 300..=399 | 400 | 401 | 403 | 404) {
-        ledger.add_finding(format!("{id} got {} though its route is always there", answer.status));
+    if is_success {
+        ledger.record_served(forms);
     }
-    if is_fault_free && context.is_fault_free.load(Ordering::Relaxed) && !is_success {
-        ledger.add_finding(format!("{id} got {} in a calm time", answer.status));
+    // The others promise that the request has not run.
+    let is_denial = matches!(answer.status, 300..=499) && !matches!(answer.status, 408 | 421 | 429);
+    if is_denial {
+        let (forms, status) = (forms.to_vec(), answer.status);
+        ledger.record_denial(id, Denial { forms, status, daemon, is_signed });
+    }
+    // A denial without a signature is a finding in any case.
+    let is_success_or_finding = is_success || is_denial && !is_signed;
+    if is_fault_free && context.is_fault_free.load(Ordering::Relaxed) && !is_success_or_finding {
+        ledger.add_finding(format!(
+            "{id} of the form {forms:?} got {} in a calm time",
+            answer.status
+        ));
     }
 }
 
 /// Opens a connection to a random daemon.
 pub(crate) fn connect(context: &Context, rng: &mut fastrand::Rng) -> io::Result<Connection> {
-    connect_to(context.addresses[rng.usize(..context.addresses.len())])
+    connect_to(context, rng.usize(..context.addresses.len()))
 }
 
-fn connect_to(address: SocketAddr) -> io::Result<Connection> {
-    let stream = TcpStream::connect_timeout(&address, Duration::from_millis(500))?;
+fn connect_to(context: &Context, daemon: usize) -> io::Result<Connection> {
+    let stream =
+        TcpStream::connect_timeout(&context.addresses[daemon], Duration::from_millis(500))?;
     stream.set_read_timeout(Some(READ_TIMEOUT))?;
     stream.set_nodelay(true)?;
-    Ok(Connection { stream, unread: String::new() })
+    Ok(Connection { stream, daemon, unread: String::new() })
 }
 
 impl Answer {
@@ -213,6 +264,10 @@
 /// incomplete.
 pub(crate) fn parse(text: &str) -> Option<(Answer, usize)> {
     let (head, rest) = text.split_once("\r\n\r\n")?;
+    if head.starts_with("HTTP/1.1 1") {
+        // An interim answer, such as to `Expect: 100-continue`.
+        return parse(rest).map(|(it, length)| (it, head.len() + 4 + length));
+    }
     let length = head.lines().find_map(|it| it.strip_prefix("Content-Length: "))?;
     let body = rest.get(..length.parse().ok()?)?;
     let status = head.split(' ').nth(1)?.parse().ok()?;
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -69,6 +69,7 @@
             daemons.push(daemon);
         }
         let context = Arc::new(Context {
+            seed: options.seed,
             addresses: daemons.iter().map(|it| it.caller_address).collect(),
             ledger: Arc::new(Ledger::new(options.seed)),
             stop: AtomicBool::new(false),
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -38,6 +38,12 @@
 
 /// One in this many faults is accompanied by an evacuation, unless one is in force.
 const EVACUATION_EVERY: u8 = 6;
+/// One in this many faults is accompanied by an upstream that denies all requests.
+const DENIAL_EVERY: u8 = 6;
+/// Statuses with which it does.
+const DENIAL_STATUSES: [u16; 3] = [302, 400, 404];
+/// One in this many of these upstreams signs its answers, which callers must get unchanged then.
+const SIGNED_DENIAL_EVERY: u8 = 4;
 /// Time within which every daemon must apply an evacuation.
 const EVACUATION_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time for which an evacuated domain must get nothing.
@@ -66,14 +72,16 @@
     rng: fastrand::Rng,
     /// A generator of its own, so that the schedule of the other faults does not depend on evacuations.
     evacuation_rng: fastrand::Rng,
+    /// As `evacuation_rng`, for upstreams that deny requests.
+    denial_rng: fastrand::Rng,
     ends: Vec<(Instant, End)>,
 }
 
 impl<'a> Faults<'a> {
     pub(crate) fn new(env: &'a Environment, seed: u64) -> Self {
-        let (rng, evacuation_rng) =
-            (fastrand::Rng::with_seed(seed), fastrand::Rng::with_seed(!seed));
-        Self { env, rng, evacuation_rng, ends: Vec::new() }
+        let [rng, evacuation_rng, denial_rng] =
+            [seed, !seed, seed.rotate_left(32)].map(fastrand::Rng::with_seed);
+        Self { env, rng, evacuation_rng, denial_rng, ends: Vec::new() }
     }
 
     /// Injects faults for `length`, then ends all faults that are still active.
@@ -82,6 +90,7 @@
         while Instant::now() < until {
             self.begin()?;
             self.begin_evacuation();
+            self.begin_denial();
             let next = Instant::now() + Duration::from_millis(self.rng.u64(FAULT_INTERVAL_MS));
             while Instant::now() < next {
                 self.end_due(false)?;
@@ -196,6 +205,20 @@
         self.ends.push((Instant::now() + duration, End::Evacuation));
     }
 
+    fn begin_denial(&mut self) {
+        let rng = &mut self.denial_rng;
+        if rng.u8(..DENIAL_EVERY) != 0 {
+            return;
+        }
+        let upstream = rng.usize(..self.env.upstreams.len());
+        let status = DENIAL_STATUSES[rng.usize(..DENIAL_STATUSES.len())];
+        let is_signed = rng.u8(..SIGNED_DENIAL_EVERY) == 0;
+        self.env.upstreams[upstream].0.set_mode(Mode::Deny { status, is_signed });
+        self.env.context.ledger.record_fault(if is_signed { "signed-denial" } else { "denial" });
+        let duration = Duration::from_millis(rng.u64(FAULT_DURATION_MS));
+        self.ends.push((Instant::now() + duration, End::Upstream(upstream)));
+    }
+
     /// Whether a daemon runs and is not paused, stopping or killed.
     fn is_up(&self, daemon: usize) -> bool {
         !self.ends.iter().any(|(_, it)| match it {
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -1,7 +1,7 @@
 //! Records what callers sent and received, and compares it with what the upstreams ran.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     fmt,
     sync::{Mutex, PoisonError},
     time::Instant,
@@ -9,7 +9,7 @@
 
 use platform_standin::Upstream;
 
-use crate::retry_budget;
+use crate::{form::Form, retry_budget};
 
 /// Maximum number of findings in a report. Further ones are usually repetitions.
 const MAX_FINDINGS: usize = 500;
@@ -23,6 +23,8 @@
     pub answers: BTreeMap<u16, u64>,
     /// Number of injected faults by kind.
     pub faults: BTreeMap<&'static str, u64>,
+    /// Number of successful requests by their unusual form. A request can have two forms.
+    pub forms: BTreeMap<String, u64>,
     /// Broken promises.
     pub findings: Vec<String>,
 }
@@ -31,16 +33,28 @@
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(out, "seed={} findings={}", self.seed, self.findings.len())?;
         write!(out, " answers={:?} faults={:?}", self.answers, self.faults)?;
+        write!(out, " forms={:?}", self.forms)?;
         self.findings.iter().try_for_each(|it| write!(out, "\n  {it}"))
     }
 }
 
+/// A 3xx or 4xx to a proper request.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct Denial {
+    pub(crate) forms: Vec<Form>,
+    pub(crate) status: u16,
+    pub(crate) daemon: usize,
+    /// Whether the answer has the signature of an upstream.
+    pub(crate) is_signed: bool,
+}
+
 /// Records of a run that are checked at its end.
 #[derive(Default)]
 pub(crate) struct Ledger {
     report: Mutex<Report>,
     not_run: Mutex<Vec<String>>,
     broken: Mutex<Vec<String>>,
+    denials: Mutex<Vec<(String, Denial)>>,
     sent: Mutex<Vec<Instant>>,
 }
 
@@ -67,6 +81,20 @@
         self.broken.lock().unwrap_or_else(PoisonError::into_inner).push(id.to_owned());
     }
 
+    /// Records a success.
+    pub(crate) fn record_served(&self, forms: &[Form]) {
+        self.with(|it| {
+            for form in forms {
+                *it.forms.entry(format!("{form:?}")).or_default() += 1;
+            }
+        });
+    }
+
+    pub(crate) fn record_denial(&self, id: &str, denial: Denial) {
+        let mut denials = self.denials.lock().unwrap_or_else(PoisonError::into_inner);
+        denials.push((id.to_owned(), denial));
+    }
+
     pub(crate) fn record_fault(&self, kind: &'static str) {
         self.with(|it| *it.faults.entry(kind).or_default() += 1);
     }
@@ -106,7 +134,36 @@
                 self.add_finding(format!("{id} was passed on and cut off in a calm time"));
             }
         }
-        self.with(|it| it.clone())
+        let denials = self.unsigned_denials(upstreams);
+        self.with(|it| {
+            // First, so that the limit on findings does not hide them.
+            it.findings.splice(0..0, denials);
+            it.clone()
+        })
+    }
+
+    /// Findings on denials that no upstream has sent with its signature, one for each form, status and
+    /// daemon.
+    fn unsigned_denials(&self, upstreams: &[&Upstream]) -> Vec<String> {
+        let signed: BTreeSet<_> = upstreams.iter().flat_map(|it| it.denials()).collect();
+        let denials = self.denials.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut ids: BTreeMap<&Denial, Vec<&str>> = BTreeMap::new();
+        for (id, it) in denials.iter() {
+            if !it.is_signed || !signed.contains(&(id.clone(), it.status)) {
+                ids.entry(it).or_default().push(id);
+            }
+        }
+        let seed = self.with(|it| it.seed);
+        let finding = |(Denial { forms, status, daemon, is_signed }, ids): (&Denial, Vec<&str>)| {
+            let signature = if *is_signed { "a false" } else { "no" };
+            format!(
+                "{} proper requests of the form {forms:?} got {status} with {signature} signature from \
+                 daemon {daemon}, seed {seed}; the first is {}",
+                ids.len(),
+                ids[0]
+            )
+        };
+        ids.into_iter().map(finding).collect()
     }
 
     fn with<T>(&self, f: impl FnOnce(&mut Report) -> T) -> T {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,11 +3,13 @@
 //!
 //! Faults overlap. Loopback proxies delay, close or drop the traffic to the store and the
 //! upstreams. Signals kill, stop, pause and reload daemons. The store refuses requests, sends
-//! garbage or drops entries. Upstreams refuse requests, send garbage or leave. New configurations
-//! are published. Callers keep their connections until these break. The soak checks what callers
-//! and upstreams see: each answer belongs to its request, no order runs twice, an order answered as
-//! "not run" has not run, no daemon returns to an older configuration, and repeated attempts stay
-//! within the retry budget. After the last fault it checks recovery and planned stops.
+//! garbage or drops entries. Upstreams refuse requests, deny them, send garbage or leave. New
+//! configurations are published. Callers keep their connections until these break, and send
+//! requests of unusual forms. The soak checks what callers and upstreams see: each answer belongs
+//! to its request, no order runs twice, an order answered as "not run" has not run, a proper
+//! request gets no 3xx or 4xx of a daemon, no daemon returns to an older configuration, and
+//! repeated attempts stay within the retry budget. After the last fault it checks recovery and
+//! planned stops.
 //!
 //! With [`Options::only_stops`], the daemons are only stopped and started again as planned, several
 //! at a time, beside reloads and new configurations. Then nothing excuses a request that reached an
@@ -19,6 +21,7 @@
 mod daemon;
 mod environment;
 mod faults;
+mod form;
 mod ledger;
 mod options;
 pub mod retry_budget;
--- a/crates/soak/src/stop_caller.rs
+++ b/crates/soak/src/stop_caller.rs
@@ -145,7 +145,7 @@
         // A daemon may have answered before it has read the whole request.
         drop(written);
         let answer = connection.read();
-        record(self.context, &id, sent, &answer);
+        record(self.context, connection.daemon, &id, sent, &answer);
         answer.is_ok_and(|it| !it.is_last())
     }
 
@@ -179,7 +179,7 @@
                 } else {
                     Err(io::ErrorKind::NotConnected.into())
                 };
-                record(context, &id, sent, &answer);
+                record(context, connection.daemon, &id, sent, &answer);
                 is_open = answer.is_ok_and(|it| !it.is_last());
                 is_over.store(!is_open, Ordering::Relaxed);
             }
@@ -195,7 +195,7 @@
             .stream
             .write_all(text.as_bytes())
             .and_then(|()| read_to_end(&mut connection.stream));
-        record(self.context, &id, sent, &answer);
+        record(self.context, connection.daemon, &id, sent, &answer);
     }
 }
 
@@ -215,13 +215,13 @@
 }
 
 /// Records what became of a request.
-fn record(context: &Context, id: &str, sent: Instant, answer: &io::Result<Answer>) {
+fn record(context: &Context, daemon: usize, id: &str, sent: Instant, answer: &io::Result<Answer>) {
     let Ok(answer) = answer else {
         context.ledger.record_answer(id, 0);
         context.ledger.record_broken(id);
         return;
     };
-    caller::check(context, id, answer, false);
+    caller::check(context, daemon, id, &[], answer, false);
     // Also an error of the daemon's own breaks off a request that an upstream works on, unless its
     // time is over.
     let is_error = answer.status >= 500 && answer.status != 503;
