--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -5,8 +5,8 @@
 use super::{Error, Result};
 use crate::memory::{Account, Buffer, Charge, Kind};
 
-/// Maximum length of a chunk size line or trailer line, in bytes.
-const MAX_LINE_BYTES: usize = 4 << 10;
+/// Maximum length of a chunk size line or trailer line, in bytes. No line of a head is longer by default.
+const MAX_LINE_BYTES: usize = 16 << 10;
 /// Maximum size of the trailers after the last chunk, in bytes; the same as of an upstream's head.
 const MAX_TRAILER_BYTES: usize = 64 << 10;
 
