--- a/crates/gateway/src/http/body.rs
+++ b/crates/gateway/src/http/body.rs
@@ -5,7 +5,8 @@
 use super::{Error, Result};
 use crate::memory::{Account, Buffer, Charge, Kind};
 
-/// Maximum length of a chunk size line or trailer line, in bytes. No line of a head is longer by default.
+/// Maximum length of a chunk size line or trailer line, in bytes, whether it has arrived at once or in
+/// parts. No line of a head is longer by default.
 const MAX_LINE_BYTES: usize = 16 << 10;
 /// Maximum size of the trailers after the last chunk, in bytes; the same as of an upstream's head.
 const MAX_TRAILER_BYTES: usize = 64 << 10;
@@ -197,12 +198,11 @@
 
 /// Length of the line at the front of `buffer`, without its end; `None` if it is incomplete.
 fn find_line(buffer: &BytesMut) -> Result<Option<usize>> {
-    let Some(end) = buffer.iter().position(|it| *it == b'\n') else {
-        if buffer.len() > MAX_LINE_BYTES {
-            return Err(Error::Malformed("line-too-long"));
-        }
-        return Ok(None);
-    };
+    let end = buffer.iter().position(|it| *it == b'\n');
+    if end.unwrap_or(buffer.len()) > MAX_LINE_BYTES {
+        return Err(Error::Malformed("line-too-long"));
+    }
+    let Some(end) = end else { return Ok(None) };
     if end == 0 || buffer[end - 1] != b'\r' {
         return Err(Error::Malformed("bad-line-end"));
     }
