--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -1,6 +1,6 @@
 //! Heads of requests and answers.
 
-use std::{fmt, ops::Range};
+use std::{collections::HashSet, fmt, ops::Range};
 
 use bytes::{Buf, Bytes, BytesMut};
 
@@ -66,8 +66,20 @@
     ///
     /// # Errors
     ///
-    /// Fails if the bytes are not a valid head or it exceeds `limit` bytes.
+    /// Fails if the bytes are not a valid head, or if its first line or the others exceed `limit` bytes.
     pub fn parse_request(buffer: &mut BytesMut, limit: usize) -> Result<Option<Self>> {
+        let first_line = first_line_len(buffer);
+        if first_line > limit {
+            return Err(Error::HeadTooLarge(limit));
+        }
+        // The operator limits the headers; a request line as long again is not part of them.
+        Self::parse_request_within(buffer, first_line + limit).map_err(|e| match e {
+            Error::HeadTooLarge(_) => Error::HeadTooLarge(limit),
+            e => e,
+        })
+    }
+
+    fn parse_request_within(buffer: &mut BytesMut, limit: usize) -> Result<Option<Self>> {
         if is_long_and_incomplete(buffer, limit)? {
             return Ok(None);
         }
@@ -134,11 +146,17 @@
         self.target.len() + self.headers.iter().map(line).sum::<usize>()
     }
 
+    /// Bytes of memory in use for the list of the headers, which for short ones is larger than the text.
+    #[must_use]
+    pub fn list_bytes(&self) -> usize {
+        self.headers.capacity() * size_of::<Header>()
+    }
+
     /// Bytes of memory in use while the request is in progress: the text, a copy that is sent to an
-    /// upstream, and the list of the headers, which for short ones is larger than the text.
+    /// upstream, and the list of the headers.
     #[must_use]
     pub fn held(&self) -> usize {
-        2 * self.text_len() + self.headers.capacity() * size_of::<Header>()
+        2 * self.text_len() + self.list_bytes()
     }
 
     /// Value of the first header called `name`.
@@ -179,14 +197,20 @@
         }
     }
 
-    /// Whether a header applies to this connection only and is not forwarded.
-    #[must_use]
-    pub fn is_hop_by_hop(&self, header: &Header) -> bool {
-        let is_named = |it: &&str| header.name.eq_ignore_ascii_case(it.as_bytes());
-        if HOP_BY_HOP.iter().any(is_named) {
-            return true;
-        }
-        std::str::from_utf8(&header.name).is_ok_and(|it| self.lists("connection", it))
+    /// Headers that are forwarded: all but those that apply to this connection only.
+    pub fn end_to_end(&self) -> impl Iterator<Item = &Header> {
+        // Collected once: a search for each header would take time with the square of their number.
+        let options: HashSet<Vec<u8>> = self
+            .all("connection")
+            .flat_map(|it| it.split(|it| *it == b','))
+            .map(|it| it.trim_ascii().to_ascii_lowercase())
+            .collect();
+        self.headers.iter().filter(move |header| {
+            let is_named = |it: &&str| header.name.eq_ignore_ascii_case(it.as_bytes());
+            let is_listed =
+                || !options.is_empty() && options.contains(&header.name.to_ascii_lowercase());
+            !HOP_BY_HOP.iter().any(is_named) && !is_listed()
+        })
     }
 
     /// Framing of a request body.
@@ -246,6 +270,13 @@
     })
 }
 
+/// Length of the first line in `buffer`, with empty lines before it; of all if the line is incomplete.
+fn first_line_len(buffer: &[u8]) -> usize {
+    let start = buffer.iter().position(|it| !matches!(it, b'\r' | b'\n')).unwrap_or_default();
+    let end = buffer[start..].iter().position(|it| *it == b'\n');
+    end.map_or(buffer.len(), |it| start + it + 1)
+}
+
 /// Number of headers that the part of `buffer` within `limit` bytes can hold. The limit on the size of
 /// a head is the operator's; there is none on the number of its headers.
 fn max_headers(buffer: &[u8], limit: usize) -> usize {
--- a/crates/gateway/src/http/write.rs
+++ b/crates/gateway/src/http/write.rs
@@ -66,12 +66,12 @@
 }
 
 fn forward(out: &mut Vec<u8>, message: &Message, extra: &[(&str, &str)], removed: &[&str]) {
-    for it in &message.head.headers {
+    for it in message.head.end_to_end() {
         let is_replaced =
             extra.iter().any(|(name, _)| it.name.eq_ignore_ascii_case(name.as_bytes()))
                 || removed.iter().any(|name| is_same_name(&it.name, name));
         let is_length = it.name.eq_ignore_ascii_case(b"content-length");
-        if is_replaced || is_length || message.head.is_hop_by_hop(it) {
+        if is_replaced || is_length {
             continue;
         }
         out.extend_from_slice(&it.name);
