gateway: a request that arrives slowly is not denied for a newer configuration

A request is admitted when its last byte has arrived, and one behind others on its connection later. If a configuration without its route or key came meanwhile, it got a final 404 or 401, as waiting requests did. The configuration that was in force when its first bytes arrived is kept: where that one allows the request, it gets 503 with Retry-After.

Statuses beyond 599 need a signature too.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -27,7 +27,7 @@
 };
 
 use crate::{
-    config::{Gap, Limits},
+    config::{Gap, Limits, Table},
     decision::Origin,
     gateway::Gateway,
     http::{self, Body, Message, Reader},
@@ -91,6 +91,8 @@
     is_exclusive: bool,
     /// When the current request began, or the connection became idle.
     since: Instant,
+    /// Configuration in force when the first bytes in the buffer, or of the current request, arrived.
+    table_before: Option<Rc<Table>>,
     /// Whether the connection closes after the pending answers; further bytes are discarded.
     is_closing: bool,
 }
@@ -113,6 +115,7 @@
         charge,
         is_exclusive: false,
         since,
+        table_before: None,
         is_closing: false,
     };
     if let Close::Finished = connection.run().await {
@@ -171,6 +174,9 @@
                     Ok(_) if self.is_closing => self.buffer.clear(),
                     Ok(bytes) => {
                         let now = self.gateway.now();
+                        if !is_body && !had_bytes {
+                            self.table_before = self.gateway.table();
+                        }
                         if self.pending.is_empty() && !is_body && !had_bytes {
                             self.since = now;
                             self.holder.restart(now);
@@ -226,10 +232,12 @@
         self.since = received;
         let mut charge = self.gateway.memory.account().charge(Kind::Requests);
         charge.resize(excess_of_head(message.head.held()));
-        // The list of many short headers takes several times their size, which was not yet counted.
-        if charge.bytes() > 0 && self.gateway.memory.is_exceeded() {
+        // Only the head's text was counted when it was read.
+        if message.head.list_bytes() > REQUEST_BYTES && self.gateway.memory.is_exceeded() {
             shed::record(&self.gateway, "head-memory", format_args!("bytes={}", charge.bytes()));
-            self.end_with(Reply { closes_connection: true, ..out_of_memory(&self.gateway) });
+            let message = "the headers of other requests hold the memory for requests".to_owned();
+            let refusal = Refusal::not_run("head-memory", message, MEMORY_RETRY_AFTER);
+            self.end_with(close_with(&self.gateway, refusal));
             return;
         }
         let closes_connection = !message.head.keeps_connection();
@@ -238,7 +246,8 @@
         if closes_connection {
             self.stop_accepting();
         }
-        let answer = self.port.answer(Rc::clone(&self.gateway), message, received);
+        let table_before = self.table_before.clone();
+        let answer = self.port.answer(Rc::clone(&self.gateway), message, received, table_before);
         let holder = Rc::clone(&self.holder);
         self.pending.push_back(Box::pin(async move {
             let mut reply = answer.await;
--- a/crates/gateway/src/caller/port.rs
+++ b/crates/gateway/src/caller/port.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Instant};
 
 use crate::{
+    config::Table,
     directory,
     gateway::Gateway,
     http::Message,
@@ -34,18 +35,20 @@
         }
     }
 
-    /// Answers a request received on this port.
+    /// Answers a request received on this port. `table_before` is the configuration that was in force
+    /// when its first bytes arrived.
     pub(super) async fn answer(
         self,
         gateway: Rc<Gateway>,
         message: Message,
         received: Instant,
+        table_before: Option<Rc<Table>>,
     ) -> Reply {
         let names = gateway.protocol.names;
         let target = message.head.target.clone();
         let path = target.split(|it| *it == b'?').next().unwrap_or_default();
         match self {
-            Self::Callers => request::answer(gateway, message, received).await,
+            Self::Callers => request::answer(gateway, message, received, table_before).await,
             Self::Ready if path == names.ready_path.as_bytes() => ready(&gateway),
             Self::Directory if path == names.directory_path.as_bytes() => {
                 directory::answer(&gateway, &target)
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -31,13 +31,19 @@
 /// A value, or the refusal that is sent to the caller.
 pub type Result<T, E = Refusal> = std::result::Result<T, E>;
 
-/// Answers one request.
-pub async fn answer(gateway: Rc<Gateway>, message: Message, received: Instant) -> Reply {
+/// Answers one request. `table_before` is the configuration that was in force when its first bytes
+/// arrived.
+pub async fn answer(
+    gateway: Rc<Gateway>,
+    message: Message,
+    received: Instant,
+    table_before: Option<Rc<Table>>,
+) -> Reply {
     let names = gateway.protocol.names;
     let id = message.head.get(names.request_id).cloned();
     let mut guard = Guard::new(&gateway, Trace::new(id.as_deref(), received));
     let is_head = &*message.head.method == b"HEAD";
-    let res = run(&gateway, message, received, &mut guard.trace).await;
+    let res = run(&gateway, message, received, table_before, &mut guard.trace).await;
     let mut reply = match res {
         Ok(it) => {
             let is_signed = it.head.get(names.signature).is_some();
@@ -58,14 +64,22 @@
     gateway: &Rc<Gateway>,
     message: Message,
     received: Instant,
+    table_before: Option<Rc<Table>>,
     trace: &mut Trace,
 ) -> Result<Message> {
     let names = gateway.protocol.names;
     let table = gateway.table().ok_or_else(Refusal::not_ready)?;
     trace.version = table.version;
-    let route = find(&table, &message.head)?;
-    trace.route = Some(route.id.clone());
-    let admission = Admission::new(gateway, table, route, &message.head)?;
+    let head = &message.head;
+    let admission = Admission::new(gateway, Rc::clone(&table), head).map_err(|denied| {
+        // It may have taken long to arrive, or to wait behind others on its connection.
+        let earlier = table_before.filter(|it| !Rc::ptr_eq(it, &table));
+        match earlier.map(|it| Admission::new(gateway, it, head)) {
+            Some(Ok(_)) => Refusal::route_changed(),
+            _ => denied,
+        }
+    })?;
+    trace.route = Some(admission.route.id.clone());
     let route = &admission.route;
     let time_left = time_left(&message.head, names.deadline_ms, route)?;
     trace.time_left = time_left;
--- a/crates/gateway/src/request/admission.rs
+++ b/crates/gateway/src/request/admission.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, sync::Arc};
 
-use super::{Refusal, Result};
+use super::{Refusal, Result, find};
 use crate::{
     Settings,
     config::{Gap, Route, Table, Tenant},
@@ -32,12 +32,8 @@
     /// # Errors
     ///
     /// Refuses a request without a route, or without a valid key on a route that needs one.
-    pub(super) fn new(
-        gateway: &Gateway,
-        table: Rc<Table>,
-        route: Arc<Route>,
-        head: &Head,
-    ) -> Result<Self> {
+    pub(super) fn new(gateway: &Gateway, table: Rc<Table>, head: &Head) -> Result<Self> {
+        let route = find(&table, head)?;
         let tenant = tenant(&table, &route, head, gateway.protocol.names.credential)?;
         let settings = gateway.settings();
         let domains = Domains::within(&route.homes, &settings.regions);
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use super::{Admission, Refusal, Result, find};
+use super::{Admission, Refusal, Result};
 use crate::{
     config::{Route, Tenant},
     decision::Attempt,
@@ -160,8 +160,7 @@
         }
         let head = &self.message.head;
         // The request was proper when it was sent, so the denial must not be final.
-        let route = find(&table, head).map_err(|_denied| Refusal::route_changed())?;
-        let now = Admission::new(self.gateway, table, route, head)
+        let now = Admission::new(self.gateway, table, head)
             .map_err(|_denied| Refusal::route_changed())?;
         now.check_earlier(self.admission, upstream, self.may_have_run)?;
         Ok(now.tenant)
@@ -192,7 +191,7 @@
         }
         // Without a signature, nothing shows that the upstream made the answer. Callers would trust a
         // success, and would not repeat a request after a redirection or a client error.
-        if matches!(head.status, 200..500) && head.get(names.signature).is_none() {
+        if !matches!(head.status, 500..600) && head.get(names.signature).is_none() {
             return End::Unknown(format!("status {} without a signature", head.status));
         }
         End::Answer(answer)
