adapter, gateway: offsets hold within an era of the store only

Callers would have seen requests sent to upstreams that were leaving or removed and to evacuated domains, and upstreams that are alive not used, after the store came back from an older copy. Daemons that start later would not have found one whose record in the hosts' topic was lost.

Cause: a position in a topic was an offset alone, and a restored store gives offsets out again.

A batch of a later era doesn't connect to offsets read before, so the follower reads the newest records again:

Entries that are missing in the copy stay for the grace period that holds after an outage. Incarnations that were leaving or removed and that the copy shows as ready are held back until a record of the new era decides, or for 5 s. A daemon that starts in an era above 0 doubts removals for the grace period as well, so that a trusted relay always comes from a peer that has waited. - Evacuations: the stamp begins with the era; the epoch counts restarts within it. Domains evacuated before stay so until a record of the new era decides, or for 5 s. - Configurations: read again with the evacuations; as before, a version never goes back. - Hosts: a registration counts only for the era that acknowledged it.

A read answered with 410 need not say the oldest offset.

--- a/crates/gateway/src/follow/configuration.rs
+++ b/crates/gateway/src/follow/configuration.rs
@@ -45,8 +45,8 @@
     availability: Availability,
     started: Instant,
     end: Option<Offset>,
-    /// Epoch of the store's offsets in which `end` was read.
-    epoch: u32,
+    /// Stamp of the evacuations when `end` was read, which holds for the offsets of this stamp only.
+    stamp: Stamp,
     pause: Duration,
     /// Hash of the last configuration that was rejected, whose findings are logged only once.
     rejected: Option<u64>,
@@ -68,7 +68,7 @@
             availability,
             started,
             end: None,
-            epoch: 0,
+            stamp: Stamp::default(),
             pause,
             rejected: None,
             stale_read_from,
@@ -138,7 +138,7 @@
     async fn read(&mut self, wait: Duration) {
         let gateway = Rc::clone(&self.gateway);
         let stamp = gateway.evacuation_stamp();
-        let from = self.end.filter(|_| self.epoch == stamp.epoch);
+        let from = self.end.filter(|_| self.stamp.shares_offsets(stamp));
         let res = match from {
             None => {
                 let newest = self.platform.newest(Topic::Config);
@@ -211,13 +211,20 @@
         let records = batch.records.iter();
         let records: Vec<_> =
             records.filter_map(|it| evacuation::decode(gateway, platform, it)).collect();
+        let is_new_era = gateway.begin_evacuation_era(batch.era);
+        let started = match from {
+            None if is_new_era => gateway.evacuation_stamp(),
+            _ => started,
+        };
         // Before the configuration, since a daemon must not become ready without the evacuations.
         let res = match from {
+            // The store answered before it came back from an older copy.
+            _ if batch.era < gateway.evacuation_stamp().era => Progress::ReadNewest,
             None => gateway.apply_newest_evacuations(started, batch.end, records),
             Some(from) => gateway.apply_evacuation_records(started, from, batch.end, &records),
         };
         self.end = Some(batch.end);
-        self.epoch = gateway.evacuation_stamp().epoch;
+        self.stamp = gateway.evacuation_stamp();
         for it in &batch.records {
             self.apply_record(it, "store");
         }
--- a/crates/gateway/src/follow/hosts.rs
+++ b/crates/gateway/src/follow/hosts.rs
@@ -5,7 +5,7 @@
 use super::{CALL_TIMEOUT, call};
 use crate::{
     gateway::Gateway,
-    platform::{Platform, Topic},
+    platform::{Era, Platform, Result, Topic},
 };
 
 /// Time for the seeds to answer before the store is read.
@@ -35,7 +35,7 @@
         if live == 0 {
             read(&gateway, &*platform).await;
         }
-        if position < REGISTERED_DAEMONS && !gateway.is_registered.get() {
+        if position < REGISTERED_DAEMONS && !gateway.is_registered() {
             register(&gateway, &*platform).await;
         }
         tokio::time::sleep(CHECK_INTERVAL).await;
@@ -45,21 +45,23 @@
 /// Removes this daemon from the list of hosts. Does not retry a failure, since peers detect its end
 /// themselves.
 pub async fn deregister<P: Platform>(gateway: &Gateway, platform: &P) {
-    if gateway.is_registered.get() {
-        append(gateway, platform, None).await;
+    if gateway.registered_in.get().is_some() {
+        // The call logs its failure.
+        let _result = append(gateway, platform, None).await;
     }
 }
 
 async fn register<P: Platform>(gateway: &Gateway, platform: &P) {
-    let is_done = append(gateway, platform, Some(b"entry")).await;
-    gateway.is_registered.set(is_done);
+    if let Ok(era) = append(gateway, platform, Some(b"entry")).await {
+        gateway.registered_in.set(Some(era));
+    }
 }
 
-async fn append<P: Platform>(gateway: &Gateway, platform: &P, value: Option<&[u8]>) -> bool {
+async fn append<P: Platform>(gateway: &Gateway, platform: &P, value: Option<&[u8]>) -> Result<Era> {
     let key = gateway.settings().peer_address.to_string();
     let append = platform.append(Topic::Hosts, &key, value);
     let res = call(gateway, "hosts-append", CALL_TIMEOUT, append).await;
-    res.inspect_err(|e| log::warn!("event=host-not-written error=\"{e}\"")).is_ok()
+    res.inspect_err(|e| log::warn!("event=host-not-written error=\"{e}\""))
 }
 
 async fn read<P: Platform>(gateway: &Gateway, platform: &P) {
--- a/crates/gateway/src/follow/upstreams.rs
+++ b/crates/gateway/src/follow/upstreams.rs
@@ -17,8 +17,8 @@
     gateway::Gateway,
     mesh::Mesh,
     peer::Relay,
-    platform::{Batch, Error, Offset, Platform, Record, Result, Topic},
-    registry::{Change, UpstreamId},
+    platform::{Batch, Era, Error, Offset, Platform, Record, Result, Topic},
+    registry::{Change, Registration, UpstreamId},
     rpc,
 };
 
@@ -51,6 +51,9 @@
 
 /// A read that has ended.
 struct Read {
+    /// Era of the store in which `from` holds.
+    era: Era,
+    /// Offset; 0 if the newest records were read.
     from: Offset,
     res: Result<Batch>,
 }
@@ -135,8 +138,15 @@
             self.read_from_peer().await;
             return;
         }
+        if self.has_later_peer() {
+            // The peer has read the newest records, which need not be read from the store once more.
+            self.read_from_peer().await;
+        }
         self.next_read = gateway.now() + self.retry_interval();
-        let from = gateway.registry.borrow().end();
+        let (era, from) = {
+            let registry = gateway.registry.borrow();
+            (registry.era(), registry.end())
+        };
         // A read of the whole registry takes several calls, so there is only one at a time.
         let limit = if from == 0 { 1 } else { MAX_READS };
         if self.reads.len() >= limit {
@@ -151,7 +161,7 @@
                 let read = platform.read(Topic::Upstreams, from, Duration::ZERO);
                 call(&gateway, "upstreams-read", CALL_TIMEOUT, read).await
             };
-            Read { from, res }
+            Read { era, from, res }
         }));
     }
 
@@ -164,6 +174,11 @@
                 // Earlier reads without an answer say nothing about the store any more.
                 self.reads.clear();
                 gateway.registry.borrow_mut().store_answered(now);
+                let known = gateway.registry.borrow().era();
+                if read.from > 0 && (read.era != known || batch.era != known) {
+                    self.discard(batch.era > known);
+                    return;
+                }
                 let trusted_before = gateway.registry.borrow().trusts_removals();
                 if read.from == 0 {
                     self.replace_all(&batch);
@@ -183,7 +198,7 @@
             }
             Err(_) => {
                 gateway.registry.borrow_mut().store_failed();
-                if gateway.registry.borrow().end() == 0 {
+                if gateway.registry.borrow().end() == 0 || self.has_later_peer() {
                     self.read_from_peer().await;
                 }
             }
@@ -191,6 +206,23 @@
         self.update_shared();
     }
 
+    /// Discards what was read because its offsets hold in another era of the store. If the store
+    /// `is_later` than what is known, the newest records are read immediately.
+    fn discard(&mut self, is_later: bool) {
+        self.schedule();
+        if is_later {
+            self.gateway.registry.borrow_mut().restart_read();
+            self.next_read = self.gateway.now();
+        }
+    }
+
+    /// Whether a peer has read the registry in a later era of the store.
+    fn has_later_peer(&self) -> bool {
+        let era = self.gateway.registry.borrow().era();
+        let peers = self.gateway.peers.borrow();
+        peers.live_peers(self.gateway.now()).any(|(_, it)| it.heartbeat.registry_era > era)
+    }
+
     /// Replaces the registry by the newest record of each upstream.
     fn replace_all(&self, batch: &Batch) {
         let decode = |it: &Record| match self.decode(it) {
@@ -198,10 +230,24 @@
             Change::Removed(_) => None,
         };
         let registrations = batch.records.iter().filter_map(decode).collect();
-        let now = self.gateway.now();
-        let changes = self.gateway.registry.borrow_mut().replace(now, registrations, batch.end);
+        self.replace(registrations, batch.era, batch.end, "store");
+    }
+
+    fn replace(&self, registrations: Vec<Registration>, era: Era, end: Offset, source: &str) {
+        let gateway = &self.gateway;
+        let before = gateway.registry.borrow().era();
+        let now = gateway.now();
+        let changes = gateway.registry.borrow_mut().replace(now, registrations, era, end);
+        if era > before {
+            log::info!(
+                target: "belief",
+                "event=store-era what=upstreams era={era} before={before} source={source}"
+            );
+            // Peers then read the registry from this daemon and not from the store.
+            gateway.heartbeat_wanted.notify_one();
+        }
         for it in &changes {
-            self.gateway.apply(it, "store");
+            gateway.apply(it, source);
         }
     }
 
@@ -218,15 +264,16 @@
         for it in batch.records.iter().filter(|it| it.offset >= known) {
             let change = self.decode(it);
             let mut registry = gateway.registry.borrow_mut();
-            // Peers must follow each change of what is pending as well.
+            // Peers must follow each change of what is pending as well, and may use what is held back.
             let was_pending = registry.is_removal_pending(&it.key);
+            let was_held_back = registry.is_held_back(&it.key);
             let effect = registry.apply(now, change.clone());
             let is_pending = registry.is_removal_pending(&it.key);
             drop(registry);
             if is_pending && !was_pending {
                 log::info!(target: "belief", "event=removal-pending upstream={}", it.key);
             }
-            if effect.is_some() || was_pending || is_pending {
+            if effect.is_some() || was_pending || is_pending || was_held_back {
                 relayed.push((it.offset, change));
             }
             if let Some(it) = effect {
@@ -240,7 +287,7 @@
         }
         gateway.registry.borrow_mut().advance(to);
         let is_trusted = gateway.registry.borrow().trusts_removals();
-        self.mesh.relay(Relay { from, to, is_trusted, changes: relayed });
+        self.mesh.relay(Relay { era: batch.era, from, to, is_trusted, changes: relayed });
     }
 
     /// Decodes the change of a record. One that can't be decoded names no upstream, like a removed
@@ -263,13 +310,8 @@
 
     async fn read_from_peer(&mut self) {
         let Some((snapshot, from)) = rpc::fetch_registry(&self.gateway).await else { return };
-        let now = self.gateway.now();
-        let changes =
-            self.gateway.registry.borrow_mut().replace(now, snapshot.registrations, snapshot.end);
         let source = format!("peer:{from}");
-        for it in &changes {
-            self.gateway.apply(it, &source);
-        }
+        self.replace(snapshot.registrations, snapshot.era, snapshot.end, &source);
         self.gateway.mark_registry_read();
         self.schedule();
         self.update_shared();
@@ -278,7 +320,7 @@
     /// Updates the registry served to peers that can't read the store.
     fn update_shared(&self) {
         let registry = self.gateway.registry.borrow();
-        self.shared.set_registry(registry.end(), registry.digest(), || {
+        self.shared.set_registry(registry.era(), registry.end(), registry.digest(), || {
             registry.entries().cloned().collect()
         });
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -33,6 +33,7 @@
         self, Departure, Phase,
         placement::{Daemon, Placement},
     },
+    platform::Era,
     probe,
     rate::{Bucket, Quotas, Terms},
     registry::{Change, Fold, Index, Key, Registration, UpstreamId, Withdrawals},
@@ -83,8 +84,8 @@
     pub memory: Memory,
     /// Request rate and activity of the daemon.
     pub activity: RefCell<peer::Activity>,
-    /// Whether this daemon is registered in the store, where other daemons find it.
-    pub is_registered: Cell<bool>,
+    /// Era in which this daemon last registered in the store, where other daemons find it.
+    pub registered_in: Cell<Option<Era>>,
     /// When the store last confirmed which configuration is the newest.
     pub config_confirmed: Cell<Option<Instant>>,
     /// Requests received since the start.
@@ -154,7 +155,7 @@
             log_limiter: RefCell::new(Limiter::new(now)),
             memory: Memory::new(settings.caller_memory_bytes(0)),
             activity: RefCell::new(peer::Activity::new(now)),
-            is_registered: Cell::new(false),
+            registered_in: Cell::new(None),
             config_confirmed: Cell::new(None),
             request_count: Cell::new(0),
             in_progress: Cell::new(0),
@@ -214,6 +215,13 @@
         self.now() < self.store_from
     }
 
+    /// Whether this daemon has registered in the store, which has not lost its record since.
+    #[must_use]
+    pub fn is_registered(&self) -> bool {
+        let era = self.registry.borrow().era().max(self.evacuation_stamp().era);
+        self.registered_in.get().is_some_and(|it| it >= era)
+    }
+
     /// The routing table, once there is a configuration.
     #[must_use]
     pub fn table(&self) -> Option<Rc<Table>> {
@@ -362,7 +370,7 @@
         if self.activity.borrow().is_active() || daemons.is_empty() {
             daemons.push(own.clone());
         }
-        placement.reset(own, daemons, self.evacuations().domains);
+        placement.reset(own, daemons, self.evacuations().in_force());
         if let Some(it) = warmers {
             placement.set_warmers(it);
         }
@@ -438,7 +446,7 @@
         let now = self.now();
         let seed = self.seed ^ xxh3_64(id.as_bytes());
         let mut service = Service::new(load::Settings::default(), settings.domain.clone(), seed);
-        self.with_evacuated(|it| service.set_evacuated(it));
+        service.set_evacuated(&self.evacuations().in_force());
         for it in self.registry.borrow().entries().filter(|it| it.service == *id) {
             service.put_found(now, it.clone());
             service.set_withdrawal(&it.id, self.withdrawals.borrow().get(it));
--- a/crates/gateway/src/gateway/evacuation.rs
+++ b/crates/gateway/src/gateway/evacuation.rs
@@ -14,8 +14,8 @@
 use super::Gateway;
 use crate::{
     metrics,
-    platform::Offset,
-    registry::{Domain, EvacuationRecord, Evacuations, MAX_DOMAINS, Progress, Stamp},
+    platform::{Era, Offset},
+    registry::{Domain, EvacuationRecord, Evacuations, MAX_DOMAINS, Progress, REWRITE_TIME, Stamp},
 };
 
 /// Time after which a change is broadcast a second time, since datagrams may be lost.
@@ -31,6 +31,8 @@
     since: RefCell<BTreeMap<Domain, Instant>>,
     /// When the last change that this daemon has read from the store is broadcast again.
     repeat_at: Cell<Option<Instant>>,
+    /// Until when the domains that were evacuated before the store's era stay evacuated.
+    held_until: Cell<Option<Instant>>,
     /// Hashes of the findings logged so far.
     findings: RefCell<HashSet<u64>>,
 }
@@ -51,7 +53,21 @@
     /// Whether a failure domain is evacuated.
     #[must_use]
     pub fn is_evacuated(&self, domain: &str) -> bool {
-        self.evacuation.evacuations.borrow().domains.contains(domain)
+        let evacuations = self.evacuation.evacuations.borrow();
+        evacuations.domains.contains(domain) || evacuations.held.contains(domain)
+    }
+
+    /// Begins an era of the store if it is later than the known one; returns whether it is.
+    pub fn begin_evacuation_era(self: &Rc<Self>, era: Era) -> bool {
+        self.update_evacuations("store", |it| it.begin_era(era))
+    }
+
+    /// Ends the evacuations from before the store's era that were not written again in time.
+    pub fn end_evacuation_hold(self: &Rc<Self>) {
+        if self.evacuation.held_until.get().is_some_and(|it| it <= self.now()) {
+            self.evacuation.held_until.set(None);
+            self.update_evacuations("not-written-again", Evacuations::end_hold);
+        }
     }
 
     /// Applies the newest records of all keys, read up to `end`. `started` is the stamp at the start
@@ -90,7 +106,7 @@
             return;
         }
         self.update_evacuations(&format!("peer:{from}"), |it| it.adopt(evacuations));
-        if known != Stamp::default() && evacuations.epoch != known.epoch {
+        if known != Stamp::default() && !evacuations.stamp().shares_offsets(known) {
             // The store's offsets have restarted: this daemon's position in the topic is outdated.
             self.config_wanted.notify_one();
         }
@@ -118,10 +134,6 @@
         self.evacuation.evacuations.borrow().is_known()
     }
 
-    pub(super) fn with_evacuated(&self, f: impl FnOnce(&BTreeSet<Domain>)) {
-        f(&self.evacuation.evacuations.borrow().domains);
-    }
-
     /// Reports evacuated domains without an upstream; called when the registry is complete.
     pub(super) fn check_evacuated_domains(&self) {
         let domains = self.evacuations().domains;
@@ -143,12 +155,24 @@
         let old = self.evacuations();
         let res = update(&mut self.evacuation.evacuations.borrow_mut());
         let new = self.evacuations();
-        if old.domains != new.domains {
-            self.put_evacuations_in_force(&old, &new, source);
+        if new.era > old.era && !new.held.is_empty() {
+            self.evacuation.held_until.set(Some(self.now() + REWRITE_TIME));
+        }
+        if new.era > old.era {
+            let (era, before) = (new.era, old.era);
+            log::info!(
+                target: "belief",
+                "event=store-era what=config era={era} before={before} source={source}"
+            );
         }
-        if old.stamp() != new.stamp() && source == "store" {
+        let stamp = new.stamp();
+        let in_force = (old.in_force(), new.in_force());
+        if in_force.0 != in_force.1 {
+            self.put_evacuations_in_force(&in_force.0, &in_force.1, stamp, source);
+        }
+        if old.stamp() != stamp && source == "store" {
             self.heartbeat_wanted.notify_one();
-            if old.domains != new.domains || old.epoch != new.epoch {
+            if old.domains != new.domains || !old.stamp().shares_offsets(stamp) {
                 self.evacuation.repeat_at.set(Some(self.now() + REPEAT_TIME));
             }
         }
@@ -158,29 +182,29 @@
 
     fn put_evacuations_in_force(
         self: &Rc<Self>,
-        old: &Evacuations,
-        new: &Evacuations,
+        old: &BTreeSet<Domain>,
+        new: &BTreeSet<Domain>,
+        stamp: Stamp,
         source: &str,
     ) {
         let now = self.now();
-        let stamp = new.stamp();
-        for it in new.domains.difference(&old.domains) {
+        for it in new.difference(old) {
             self.evacuation_began(it, stamp, source);
         }
-        for it in old.domains.difference(&new.domains) {
+        for it in old.difference(new) {
             self.evacuation_ended(it, stamp, source);
         }
-        if new.domains.len() >= MAX_DOMAINS {
+        if new.len() >= MAX_DOMAINS {
             self.report_evacuation_finding(&format!("too-many-domains maximum={MAX_DOMAINS}"));
         }
-        let count = i64::try_from(new.domains.len()).unwrap_or(i64::MAX);
+        let count = i64::try_from(new.len()).unwrap_or(i64::MAX);
         self.metrics.evacuated_domains.set(count);
         self.invalidate_placement();
         let dispatchers = self.dispatchers();
         for dispatcher in &dispatchers {
             let mut service = dispatcher.service.borrow_mut();
-            service.set_evacuated(&new.domains);
-            for it in old.domains.difference(&new.domains) {
+            service.set_evacuated(new);
+            for it in old.difference(new) {
                 service.mark_unknown_temperature(now, it);
             }
             for it in service.iter().filter(|it| it.is_evacuated) {
@@ -204,8 +228,8 @@
         self.metrics.evacuated_since.get_or_create(&label).set(seconds);
         log::info!(
             target: "belief",
-            "event=evacuation domain={} state=began epoch={} offset={} since={:.3} source={source}",
-            printable(domain), stamp.epoch, stamp.end, since.as_secs_f64()
+            "event=evacuation domain={} state=began era={} epoch={} offset={} since={:.3} source={source}",
+            printable(domain), stamp.era, stamp.epoch, stamp.end, since.as_secs_f64()
         );
     }
 
@@ -216,8 +240,8 @@
         self.metrics.evacuated_since.remove(&label);
         log::info!(
             target: "belief",
-            "event=evacuation domain={} state=ended epoch={} offset={} lasted_ms={} source={source}",
-            printable(domain), stamp.epoch, stamp.end, lasted.as_millis()
+            "event=evacuation domain={} state=ended era={} epoch={} offset={} lasted_ms={} source={source}",
+            printable(domain), stamp.era, stamp.epoch, stamp.end, lasted.as_millis()
         );
     }
 }
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -82,6 +82,7 @@
                 self.gateway.invalidate_placement();
                 self.broadcast_heartbeat();
             }
+            self.gateway.end_evacuation_hold();
             let events = self.gateway.peers.borrow_mut().tick(now);
             self.handle_events(&events);
             self.gateway.share_budgets(now);
@@ -234,6 +235,7 @@
                 u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
             }),
             evacuations: gateway.evacuations(),
+            registry_era: registry.era(),
             registry_end: registry.end(),
             registry_digest: registry.digest(),
             peers: gateway.peers.borrow_mut().gossip(gateway.now()),
@@ -279,8 +281,9 @@
         let gateway = &self.gateway;
         let now = gateway.now();
         let is_newer = heartbeat.config > gateway.version();
-        let (end, digest, wants_reply) =
-            (heartbeat.registry_end, heartbeat.registry_digest, heartbeat.wants_reply);
+        let (era, end, digest) =
+            (heartbeat.registry_era, heartbeat.registry_end, heartbeat.registry_digest);
+        let wants_reply = heartbeat.wants_reply;
         // Before the configuration can be fetched, so that no daemon becomes ready without it.
         gateway.adopt_evacuations(&heartbeat.evacuations, from);
         let events = gateway.peers.borrow_mut().record_heartbeat(now, from, heartbeat);
@@ -294,7 +297,9 @@
         if is_newer {
             gateway.config_wanted.notify_one();
         }
-        let has_diverged = gateway.registry.borrow_mut().check_divergence(now, end, digest);
+        let mut registry = gateway.registry.borrow_mut();
+        let has_diverged = registry.era() == era && registry.check_divergence(now, end, digest);
+        drop(registry);
         if has_diverged {
             log::warn!("event=registry-differs from={from} end={end}");
             gateway.registry_wanted.notify_one();
@@ -322,6 +327,13 @@
             // The initial read of the whole registry is in progress.
             return;
         }
+        let era = gateway.registry.borrow().era();
+        if relay.era != era {
+            if relay.era > era {
+                gateway.registry_wanted.notify_one();
+            }
+            return;
+        }
         let trusts_removals = gateway.registry.borrow().trusts_removals();
         if !relay.is_trusted && trusts_removals {
             // The calls of the sender failed for local reasons; this daemon reads the store itself.
--- a/crates/gateway/src/peer/packet.rs
+++ b/crates/gateway/src/peer/packet.rs
@@ -6,7 +6,7 @@
 use crate::{
     config::Version,
     load::{HostKey, Report},
-    platform::Offset,
+    platform::{Era, Offset},
     registry::{Change, Domain, Evacuations, Key, UpstreamId},
 };
 
@@ -70,6 +70,8 @@
     pub config_checked_ms: Option<u32>,
     /// Evacuated failure domains as known to the sender.
     pub evacuations: Evacuations,
+    /// Era of the store in which the sender has read the registry.
+    pub registry_era: Era,
     /// Offset up to which the sender has read the registry.
     pub registry_end: Offset,
     /// Digest of the sender's registry.
@@ -95,6 +97,8 @@
 /// Registry changes that the sender has read from the store.
 #[derive(Clone, Debug, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Relay {
+    /// Era of the store in which the offsets hold.
+    pub era: Era,
     /// Offset of the first record covered by the changes.
     pub from: Offset,
     /// Offset after the last record covered.
@@ -114,7 +118,7 @@
     /// covers everything missed.
     #[must_use]
     pub fn split(self, count: usize) -> Vec<Self> {
-        let Self { from, to, is_trusted, changes } = self;
+        let Self { era, from, to, is_trusted, changes } = self;
         let mut res = Vec::new();
         let mut start = from;
         let mut parts = changes.chunks(count.max(1)).peekable();
@@ -122,11 +126,11 @@
             let is_last = parts.peek().is_none();
             let end = part.last().map_or(to, |(offset, _)| (offset + 1).clamp(start, to));
             let end = if is_last { to } else { end };
-            res.push(Self { from: start, to: end, is_trusted, changes: part.to_vec() });
+            res.push(Self { era, from: start, to: end, is_trusted, changes: part.to_vec() });
             start = end;
         }
         if res.is_empty() {
-            res.push(Self { from, to, is_trusted, changes });
+            res.push(Self { era, from, to, is_trusted, changes });
         }
         res
     }
--- a/crates/gateway/src/peer/table.rs
+++ b/crates/gateway/src/peer/table.rs
@@ -221,11 +221,11 @@
     /// Live peers whose `progress` is beyond `own`, the furthest first, of equal ones those in
     /// `domain` first, and otherwise in random order: what others have not read yet may contain a removal.
     #[must_use]
-    pub fn further(
+    pub fn further<T: Copy + Ord>(
         &self,
         now: Instant,
-        progress: impl Fn(&Heartbeat) -> u64,
-        own: u64,
+        progress: impl Fn(&Heartbeat) -> T,
+        own: T,
         domain: &str,
     ) -> Vec<SocketAddr> {
         let order = |(address, it): (SocketAddr, &Peer)| {
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -15,6 +15,9 @@
 
 /// Position of a record in a topic.
 pub type Offset = u64;
+/// Number of times that the store has come back from an older copy; 0 if it doesn't say. Offsets of
+/// different eras can't be compared.
+pub type Era = u64;
 /// A value, or why the call failed.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
@@ -41,11 +44,11 @@
     /// The store refused the call without effect.
     #[error("refused with status {0}")]
     Refused(u16),
-    /// The requested records have been deleted.
-    #[error("records before offset {first} were deleted")]
+    /// The topic has no record at the requested offset: it was deleted, or the topic ends before it.
+    #[error("no record at this offset, the oldest is at {first:?}")]
     Deleted {
-        /// Oldest remaining offset.
-        first: Offset,
+        /// Oldest remaining offset, if the store says it.
+        first: Option<Offset>,
     },
     /// The answer violates the protocol.
     #[error("malformed answer: {0}")]
@@ -80,6 +83,8 @@
     /// Offset after the last record. Below the offset that was read from if the topic ends before
     /// it, because the store's offsets have restarted.
     pub end: Offset,
+    /// Era of the store in which the offsets hold.
+    pub era: Era,
 }
 
 /// Client of the platform's store, and decoder of the platform's formats.
@@ -99,13 +104,14 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Batch>>;
 
-    /// Appends a record to a keyed topic; without a value, the key is removed.
+    /// Appends a record to a keyed topic; without a value, the key is removed. Returns the era of the
+    /// store, which may lose the record when a later one begins.
     fn append(
         &self,
         topic: Topic,
         key: &str,
         value: Option<&[u8]>,
-    ) -> impl Future<Output = Result<()>>;
+    ) -> impl Future<Output = Result<Era>>;
 
     /// Decodes a record of [`Topic::Config`]; returns `None` if the record holds something else.
     ///
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -1,12 +1,13 @@
 //! The registry of upstreams, folded from the records that they write to the store.
 
+mod departed;
 mod evacuations;
 mod fold;
 mod index;
 mod registration;
 mod withdrawal;
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 pub use evacuations::{
     EvacuationRecord, Evacuations, MAX_DOMAIN_BYTES, MAX_DOMAINS, Progress, Stamp,
@@ -16,6 +17,10 @@
 pub use registration::{Registration, State};
 pub use withdrawal::{Withdrawal, Withdrawals};
 
+/// Time from the return of the store within which operators and upstreams have written again what it has
+/// lost: longer than `stability_ms` (3 s), after which machines count as in touch.
+pub const REWRITE_TIME: Duration = Duration::from_secs(5);
+
 /// Id of an upstream.
 pub type UpstreamId = Arc<str>;
 /// Name of a failure domain.
--- a/crates/gateway/src/registry/evacuations.rs
+++ b/crates/gateway/src/registry/evacuations.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use super::Domain;
-use crate::platform::Offset;
+use crate::platform::{Era, Offset};
 
 /// Maximum number of evacuated domains, so that the state fits in a datagram. Deployments have up to
 /// six domains.
@@ -17,12 +17,22 @@
 /// Age of a state. The later of two states is the one with the greater stamp.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Stamp {
-    /// Number of times that the store's offsets have restarted lower.
+    /// Era of the store.
+    pub era: Era,
+    /// Number of times that the store's offsets have restarted lower within the era.
     pub epoch: u32,
     /// Offset up to which the topic is known.
     pub end: Offset,
 }
 
+impl Stamp {
+    /// Whether offsets known at this stamp can be compared with those known at the other one.
+    #[must_use]
+    pub fn shares_offsets(self, other: Self) -> bool {
+        (self.era, self.epoch) == (other.era, other.epoch)
+    }
+}
+
 /// The beginning or the end of an evacuation, as written to the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EvacuationRecord {
@@ -49,12 +59,18 @@
 /// whose stamp is zero is unknown: a topic with a configuration has at least one record.
 #[derive(Clone, Debug, Default, Eq, PartialEq, serde::Deserialize, serde::Serialize)]
 pub struct Evacuations {
-    /// Number of times that the store's offsets have restarted lower.
+    /// Era of the store.
+    pub era: Era,
+    /// Number of times that the store's offsets have restarted lower within the era.
     pub epoch: u32,
     /// Offset up to which the topic is known.
     pub end: Offset,
     /// The evacuated domains.
     pub domains: BTreeSet<Domain>,
+    /// Domains that were evacuated when the era began. They stay evacuated until the operator has written
+    /// again what the store has lost. Not sent to peers.
+    #[serde(skip)]
+    pub held: BTreeSet<Domain>,
 }
 
 impl Evacuations {
@@ -70,13 +86,35 @@
     /// Stamp up to which the domains are known.
     #[must_use]
     pub fn stamp(&self) -> Stamp {
-        Stamp { epoch: self.epoch, end: self.end }
+        Stamp { era: self.era, epoch: self.epoch, end: self.end }
     }
 
     /// Whether the state was ever read, by this daemon or by a peer.
     #[must_use]
     pub fn is_known(&self) -> bool {
-        self.stamp() > Stamp::default()
+        (self.epoch, self.end) > (0, 0)
+    }
+
+    /// The domains to which nothing may be sent.
+    #[must_use]
+    pub fn in_force(&self) -> BTreeSet<Domain> {
+        &self.domains | &self.held
+    }
+
+    /// Begins a later era of the store, of which nothing has been read yet; returns whether it is later.
+    /// The domains are those of the era before until the newest records are read.
+    pub fn begin_era(&mut self, era: Era) -> bool {
+        let is_later = era > self.era;
+        if is_later {
+            (self.era, self.epoch, self.end) = (era, 0, 0);
+            self.held.extend(self.domains.iter().cloned());
+        }
+        is_later
+    }
+
+    /// Ends the time for which the domains of the era before stay evacuated.
+    pub fn end_hold(&mut self) {
+        self.held.clear();
     }
 
     /// Whether the state is within the bounds that every daemon keeps.
@@ -91,7 +129,9 @@
     pub fn adopt(&mut self, other: &Self) -> bool {
         let is_later = other.stamp() > self.stamp() && other.is_plausible();
         if is_later {
-            self.clone_from(other);
+            self.begin_era(other.era);
+            let held = std::mem::take(&mut self.held);
+            *self = Self { held, ..other.clone() };
         }
         is_later
     }
@@ -108,7 +148,7 @@
         end: Offset,
         domains: impl IntoIterator<Item = Domain>,
     ) -> Progress {
-        if self.epoch != started.epoch {
+        if !self.stamp().shares_offsets(started) {
             // The read may have been answered before or after the restart of the offsets.
             return Progress::ReadNewest;
         }
@@ -127,7 +167,7 @@
         } else if end < self.end {
             return Progress::Continue;
         }
-        *self = Self { epoch: self.epoch, end, domains };
+        (self.end, self.domains) = (end, domains);
         Progress::Continue
     }
 
@@ -144,12 +184,13 @@
         let has_restarted = end < started.end;
         // The records between the state and the first one read are unknown.
         let has_gap = self.end < from;
-        if self.epoch != started.epoch || has_restarted || has_gap {
+        if !self.stamp().shares_offsets(started) || has_restarted || has_gap {
             return Progress::ReadNewest;
         }
         let mut res = Progress::Continue;
         let known = self.end;
         for it in records.iter().filter(|it| it.offset >= known) {
+            self.held.remove(&it.domain);
             if !it.is_evacuated {
                 let was_full = self.domains.len() >= MAX_DOMAINS;
                 if self.domains.remove(&it.domain) && was_full {
--- a/crates/gateway/src/registry/fold.rs
+++ b/crates/gateway/src/registry/fold.rs
@@ -7,8 +7,8 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Registration, State, UpstreamId};
-use crate::platform::Offset;
+use super::{Registration, State, UpstreamId, departed::Departed};
+use crate::platform::{Era, Offset};
 
 /// Time for which the digest must differ from a peer's before the registry is read again in full.
 const DIVERGENCE_TIME: Duration = Duration::from_secs(1);
@@ -22,11 +22,23 @@
     Removed(UpstreamId),
 }
 
+impl Change {
+    /// Id of the upstream.
+    #[must_use]
+    pub fn id(&self) -> &UpstreamId {
+        match self {
+            Self::Put(it) => &it.id,
+            Self::Removed(it) => it,
+        }
+    }
+}
+
 /// The usable upstreams by id.
 ///
 /// A removal that is read while calls to the store fail, or shortly after, may be an entry that
 /// expired only because its upstream could not reach the store. It is applied only if the entry is
-/// still missing once `expiry_grace` has passed since the store answered again.
+/// still missing once `expiry_grace` has passed since the store answered again. The same holds for
+/// entries that are missing when the store has come back from an older copy.
 #[derive(Debug)]
 pub struct Fold {
     expiry_grace: Duration,
@@ -34,7 +46,9 @@
     pending_removals: HashSet<UpstreamId>,
     store_unstable: bool,
     answering_since: Option<Instant>,
+    era: Era,
     end: Offset,
+    departed: Departed,
     diverged_since: Option<Instant>,
     digest: u32,
 }
@@ -49,7 +63,9 @@
             pending_removals: HashSet::new(),
             store_unstable: false,
             answering_since: None,
+            era: 0,
             end: 0,
+            departed: Departed::default(),
             diverged_since: None,
             digest: 0,
         }
@@ -61,6 +77,12 @@
         self.end
     }
 
+    /// Era of the store in which the offsets hold.
+    #[must_use]
+    pub fn era(&self) -> Era {
+        self.era
+    }
+
     /// The usable upstreams.
     pub fn entries(&self) -> impl Iterator<Item = &Registration> {
         self.entries.values()
@@ -110,18 +132,29 @@
         self.pending_removals.contains(id)
     }
 
-    /// Replaces the whole set by `registrations`, read up to `end`.
+    /// Whether the store lists an upstream that isn't used again because it had left before the era.
+    #[must_use]
+    pub fn is_held_back(&self, id: &str) -> bool {
+        self.departed.contains(id)
+    }
+
+    /// Replaces the whole set by `registrations`, read up to `end` in an era of the store.
     ///
     /// Returns the resulting changes, without removals that are still pending.
     pub fn replace(
         &mut self,
         now: Instant,
-        registrations: Vec<Registration>,
+        mut registrations: Vec<Registration>,
+        era: Era,
         end: Offset,
     ) -> Vec<Change> {
-        if end < self.end {
+        if (era, end) < (self.era, self.end) {
             return Vec::new();
         }
+        if era > self.era {
+            self.begin_era(now, era);
+        }
+        self.departed.hold_back(now, &mut registrations);
         let present: HashSet<_> = registrations.iter().map(|it| it.id.clone()).collect();
         let missing: Vec<_> =
             self.entries.keys().filter(|it| !present.contains(*it)).cloned().collect();
@@ -133,6 +166,7 @@
 
     /// Applies the change of a record; returns it if it has an effect now.
     pub fn apply(&mut self, now: Instant, change: Change) -> Option<Change> {
+        self.departed.settle(change.id());
         match change {
             Change::Put(it) => self.put(it),
             Change::Removed(it) => self.remove(now, it),
@@ -141,6 +175,7 @@
 
     /// Applies a change relayed by a peer, including removals; returns it if it has an effect.
     pub fn apply_from_peer(&mut self, change: Change) -> Option<Change> {
+        self.departed.settle(change.id());
         match change {
             Change::Put(it) => self.put(it),
             Change::Removed(id) => {
@@ -159,7 +194,8 @@
     /// Compares with a peer's end and digest. Returns true if both have read equally far and have
     /// differed for [`DIVERGENCE_TIME`]; the next read then starts over.
     pub fn check_divergence(&mut self, now: Instant, end: Offset, digest: u32) -> bool {
-        if end != self.end || digest == self.digest || !self.pending_removals.is_empty() {
+        let is_pending = !self.pending_removals.is_empty() || !self.departed.is_empty();
+        if end != self.end || digest == self.digest || is_pending {
             self.diverged_since = None;
             return false;
         }
@@ -177,16 +213,29 @@
         self.end = self.end.max(end);
     }
 
-    /// Applies removals whose grace period has passed and returns them.
+    /// Applies removals whose grace period has passed, and registrations that were held back for long
+    /// enough; returns them.
     pub fn tick(&mut self, now: Instant) -> Vec<Change> {
+        let due = self.departed.take_due(now);
+        let mut res: Vec<_> = due.into_iter().filter_map(|it| self.put(it)).collect();
         if !self.is_store_stable(now) {
-            return Vec::new();
+            return res;
         }
         self.store_unstable = false;
         self.answering_since = None;
         let mut removed: Vec<_> = self.pending_removals.drain().collect();
         removed.retain(|it| self.remove_entry(it));
-        removed.into_iter().map(Change::Removed).collect()
+        res.extend(removed.into_iter().map(Change::Removed));
+        res
+    }
+
+    fn begin_era(&mut self, now: Instant, era: Era) {
+        self.era = era;
+        // Also if nothing was known before: the era may just have begun, and peers must not trust the
+        // removals that this daemon reads.
+        self.store_unstable = true;
+        self.answering_since = Some(now);
+        self.departed.begin_era(now, &self.entries);
     }
 
     fn is_store_stable(&self, now: Instant) -> bool {
@@ -209,7 +258,7 @@
                 || it.cold_for > old.cold_for
                 || it.cold_for.is_zero() != old.cold_for.is_zero()
         });
-        self.remove_entry(&it.id);
+        self.take_entry(&it.id);
         self.digest = self.digest.wrapping_add(hash(&it));
         self.entries.insert(it.id.clone(), it.clone());
         is_change.then_some(Change::Put(it))
@@ -228,10 +277,16 @@
 
     /// Removes an entry; returns false if there is none.
     fn remove_entry(&mut self, id: &str) -> bool {
-        let Some(old) = self.entries.remove(id) else { return false };
-        self.digest = self.digest.wrapping_sub(hash(&old));
+        let Some(old) = self.take_entry(id) else { return false };
+        self.departed.record_removal(&old);
         true
     }
+
+    fn take_entry(&mut self, id: &str) -> Option<Registration> {
+        let old = self.entries.remove(id)?;
+        self.digest = self.digest.wrapping_sub(hash(&old));
+        Some(old)
+    }
 }
 
 /// Contribution of one entry to the digest.
--- a/crates/gateway/src/rpc.rs
+++ b/crates/gateway/src/rpc.rs
@@ -16,7 +16,12 @@
 };
 use jsonrpsee_http_client::HttpClientBuilder;
 
-use crate::{gateway::Gateway, peer::Heartbeat, platform::Offset, registry::Registration};
+use crate::{
+    gateway::Gateway,
+    peer::Heartbeat,
+    platform::{Era, Offset},
+    registry::Registration,
+};
 
 /// Method that returns the newest configuration.
 const CONFIG_METHOD: &str = "config";
@@ -55,6 +60,8 @@
 /// The registry as known to a daemon.
 #[derive(Clone, Debug, Default, serde::Deserialize, serde::Serialize)]
 pub struct Snapshot {
+    /// Era of the store in which the registry was read.
+    pub era: Era,
     /// Offset up to which the registry was read.
     pub end: Offset,
     /// Usable upstreams.
@@ -84,9 +91,10 @@
         }
     }
 
-    /// Replaces the registrations if their digest has changed, and sets the end.
+    /// Replaces the registrations if their digest has changed, and sets era and end.
     pub fn set_registry(
         &self,
+        era: Era,
         end: Offset,
         digest: u32,
         registrations: impl FnOnce() -> Vec<Registration>,
@@ -96,7 +104,7 @@
                 content.snapshot.registrations = registrations();
                 content.digest = digest;
             }
-            content.snapshot.end = end;
+            (content.snapshot.era, content.snapshot.end) = (era, end);
         });
     }
 
@@ -148,11 +156,14 @@
 
 /// Fetches the registry from a peer that has read further.
 pub async fn fetch_registry(gateway: &Gateway) -> Option<(Snapshot, SocketAddr)> {
-    let end = gateway.registry.borrow().end();
+    let (era, end) = {
+        let registry = gateway.registry.borrow();
+        (registry.era(), registry.end())
+    };
     let addresses = candidates(
         gateway,
-        |it| it.registry_end.div_ceil(RECORDS_APART),
-        end.div_ceil(RECORDS_APART),
+        |it| (it.registry_era, it.registry_end.div_ceil(RECORDS_APART)),
+        (era, end.div_ceil(RECORDS_APART)),
     );
     for address in addresses {
         let text = call::<Option<String>>(address, REGISTRY_METHOD).await.flatten();
@@ -182,10 +193,10 @@
         .ok()
 }
 
-fn candidates(
+fn candidates<T: Copy + Ord>(
     gateway: &Gateway,
-    progress: impl Fn(&Heartbeat) -> u64,
-    own: u64,
+    progress: impl Fn(&Heartbeat) -> T,
+    own: T,
 ) -> Vec<SocketAddr> {
     let domain = &gateway.settings().domain;
     let mut res = gateway.peers.borrow().further(gateway.now(), progress, own, domain);
--- a/crates/gateway/tests/evacuation.rs
+++ b/crates/gateway/tests/evacuation.rs
@@ -20,8 +20,8 @@
     load::{Domains, Eligibility},
     peer::Phase,
     registry::{
-        Change, Domain, EvacuationRecord, Evacuations, MAX_DOMAINS, Progress, Registration, Stamp,
-        State,
+        Change, Domain, EvacuationRecord, Evacuations, MAX_DOMAINS, Progress, REWRITE_TIME,
+        Registration, Stamp, State,
     },
     wire::{Names, Protocol},
 };
@@ -71,7 +71,7 @@
 }
 
 fn stamp(epoch: u32, end: u64) -> Stamp {
-    Stamp { epoch, end }
+    Stamp { era: 0, epoch, end }
 }
 
 fn domains(names: &[&str]) -> BTreeSet<Domain> {
@@ -79,7 +79,7 @@
 }
 
 fn state(epoch: u32, end: u64, names: &[&str]) -> Evacuations {
-    Evacuations { epoch, end, domains: domains(names) }
+    Evacuations { epoch, end, domains: domains(names), ..Evacuations::default() }
 }
 
 fn record(offset: u64, domain: &str, is_evacuated: bool) -> EvacuationRecord {
@@ -530,7 +530,8 @@
     assert_eq!(own.apply_newest(started, 82, all.clone()), Progress::Continue);
     assert_eq!(own.domains.len(), MAX_DOMAINS);
     let mut peer = state(0, 1, &[]);
-    let too_many = Evacuations { epoch: 0, end: 99, domains: all.into_iter().collect() };
+    let too_many =
+        Evacuations { end: 99, domains: all.into_iter().collect(), ..Evacuations::default() };
     assert!(!peer.adopt(&too_many));
     assert!(!peer.adopt(&state(0, 99, &[""])));
 }
@@ -545,3 +546,41 @@
     put(&gateway, registration("w", "nowhere"));
     assert_eq!(open(&gateway, SERVICE), ["u", "v"]);
 }
+
+/// The store comes back from an older copy: what is read at offsets of the era before is not applied, and
+/// the domains evacuated before stay so until they are written again or the hold ends.
+#[test]
+fn later_era() {
+    let mut own = state(2, 9, &["a", "b"]);
+    let started = own.stamp();
+    assert!(own.begin_era(1));
+    assert!(!own.begin_era(1));
+    assert!(own.stamp() > started, "peers adopt a later era in spite of its lower offsets");
+    let read = [record(9, "c", true)];
+    assert_eq!(own.apply_records(started, 9, 10, &read), Progress::ReadNewest);
+    assert_eq!(own.apply_newest(own.stamp(), 4, domains(&["a"])), Progress::Continue);
+    assert_eq!((names(&own.domains), names(&own.in_force())), (vec!["a"], vec!["a", "b"]));
+    let mut peer = state(0, 99, &["d"]);
+    assert!(peer.adopt(&own));
+    assert_eq!(names(&peer.in_force()), ["a", "d"]);
+    assert!(!own.adopt(&state(5, 200, &["e"])), "a state of an earlier era is older");
+    let taken_back = [record(4, "b", true), record(5, "b", false)];
+    assert_eq!(own.apply_records(own.stamp(), 4, 6, &taken_back), Progress::Continue);
+    assert_eq!(names(&own.in_force()), ["a"]);
+    peer.end_hold();
+    assert_eq!(names(&peer.in_force()), ["a"]);
+}
+
+/// An evacuation that the older copy lacks holds for a while and ends if nobody writes it again.
+#[test]
+fn lost_evacuation_held() {
+    let (gateway, clock) = daemon();
+    read_newest(&gateway, 9, &["a"]);
+    assert!(gateway.begin_evacuation_era(1));
+    read_newest(&gateway, 4, &[]);
+    gateway.end_evacuation_hold();
+    assert!(gateway.is_evacuated("a"));
+    clock.advance(REWRITE_TIME);
+    gateway.end_evacuation_hold();
+    assert!(!gateway.is_evacuated("a"));
+}
--- a/crates/gateway/tests/hostile_bytes.rs
+++ b/crates/gateway/tests/hostile_bytes.rs
@@ -69,6 +69,7 @@
         config: 3,
         config_checked_ms: Some(20),
         evacuations: Evacuations::default(),
+        registry_era: 1,
         registry_end: 40,
         registry_digest: 5,
         peers: vec![SocketAddr::from(([10, 0, 0, 3], 7_200))],
@@ -83,6 +84,7 @@
             Packet::Heartbeat(heartbeat()),
             Packet::Loads(7, vec![Load { upstream: 1, in_flight: 2, report: None }; 3]),
             Packet::Relay(Relay {
+                era: 1,
                 from: 1,
                 to: 4,
                 is_trusted: true,
@@ -102,7 +104,7 @@
 #[test]
 fn snapshots() {
     check(|noise, places| {
-        let valid = Snapshot { end: 4, registrations: vec![registration()] };
+        let valid = Snapshot { era: 1, end: 4, registrations: vec![registration()] };
         let valid = postcard::to_allocvec(&valid).unwrap();
         let _decoded: Result<Snapshot, _> = postcard::from_bytes(&mutate(&valid, &noise, &places));
         TestResult::passed()
--- a/crates/gateway/tests/peer_table.rs
+++ b/crates/gateway/tests/peer_table.rs
@@ -28,6 +28,7 @@
         config: 1,
         config_checked_ms: None,
         evacuations: Evacuations::default(),
+        registry_era: 0,
         registry_end: 0,
         registry_digest: 0,
         peers: Vec::new(),
--- a/crates/gateway/tests/registry_fold.rs
+++ b/crates/gateway/tests/registry_fold.rs
@@ -112,10 +112,10 @@
     let mut fold = Fold::new(GRACE);
     fold.apply(now, put("u", 1));
     fold.apply(now, put("v", 1));
-    let changes = fold.replace(now, vec![upstream("v", 1), upstream("w", 1)], 9);
+    let changes = fold.replace(now, vec![upstream("v", 1), upstream("w", 1)], 0, 9);
     assert_eq!(changes, [put("w", 1), removed("u")]);
     assert_eq!(fold.end(), 9);
-    assert!(fold.replace(now, Vec::new(), 8).is_empty(), "an older list is ignored");
+    assert!(fold.replace(now, Vec::new(), 0, 8).is_empty(), "an older list is ignored");
 }
 
 /// The digest depends on the entries only, not on the order or number of changes.
--- a/crates/gateway/tests/registry_relay.rs
+++ b/crates/gateway/tests/registry_relay.rs
@@ -34,7 +34,7 @@
     let check = |records: u64, changes: usize, parts: usize| {
         let changes: Vec<_> = (0..changes).map(|it| (100 + it as u64, put(it))).collect();
         let (from, to) = (100, 100 + records);
-        let relay = Relay { from, to, is_trusted: true, changes: changes.clone() };
+        let relay = Relay { era: 0, from, to, is_trusted: true, changes: changes.clone() };
         let res = relay.split(10);
         assert_eq!(res.len(), parts);
         assert_eq!((res[0].from, res[parts - 1].to), (100, 100 + records));
@@ -57,7 +57,7 @@
             changes.map(|(it, _)| (it as u64, put(it)))
         };
         let to = records.len() as u64;
-        let relay = Relay { from: 0, to, is_trusted: true, changes: changed(0).collect() };
+        let relay = Relay { era: 0, from: 0, to, is_trusted: true, changes: changed(0).collect() };
         // The changes before the receiver's own end were superseded there: it must not apply them.
         let own = ahead.checked_rem(records.len() + 1).unwrap_or_default();
         let (mut end, mut known) = (own as u64, BTreeSet::new());
