--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -72,6 +72,7 @@
     trace.version = table.version;
     let head = &message.head;
     let admission = Admission::new(gateway, Rc::clone(&table), head).map_err(|denied| {
+        trace.route = find(&table, head).ok().map(|it| it.id.clone());
         // It may have taken long to arrive, or to wait behind others on its connection.
         let earlier = table_before.filter(|it| !Rc::ptr_eq(it, &table));
         match earlier.map(|it| Admission::new(gateway, it, head)) {
