gateway: the usual headers are parsed without an allocation

Since the number of headers is not bounded, each head was parsed into a vector, also when few headers came. The usual number has an array on the stack again; only a head with more gets a vector of its own size.

Measured: message_reading, hostile_bytes, memory_pressure, answer_memory and denied_requests pass (35 tests).

--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -83,12 +83,13 @@
         if is_long_and_incomplete(buffer, limit)? {
             return Ok(None);
         }
-        let mut headers = vec![httparse::EMPTY_HEADER; USUAL_HEADERS];
-        let mut parsed = httparse::Request::new(&mut headers);
+        let mut usual = [httparse::EMPTY_HEADER; USUAL_HEADERS];
+        let mut many;
+        let mut parsed = httparse::Request::new(&mut usual);
         let mut res = parsed.parse(buffer);
         if res == Err(httparse::Error::TooManyHeaders) {
-            headers = vec![httparse::EMPTY_HEADER; max_headers(buffer, limit)];
-            parsed = httparse::Request::new(&mut headers);
+            many = vec![httparse::EMPTY_HEADER; max_headers(buffer, limit)];
+            parsed = httparse::Request::new(&mut many);
             res = parsed.parse(buffer);
         }
         let status = res.map_err(malformed)?;
@@ -118,14 +119,15 @@
         if is_long_and_incomplete(buffer, limit)? {
             return Ok(None);
         }
-        let mut headers = vec![httparse::EMPTY_HEADER; USUAL_HEADERS];
-        let mut parsed = httparse::Response::new(&mut headers);
+        let mut usual = [httparse::EMPTY_HEADER; USUAL_HEADERS];
+        let mut many;
+        let mut parsed = httparse::Response::new(&mut usual);
         let mut res = parsed.parse(buffer);
         if res == Err(httparse::Error::TooManyHeaders) {
             // Unlike a request's, the list of an answer's headers is not counted as memory held.
             let count = max_headers(buffer, limit).min(limit / size_of::<Header>());
-            headers = vec![httparse::EMPTY_HEADER; count];
-            parsed = httparse::Response::new(&mut headers);
+            many = vec![httparse::EMPTY_HEADER; count];
+            parsed = httparse::Response::new(&mut many);
             res = parsed.parse(buffer);
         }
         let status = res.map_err(malformed)?;
