soak, standin: one place writes the request line and the usual headers

The soak wrote the platform's names of headers beside the stand-in, which has them for every other request. config::head serves both; the bytes are the same.

--- a/crates/soak/src/form.rs
+++ b/crates/soak/src/form.rs
@@ -92,11 +92,9 @@
     let start = if has(Form::EmptyLine) { "\r\n" } else { "" };
     let origin = if has(Form::AbsoluteTarget) { format!("http://{host}") } else { String::new() };
     let fraction = if has(Form::FractionalDeadline) { ".25" } else { "" };
-    let mut out = format!(
-        "{start}{method} {origin}{path} HTTP/1.1\r\nHost: {host}\r\n\
-         X-Fireflydrum-Request-Id: {id}\r\nX-Fireflydrum-Deadline-Ms: 5000{fraction}\r\n"
-    )
-    .into_bytes();
+    let head =
+        config::head(method, &format!("{origin}{path}"), &host, id, &format!("5000{fraction}"));
+    let mut out = format!("{start}{head}").into_bytes();
     if has(Form::Expect) {
         out.extend(b"Expect: 100-continue\r\n");
     }
