gateway: logs and metrics tell what a denial rests on

A host with an old configuration looked like a caller that asks for a route that does not exist.

Change: lines about denials that the daemon makes itself name the newest version known of, and how long ago nothing newer existed, counted in time since boot from the start of the read that showed it. fireflydrum_own_denials_total counts them by that knowledge; fireflydrum_newest_config_version and fireflydrum_stalls_total, with event=was-stalled, are new.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -5,7 +5,7 @@
 mod manual;
 mod system;
 
-use std::time::{Instant, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 pub use manual::Manual;
 pub use system::System;
@@ -15,6 +15,10 @@
     /// Monotonic time, for deadlines and intervals.
     fn now(&self) -> Instant;
 
+    /// Time since boot, including suspension, which [`Self::now`] leaves out. For the age of what
+    /// others have said.
+    fn since_boot(&self) -> Duration;
+
     /// Wall-clock time, for timestamps in logs and records.
     fn wall(&self) -> SystemTime;
 }
--- a/crates/clock/src/manual.rs
+++ b/crates/clock/src/manual.rs
@@ -41,6 +41,10 @@
         self.origin + self.elapsed()
     }
 
+    fn since_boot(&self) -> Duration {
+        self.elapsed()
+    }
+
     fn wall(&self) -> SystemTime {
         SystemTime::UNIX_EPOCH + self.elapsed()
     }
--- a/crates/clock/src/system.rs
+++ b/crates/clock/src/system.rs
@@ -1,6 +1,8 @@
 //! The operating system's clock.
 
-use std::time::{Instant, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
+
+use rustix::time::{ClockId, clock_gettime};
 
 use crate::Clock;
 
@@ -13,6 +15,11 @@
         Instant::now()
     }
 
+    fn since_boot(&self) -> Duration {
+        // The clock never shows a negative time.
+        Duration::try_from(clock_gettime(ClockId::Boottime)).unwrap_or_default()
+    }
+
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -514,13 +514,14 @@
 
 /// Refuses a request that was not read to its end.
 fn refuse(gateway: &Gateway, refusal: Refusal) -> Reply {
-    gateway.metrics.count_unread(refusal.status, refusal.reason);
+    gateway.metrics.count_unread(refusal.status, refusal.reason, || gateway.knowledge());
     let limit = gateway.settings().failure_lines_per_s;
     if gateway.log_limiter.borrow_mut().allows(gateway.now(), refusal.reason, limit) {
         log::info!(
             target: "request",
-            "event=request-refused status={} reason={} origin={} config={}",
-            refusal.status, refusal.reason, Origin::Daemon.name(), gateway.version()
+            "event=request-refused status={} reason={} origin={} config={} {}",
+            refusal.status, refusal.reason, Origin::Daemon.name(), gateway.version(),
+            gateway.knowledge_text()
         );
     }
     Reply::refuse(refusal, None)
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -1,9 +1,11 @@
 //! Configuration published by operators: routes, services and limits on callers.
 
+mod confirmation;
 mod gap;
 mod idempotence;
 mod key_digest;
 mod key_index;
+mod knowledge;
 mod limits;
 mod role;
 mod route;
@@ -12,9 +14,11 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
+pub use confirmation::{BootTime, Confirmation};
 pub use gap::Gap;
 pub use idempotence::Idempotence;
 pub use key_digest::KeyDigest;
+pub use knowledge::Knowledge;
 pub use limits::Limits;
 pub use role::Role;
 pub use route::{Part, Route};
--- /dev/null
+++ b/crates/gateway/src/config/knowledge.rs
@@ -0,0 +1,27 @@
+//! How much a daemon knows about which configuration is the newest.
+
+/// How much a daemon knows about whether its configuration is the newest.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Knowledge {
+    /// It has no configuration.
+    Missing,
+    /// A newer configuration exists that is not in force here.
+    Behind,
+    /// Nothing newer is known of, but the last confirmation is too old.
+    Outdated,
+    /// Within the time limit for applying a configuration, nothing newer existed.
+    Recent,
+}
+
+impl Knowledge {
+    /// Name in logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Missing => "missing",
+            Self::Behind => "behind",
+            Self::Outdated => "outdated",
+            Self::Recent => "recent",
+        }
+    }
+}
--- a/crates/gateway/src/follow/configuration.rs
+++ b/crates/gateway/src/follow/configuration.rs
@@ -10,7 +10,7 @@
 
 use super::{Availability, CALL_TIMEOUT, call, evacuation};
 use crate::{
-    config::Role,
+    config::{Confirmation, Role},
     gateway::Gateway,
     platform::{Batch, Error, Offset, Platform, Topic},
     registry::{Progress, Stamp},
@@ -137,6 +137,7 @@
     /// Reads the store once; it may hold the read back for up to `wait`.
     async fn read(&mut self, wait: Duration) {
         let gateway = Rc::clone(&self.gateway);
+        let started = gateway.since_boot();
         let stamp = gateway.evacuation_stamp();
         let from = self.end.filter(|_| self.stamp.shares_offsets(stamp));
         let res = match from {
@@ -155,6 +156,11 @@
                 self.pause = MIN_RETRY_PAUSE;
                 let progress = self.apply_batch(stamp, from, &it);
                 gateway.config_confirmed.set(Some(gateway.now()));
+                if progress == Progress::Continue {
+                    let took = gateway.since_boot().saturating_sub(started);
+                    let at = started + held_for(&it, wait, took);
+                    gateway.update_confirmation(|it| it.confirm(gateway.version(), at));
+                }
                 gateway.heartbeat_wanted.notify_one();
                 if progress == Progress::ReadNewest {
                     self.end = None;
@@ -242,6 +248,7 @@
                 if std::mem::replace(&mut self.rejected, hash) == hash {
                     return;
                 }
+                self.gateway.update_confirmation(Confirmation::reject);
                 self.gateway.metrics.config_findings.inc_by(findings.len() as u64);
                 log::error!(
                     target: "belief",
@@ -276,6 +283,12 @@
     reported.chain(own).min()
 }
 
+/// Time after the start of a read that took `took` until which the store certainly held it back. It may
+/// have answered long before the answer was processed.
+fn held_for(batch: &Batch, wait: Duration, took: Duration) -> Duration {
+    if batch.records.is_empty() && took >= wait { wait } else { Duration::ZERO }
+}
+
 /// Waits until the newest confirmation of the configuration is older than `max_age`.
 async fn unconfirmed(gateway: &Gateway, max_age: Duration) {
     while confirmation_age(gateway).is_some_and(|it| it < max_age) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,6 +4,7 @@
 //! a whole.
 
 mod evacuation;
+mod knowledge;
 mod quotas;
 mod temperatures;
 mod withdrawals;
@@ -23,7 +24,7 @@
 
 use crate::{
     Settings,
-    config::{self, Config, RouteId, ServiceId, Table, Version},
+    config::{self, Config, Confirmation, RouteId, ServiceId, Table, Version},
     decision::Limiter,
     dispatcher::Dispatcher,
     load::{self, Budget, HostKey, Queue, Service},
@@ -88,6 +89,8 @@
     pub registered_in: Cell<Option<Era>>,
     /// When the store last confirmed which configuration is the newest.
     pub config_confirmed: Cell<Option<Instant>>,
+    /// What is known about which configuration is the newest.
+    pub confirmation: Cell<Confirmation>,
     /// Requests received since the start.
     pub request_count: Cell<u64>,
     /// Requests in progress.
@@ -157,6 +160,7 @@
             activity: RefCell::new(peer::Activity::new(now)),
             registered_in: Cell::new(None),
             config_confirmed: Cell::new(None),
+            confirmation: Cell::default(),
             request_count: Cell::new(0),
             in_progress: Cell::new(0),
             stop: stop::State::default(),
@@ -277,6 +281,7 @@
             "event=config-in-force version={version} before={old} routes={routes} source={source}"
         );
         self.metrics.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.update_confirmation(|it| it.put_in_force(version));
         self.update_phase();
         true
     }
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -281,6 +281,7 @@
         let gateway = &self.gateway;
         let now = gateway.now();
         let is_newer = heartbeat.config > gateway.version();
+        gateway.update_confirmation(|it| it.announce(heartbeat.config));
         let (era, end, digest) =
             (heartbeat.registry_era, heartbeat.registry_end, heartbeat.registry_digest);
         let wants_reply = heartbeat.wants_reply;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -14,7 +14,7 @@
 };
 
 use crate::{
-    config::TenantId,
+    config::{Knowledge, TenantId},
     decision::Origin,
     memory::{Account, Kind},
 };
@@ -51,6 +51,15 @@
     pub reason: &'static str,
 }
 
+/// Labels of requests that the daemon itself ended with a status from 300 to 499.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct OwnDenial {
+    /// Status sent to the caller.
+    pub status: u16,
+    /// What was known about whether the configuration was the newest.
+    pub knowledge: &'static str,
+}
+
 /// Labels of a tenant's requests.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct TenantRequest {
@@ -129,6 +138,8 @@
     pub requests: Family<Request, Counter>,
     /// Requests that ended with a status from 300 to 499.
     pub denials: Family<Denial, Counter>,
+    /// Requests that the daemon itself ended with a status from 300 to 499.
+    pub own_denials: Family<OwnDenial, Counter>,
     /// Requests of tenants that have ended.
     pub tenant_requests: Family<TenantRequest, Counter>,
     /// Time from reading a request to its answer.
@@ -163,6 +174,10 @@
     pub peers: Gauge,
     /// Version of the configuration in force.
     pub config_version: Gauge,
+    /// Highest version of the configuration that is known to exist.
+    pub newest_config_version: Gauge,
+    /// Times for which the process did not run.
+    pub stalls: Counter,
     /// Evacuated failure domains.
     pub evacuated_domains: Gauge,
     /// Unix time in seconds since when this daemon has known that a failure domain is evacuated.
@@ -179,6 +194,7 @@
         let mut res = Self {
             requests: Family::default(),
             denials: Family::default(),
+            own_denials: Family::default(),
             tenant_requests: Family::default(),
             latency: Family::new_with_constructor(latency_histogram),
             waits: Family::new_with_constructor(latency_histogram),
@@ -196,6 +212,8 @@
             quota_requests: Family::default(),
             peers: Gauge::default(),
             config_version: Gauge::default(),
+            newest_config_version: Gauge::default(),
+            stalls: Counter::default(),
             evacuated_domains: Gauge::default(),
             evacuated_since: Family::default(),
             config_findings: Counter::default(),
@@ -216,15 +234,31 @@
     }
 
     /// Counts a request that was refused before it was read to its end.
-    pub fn count_unread(&self, status: u16, reason: &'static str) {
+    pub fn count_unread(
+        &self,
+        status: u16,
+        reason: &'static str,
+        knowledge: impl FnOnce() -> Knowledge,
+    ) {
         self.requests.get_or_create(&Request { route: String::new(), status, reason }).inc();
-        self.count_denial(status, Origin::Daemon, reason);
+        self.count_denial(status, Origin::Daemon, reason, knowledge);
     }
 
     /// Counts a request that has ended if its status is from 300 to 499.
-    pub fn count_denial(&self, status: u16, origin: Origin, reason: &'static str) {
-        if (300..500).contains(&status) {
-            self.denials.get_or_create(&Denial { status, origin: origin.name(), reason }).inc();
+    pub fn count_denial(
+        &self,
+        status: u16,
+        origin: Origin,
+        reason: &'static str,
+        knowledge: impl FnOnce() -> Knowledge,
+    ) {
+        if !(300..500).contains(&status) {
+            return;
+        }
+        self.denials.get_or_create(&Denial { status, origin: origin.name(), reason }).inc();
+        if origin == Origin::Daemon {
+            let knowledge = knowledge().name();
+            self.own_denials.get_or_create(&OwnDenial { status, knowledge }).inc();
         }
     }
 
@@ -291,6 +325,8 @@
         let it = &mut self.registry;
         it.register("requests", "Requests that have ended", self.requests.clone());
         it.register("denials", "Requests ended with 3xx or 4xx", self.denials.clone());
+        let own_denials = self.own_denials.clone();
+        it.register("own_denials", "Of these, by the daemon and what it knew", own_denials);
         let tenant_requests = self.tenant_requests.clone();
         it.register("tenant_requests", "Requests of tenants that have ended", tenant_requests);
         it.register("latency_seconds", "From reading to answering", self.latency.clone());
@@ -318,6 +354,9 @@
         );
         it.register("peers", "Peers that are alive", self.peers.clone());
         it.register("config_version", "Configuration in force", self.config_version.clone());
+        let newest = self.newest_config_version.clone();
+        it.register("newest_config_version", "Newest configuration known of", newest);
+        it.register("stalls", "Times for which the process did not run", self.stalls.clone());
         let evacuated = self.evacuated_domains.clone();
         it.register("evacuated_domains", "Failure domains that are evacuated", evacuated);
         let since = self.evacuated_since.clone();
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -35,6 +35,8 @@
 /// Difference between the advance of two clocks from which the host is assumed to have been
 /// suspended.
 const SUSPENSION_THRESHOLD: Duration = Duration::from_millis(250);
+/// Delay of the periodic work from which the process is assumed not to have run.
+const STALL_THRESHOLD: Duration = Duration::from_millis(500);
 /// Interval at which a leaving daemon checks whether it may stop.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which the settings file is checked for changes without a signal.
@@ -252,7 +254,7 @@
 async fn tick(gateway: Rc<Gateway>) {
     let mut last_sweep = gateway.now();
     let mut last_measured = gateway.now();
-    let mut last_clocks = (gateway.now(), since_boot());
+    let mut last_clocks = (gateway.now(), gateway.since_boot());
     loop {
         tokio::time::sleep(TICK_INTERVAL).await;
         let now = gateway.now();
@@ -290,29 +292,27 @@
     Some(pages * rustix::param::page_size() as u64)
 }
 
-/// Detects that the host was suspended: the monotonic clock stops during suspension, the clock
-/// since boot does not. The registry may be outdated then and is read again.
+/// Detects that the host was suspended, when the monotonic clock stops and the clock since boot does
+/// not, or that the process did not run. After a suspension the registry may be outdated and is read
+/// again.
 fn check_suspension(
     gateway: &Gateway,
     last_clocks: (Instant, Duration),
     now: Instant,
 ) -> (Instant, Duration) {
-    let boot = since_boot();
+    let boot = gateway.since_boot();
     let steady = now.duration_since(last_clocks.0);
     let asleep = boot.saturating_sub(last_clocks.1).saturating_sub(steady);
     if asleep >= SUSPENSION_THRESHOLD {
         log::warn!(target: "belief", "event=was-suspended asleep_ms={}", asleep.as_millis());
         gateway.registry_wanted.notify_one();
+    } else if steady >= TICK_INTERVAL + STALL_THRESHOLD {
+        log::warn!(target: "belief", "event=was-stalled stalled_ms={}", steady.as_millis());
+        gateway.metrics.stalls.inc();
     }
     (now, boot)
 }
 
-/// Time since boot, including suspension.
-fn since_boot() -> Duration {
-    let it = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
-    Duration::try_from(it).unwrap_or_default()
-}
-
 fn report_omitted(gateway: &Gateway) {
     let omitted = gateway.log_limiter.borrow_mut().take_omitted();
     if omitted > 0 {
--- a/crates/gateway/src/request/guard.rs
+++ b/crates/gateway/src/request/guard.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use crate::{
-    decision::{SUCCESS, Trace},
+    decision::{Origin, SUCCESS, Trace},
     gateway::Gateway,
 };
 
@@ -37,7 +37,8 @@
         let took = now.saturating_duration_since(self.trace.received);
         let route = self.trace.route.as_deref().unwrap_or_default();
         gateway.metrics.count(route, status, self.trace.reason, took);
-        gateway.metrics.count_denial(status, self.trace.origin, self.trace.reason);
+        let (origin, reason) = (self.trace.origin, self.trace.reason);
+        gateway.metrics.count_denial(status, origin, reason, || gateway.knowledge());
         if let Some(it) = &self.trace.tenant {
             gateway.metrics.count_tenant(it, status);
         }
@@ -49,7 +50,13 @@
             settings.failure_lines_per_s
         };
         if gateway.log_limiter.borrow_mut().allows(now, kind, limit) {
-            log::info!(target: "request", "{}", self.trace.log_line(status, now));
+            let line = self.trace.log_line(status, now);
+            match status {
+                300..500 if self.trace.origin == Origin::Daemon => {
+                    log::info!(target: "request", "{line} {}", gateway.knowledge_text());
+                }
+                _ => log::info!(target: "request", "{line}"),
+            }
         }
     }
 }
