--- /dev/null
+++ b/crates/daemon/tests/frozen_daemon.rs
@@ -0,0 +1,165 @@
+//! Daemons that don't run for a while and then find requests, datagrams and answers of the store
+//! waiting.
+
+use std::{
+    fs::{self, File},
+    io::{Read, Write},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    path::PathBuf,
+    process::{self, Child, Command, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+use platform_standin::{
+    Store, Upstream,
+    config::{self, Route},
+};
+use rustix::process::{Pid, Signal, kill_process};
+
+/// Timeout of every wait.
+const TIMEOUT: Duration = Duration::from_secs(30);
+/// Time limit for applying a configuration in the settings.
+const CONFIG_APPLY: Duration = Duration::from_secs(2);
+/// Requests sent to a stopped daemon.
+const REQUESTS: usize = 30;
+/// Base of the loopback addresses; the process id is added to it.
+const BASE: u32 = 0x7f40_0000;
+
+/// Processes of a fleet, each with the address for its callers. They end with the test.
+struct Fleet {
+    store: Store,
+    daemons: Vec<(Child, SocketAddr)>,
+    _upstream: Upstream,
+}
+
+impl Fleet {
+    /// Starts `count` daemons and waits until each answers requests.
+    fn start(name: &str, count: u32) -> Self {
+        let store = Store::start();
+        let upstream = Upstream::start("u");
+        store.put(config::UPSTREAMS, "u", &upstream.entry("stock", "ready"));
+        store.put(config::TOPIC, config::KEY, &configuration(3));
+        // All daemons of a fleet use one port for each other, on addresses of their own.
+        let ip = |number: u32| Ipv4Addr::from_bits(BASE + (number << 22) + process::id());
+        let seed = TcpListener::bind((ip(0), 0)).unwrap().local_addr().unwrap();
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let start = |number| {
+            let listeners = [(); 4].map(|()| TcpListener::bind((ip(number), 0)).unwrap());
+            let [callers, ready, directory, metrics] =
+                listeners.map(|it| it.local_addr().expect("an address"));
+            let peers = SocketAddr::from((ip(number), seed.port()));
+            let text = format!(
+                "[gateway]\nhost = h{number}\ndomain = a\ncaller_address = {callers}\n\
+                 ready_address = {ready}\ndirectory_address = {directory}\n\
+                 peer_address = {peers}\nmetrics_address = {metrics}\nseeds = {seed}\n\
+                 store_address = {}\nconfig_apply = {}ms\n",
+                store.address,
+                CONFIG_APPLY.as_millis()
+            );
+            let settings = folder.join(format!("{name}-{number}.ini"));
+            fs::write(&settings, text).expect("settings are written");
+            let log = File::create(folder.join(format!("{name}-{number}.log"))).expect("a log");
+            let child = Command::new(env!("CARGO_BIN_EXE_fireflydrumd"))
+                .arg(&settings)
+                .stdin(Stdio::null())
+                .stdout(log)
+                .spawn()
+                .expect("the daemon starts");
+            (child, callers)
+        };
+        let daemons: Vec<_> = (0..count).map(start).collect();
+        let res = Self { store, daemons, _upstream: upstream };
+        for (_, callers) in &res.daemons {
+            await_served(*callers, "/read/1");
+        }
+        res
+    }
+
+    fn signal(&self, number: usize, signal: Signal) {
+        let pid = i32::try_from(self.daemons[number].0.id()).ok().and_then(Pid::from_raw);
+        kill_process(pid.expect("an id"), signal).expect("the signal is sent");
+    }
+
+    /// Stops a daemon while the configuration `version` comes, and returns the statuses of requests
+    /// for a route that only this configuration has. They are sent beyond the time limit for
+    /// applying it, before the daemon runs again.
+    fn deny_while_stopped(&self, number: usize, version: u64) -> Vec<u16> {
+        self.signal(number, Signal::STOP);
+        thread::sleep(Duration::from_secs(1));
+        self.store.put(config::TOPIC, config::KEY, &configuration(version));
+        thread::sleep(CONFIG_APPLY + Duration::from_secs(1));
+        let path = config::own_path(version);
+        let streams: Vec<_> =
+            (0..REQUESTS).map(|_| send(self.daemons[number].1, &path).unwrap()).collect();
+        self.signal(number, Signal::CONT);
+        streams.into_iter().map(status).collect()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for (child, _) in &mut self.daemons {
+            drop(child.kill());
+            drop(child.wait());
+        }
+    }
+}
+
+/// A configuration with a route that no other version has.
+fn configuration(version: u64) -> String {
+    let own = config::own_path(version);
+    let route = |name, prefix| Route { name, prefix, is_idempotent: true };
+    config::text(version, &[route("read", "/read/"), route("own", &own)])
+}
+
+fn send(callers: SocketAddr, path: &str) -> std::io::Result<TcpStream> {
+    let mut stream = TcpStream::connect(callers)?;
+    stream.set_read_timeout(Some(TIMEOUT))?;
+    stream.write_all(config::request("GET", path, "id-1", true).as_bytes())?;
+    Ok(stream)
+}
+
+/// Status of the answer; 0 without one.
+fn status(mut stream: TcpStream) -> u16 {
+    let mut text = String::new();
+    drop(stream.read_to_string(&mut text));
+    text.split(' ').nth(1).and_then(|it| it.parse().ok()).unwrap_or_default()
+}
+
+/// Sends requests until one is served. None may get a final refusal.
+fn await_served(callers: SocketAddr, path: &str) {
+    let until = Instant::now() + TIMEOUT;
+    loop {
+        match send(callers, path).map(status) {
+            Ok(200) => return,
+            Ok(0 | 503) | Err(_) => {}
+            Ok(it) => panic!("status {it}"),
+        }
+        assert!(Instant::now() < until, "{path} is not served");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn check(name: &str, count: u32) {
+    let fleet = Fleet::start(name, count);
+    for (number, version) in (0..fleet.daemons.len()).zip(4..) {
+        let statuses = fleet.deny_while_stopped(number, version);
+        let is_promise_or_answer = |it: &u16| matches!(it, 200 | 503);
+        assert!(statuses.iter().all(is_promise_or_answer), "daemon {number}: {statuses:?}");
+        await_served(fleet.daemons[number].1, &config::own_path(version));
+    }
+}
+
+/// A daemon that had been stopped while a configuration came answered requests for its routes with a
+/// final 404 before it read the configuration.
+#[test]
+fn alone() {
+    check("frozen-alone", 1);
+}
+
+/// As above, with peers: the heartbeats that had waited seemed to confirm the old configuration.
+#[test]
+fn beside_peers() {
+    check("frozen-peers", 3);
+}
