gateway: a final refusal needs a configuration known to be the newest

Callers got a final 404, 401, 431 or 413 for proper requests, from hosts whose configuration was complete but old: stopped or suspended while a newer one came, cut off from the store and from those who read it, restarted while the store was back from an older copy, or with a newer one that could not be read.

Cause: a refusal was decided by the configuration at hand alone. Nothing asked whether it was still the newest.

Change: such a refusal needs a confirmation, that is, a moment at which nothing newer existed, that is no older than the time limit for applying a configuration. The moment is taken from the start of a read of the store, or of a query to a peer, in time since boot, so neither what waited in a socket nor a suspension makes it look newer. Without one, the request waits at most 300 ms while two peers and then the store are asked; then it is served, or denied by the newest configuration, or gets 503 config-outdated. After a check that has failed, requests get 503 at once for 500 ms. A process that did not run asks without being asked.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -33,7 +33,7 @@
     http::{self, Body, Message, Reader},
     memory::{Charge, Holder, Kind, Stage},
     peer::Phase,
-    request::{Refusal, Reply},
+    request::{self, Refusal, Reply},
     socket,
 };
 
@@ -220,8 +220,8 @@
                 }
                 // Without valid framing, no further request can be read.
                 Err(e) => {
-                    let reply = parse_error(&self.gateway, &e);
-                    self.end_with(Reply { closes_connection: true, ..reply });
+                    let gateway = Rc::clone(&self.gateway);
+                    self.end_after(async move { parse_error(&gateway, e).await });
                 }
             }
         }
@@ -337,13 +337,18 @@
     fn refuse_body(&mut self) {
         let bytes = self.holder.bytes.get();
         shed::record(&self.gateway, "body-memory", format_args!("bytes={bytes}"));
-        self.end_with(Reply { closes_connection: true, ..out_of_memory(&self.gateway) });
+        self.end_with(close_with(&self.gateway, out_of_memory()));
     }
 
     /// Answers with `reply` and starts no further requests.
     fn end_with(&mut self, reply: Reply) {
+        self.end_after(async { reply });
+    }
+
+    /// As [`Self::end_with`], once the reply is known.
+    fn end_after(&mut self, reply: impl Future<Output = Reply> + 'static) {
         self.stop_accepting();
-        self.pending.push_back(Box::pin(async { reply }));
+        self.pending.push_back(Box::pin(reply));
     }
 
     /// Whether a request has been received in part and none is in progress.
@@ -475,26 +480,41 @@
     held.saturating_sub(REQUEST_BYTES)
 }
 
-fn parse_error(gateway: &Gateway, e: &http::Error) -> Reply {
-    let (status, gap) = match e {
-        http::Error::HeadTooLarge(_) => (431, Some(Gap::HeadLimit)),
-        http::Error::BodyTooLarge(_) => (413, Some(Gap::BodyLimit)),
-        http::Error::OutOfMemory => return out_of_memory(gateway),
-        http::Error::Malformed(_) | http::Error::Framing(_) => (400, None),
+/// Answers a request that can't be read.
+async fn parse_error(gateway: &Gateway, e: http::Error) -> Reply {
+    let refusal = match e {
+        http::Error::OutOfMemory => return close_with(gateway, out_of_memory()),
+        http::Error::Malformed(_) | http::Error::Framing(_) => denial(400, &e),
+        http::Error::HeadTooLarge(limit) => {
+            let is_raised = |it: &Limits| it.head_bytes > limit;
+            over_limit(gateway, Gap::HeadLimit, is_raised).await.unwrap_or_else(|| denial(431, &e))
+        }
+        http::Error::BodyTooLarge(limit) => {
+            let is_raised = |it: &Limits| it.body_bytes > limit;
+            over_limit(gateway, Gap::BodyLimit, is_raised).await.unwrap_or_else(|| denial(413, &e))
+        }
     };
-    if let Some(it) = gap.and_then(|it| unknown_limit(gateway, it)) {
-        return refuse(gateway, it);
-    }
-    let (reason, message) = (e.reason(), e.to_string());
-    refuse(gateway, Refusal { status, reason, message, retry_after: None })
+    close_with(gateway, refusal)
+}
+
+/// A final refusal of a request that can't be read.
+fn denial(status: u16, e: &http::Error) -> Refusal {
+    Refusal { status, reason: e.reason(), message: e.to_string(), retry_after: None }
 }
 
-/// Refusal of a request that exceeds a default while the operator's own limit, which may be higher, is
-/// not known.
-fn unknown_limit(gateway: &Gateway, gap: Gap) -> Option<Refusal> {
+/// Refusal of a request over a limit while the operator's newest limit may be higher.
+async fn over_limit(
+    gateway: &Gateway,
+    gap: Gap,
+    is_raised: impl Fn(&Limits) -> bool,
+) -> Option<Refusal> {
+    if let Err(it) = request::confirm(gateway).await {
+        return Some(it);
+    }
     match gateway.table() {
         None => Some(Refusal::not_ready()),
-        Some(it) => it.gaps.contains(&gap).then(Refusal::config_incomplete),
+        Some(it) if it.gaps.contains(&gap) => Some(Refusal::config_incomplete()),
+        Some(it) => is_raised(&it.limits).then(Refusal::limit_raised),
     }
 }
 
@@ -503,9 +523,9 @@
     close_with(gateway, Refusal { status: 408, reason: "slow-caller", message, retry_after: None })
 }
 
-fn out_of_memory(gateway: &Gateway) -> Reply {
+fn out_of_memory() -> Refusal {
     let message = "the bodies of other requests hold the memory for bodies".to_owned();
-    refuse(gateway, Refusal::not_run("body-memory", message, MEMORY_RETRY_AFTER))
+    Refusal::not_run("body-memory", message, MEMORY_RETRY_AFTER)
 }
 
 fn close_with(gateway: &Gateway, refusal: Refusal) -> Reply {
--- a/crates/gateway/src/config/confirmation.rs
+++ b/crates/gateway/src/config/confirmation.rs
@@ -3,10 +3,15 @@
 use std::time::Duration;
 
 use super::{Knowledge, Version};
+use crate::platform::Era;
 
 /// Time since boot, including suspension.
 pub type BootTime = Duration;
 
+/// Time after the store has come back from an older copy by which operators' records are written again,
+/// as those of upstreams are. Until then it may lack a configuration that it had.
+const REWRITE_TIME: Duration = Duration::from_millis(2_300);
+
 /// What a daemon knows about which configuration is the newest.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Confirmation {
@@ -16,6 +21,10 @@
     is_unreadable: bool,
     /// Latest moment at which nothing newer existed.
     confirmed_at: Option<BootTime>,
+    /// Latest era of the store that was read.
+    era: Era,
+    /// Until when reads of the store confirm nothing.
+    unsettled_until: BootTime,
 }
 
 impl Confirmation {
@@ -41,16 +50,28 @@
         self.is_unreadable = true;
     }
 
+    /// Records that the store was read at the moment `at`, in the era `era`, and had nothing newer than
+    /// `version`.
+    pub fn confirm_read(&mut self, version: Version, era: Era, at: BootTime) {
+        if era > self.era {
+            self.era = era;
+            self.unsettled_until = at + REWRITE_TIME;
+        }
+        if era == self.era && at >= self.unsettled_until {
+            self.confirm(version, at);
+        }
+    }
+
     /// Records that at the moment `at` nothing newer than `version` existed.
     pub fn confirm(&mut self, version: Version, at: BootTime) {
         self.announce(version);
         self.confirmed_at = self.confirmed_at.max(Some(at));
     }
 
-    /// Time since the moment of the last confirmation.
+    /// Time since the latest moment at which nothing newer than [`Self::newest`] existed.
     #[must_use]
     pub fn age(&self, now: BootTime) -> Option<Duration> {
-        self.confirmed_at.map(|it| now.saturating_sub(it))
+        self.confirmed_at.filter(|_| !self.is_unreadable).map(|it| now.saturating_sub(it))
     }
 
     /// How much is known about whether `own`, the version in force, is the newest. A confirmation counts
@@ -59,7 +80,8 @@
     pub fn knowledge(&self, own: Version, now: BootTime, max_age: Duration) -> Knowledge {
         match self.age(now) {
             _ if own == 0 => Knowledge::Missing,
-            _ if own < self.newest || self.is_unreadable => Knowledge::Behind,
+            _ if self.is_unreadable => Knowledge::Unreadable,
+            _ if own < self.newest => Knowledge::Behind,
             Some(it) if it < max_age => Knowledge::Recent,
             _ => Knowledge::Outdated,
         }
--- a/crates/gateway/src/config/knowledge.rs
+++ b/crates/gateway/src/config/knowledge.rs
@@ -5,6 +5,8 @@
 pub enum Knowledge {
     /// It has no configuration.
     Missing,
+    /// The newest configuration can't be read.
+    Unreadable,
     /// A newer configuration exists that is not in force here.
     Behind,
     /// Nothing newer is known of, but the last confirmation is too old.
@@ -19,6 +21,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Missing => "missing",
+            Self::Unreadable => "unreadable",
             Self::Behind => "behind",
             Self::Outdated => "outdated",
             Self::Recent => "recent",
--- a/crates/gateway/src/follow/configuration.rs
+++ b/crates/gateway/src/follow/configuration.rs
@@ -86,18 +86,28 @@
                 tokio::select! {
                     () = self.read(role.poll_time()) => {}
                     () = gateway.config_wanted.notified() => self.catch_up().await,
+                    () = gateway.config_unconfirmed.notified(), if is_held => {
+                        if self.is_behind() {
+                            self.catch_up().await;
+                        } else {
+                            self.read(Duration::ZERO).await;
+                        }
+                    }
                     // The connection of the read in progress may be dead: another one is used.
                     () = unconfirmed(&gateway, max_age), if is_held => self.read(Duration::ZERO).await,
                 }
                 continue;
             }
-            // A timeout means that no peer has announced a newer configuration.
-            let _elapsed =
-                tokio::time::timeout(CHECK_INTERVAL, gateway.config_wanted.notified()).await;
+            let is_unconfirmed = tokio::select! {
+                () = gateway.config_wanted.notified() => false,
+                () = gateway.config_unconfirmed.notified() => true,
+                // No peer has announced a newer configuration.
+                () = tokio::time::sleep(CHECK_INTERVAL) => false,
+            };
             if self.is_behind() {
                 self.catch_up().await;
             } else if !gateway.waits_for_peers()
-                && self.is_stale(role)
+                && (is_unconfirmed || self.is_stale(role))
                 && gateway.now() >= self.stale_read_from
             {
                 self.end = None;
@@ -159,7 +169,10 @@
                 if progress == Progress::Continue {
                     let took = gateway.since_boot().saturating_sub(started);
                     let at = started + held_for(&it, wait, took);
-                    gateway.update_confirmation(|it| it.confirm(gateway.version(), at));
+                    let era = it.era;
+                    gateway.update_confirmation(|confirmation| {
+                        confirmation.confirm_read(gateway.version(), era, at);
+                    });
                 }
                 gateway.heartbeat_wanted.notify_one();
                 if progress == Progress::ReadNewest {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -24,14 +24,14 @@
 
 use crate::{
     Settings,
-    config::{self, Config, Confirmation, RouteId, ServiceId, Table, Version},
+    config::{self, BootTime, Config, Confirmation, RouteId, ServiceId, Table, Version},
     decision::Limiter,
     dispatcher::Dispatcher,
     load::{self, Budget, HostKey, Queue, Service},
     memory::Memory,
     metrics::Metrics,
     peer::{
-        self, Departure, Phase,
+        self, Departure, Phase, QueryId,
         placement::{Daemon, Placement},
     },
     platform::Era,
@@ -87,10 +87,15 @@
     pub activity: RefCell<peer::Activity>,
     /// Era in which this daemon last registered in the store, where other daemons find it.
     pub registered_in: Cell<Option<Era>>,
-    /// When the store last confirmed which configuration is the newest.
+    /// When the last read of the configuration from the store was processed. Reads are scheduled by
+    /// this; refusals rest on [`Self::confirmation`].
     pub config_confirmed: Cell<Option<Instant>>,
     /// What is known about which configuration is the newest.
     pub confirmation: Cell<Confirmation>,
+    /// Last query to peers about the newest configuration, and when it was sent.
+    config_query: Cell<Option<(QueryId, BootTime)>>,
+    /// When a request last waited in vain for a confirmation of the configuration.
+    unconfirmed_at: Cell<Option<BootTime>>,
     /// Requests received since the start.
     pub request_count: Cell<u64>,
     /// Requests in progress.
@@ -109,6 +114,12 @@
     pub heartbeat_wanted: Notify,
     /// Notified when a peer has a newer configuration.
     pub config_wanted: Notify,
+    /// Notified when the configuration must be confirmed.
+    pub confirmation_wanted: Notify,
+    /// Notified when the newest configuration must be read, since no peer has confirmed this one.
+    pub config_unconfirmed: Notify,
+    /// Wakes all that wait when more is known about which configuration is the newest.
+    pub knowledge_changed: Notify,
     /// Notified when an upstream has said that it is leaving.
     pub departure_noticed: Notify,
     /// Notified when an upstream has said something new about its slow start.
@@ -161,6 +172,8 @@
             registered_in: Cell::new(None),
             config_confirmed: Cell::new(None),
             confirmation: Cell::default(),
+            config_query: Cell::new(None),
+            unconfirmed_at: Cell::new(None),
             request_count: Cell::new(0),
             in_progress: Cell::new(0),
             stop: stop::State::default(),
@@ -170,6 +183,9 @@
             registry_wanted: Notify::new(),
             heartbeat_wanted: Notify::new(),
             config_wanted: Notify::new(),
+            confirmation_wanted: Notify::new(),
+            config_unconfirmed: Notify::new(),
+            knowledge_changed: Notify::new(),
             departure_noticed: Notify::new(),
             temperature_noticed: Notify::new(),
             registry_relayed: Notify::new(),
@@ -282,6 +298,7 @@
         );
         self.metrics.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
         self.update_confirmation(|it| it.put_in_force(version));
+        self.knowledge_changed.notify_waiters();
         self.update_phase();
         true
     }
--- a/crates/gateway/src/gateway/knowledge.rs
+++ b/crates/gateway/src/gateway/knowledge.rs
@@ -1,7 +1,22 @@
-//! What the daemon knows about which configuration is the newest.
+//! What the daemon knows about which configuration is the newest, and what it does to find out.
+//!
+//! Callers never repeat a request after a final refusal, so a refusal that rests on the configuration
+//! needs one that was the newest within the time limit for applying a configuration. Whatever was
+//! published after that moment need not be in force yet.
+
+use std::time::Duration;
 
 use super::Gateway;
-use crate::config::{BootTime, Confirmation, Knowledge};
+use crate::{
+    config::{BootTime, Confirmation, Knowledge},
+    peer::{ConfigReply, QueryId},
+};
+
+/// Longest time for which a request waits until the configuration is confirmed. Peers answer within
+/// milliseconds, and so does the store.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after a confirmation that did not come in which no request waits for another.
+const CONFIRMATION_PAUSE: Duration = Duration::from_millis(500);
 
 impl Gateway {
     /// Time since boot, including suspension.
@@ -17,13 +32,78 @@
         self.confirmation.get().knowledge(self.version(), self.since_boot(), max_age)
     }
 
+    /// Waits until the configuration in force is known to be the newest, if that can be found out at
+    /// once, and returns what is known then.
+    pub async fn confirm_config(&self) -> Knowledge {
+        let timeout = tokio::time::sleep(CONFIRMATION_TIMEOUT);
+        tokio::pin!(timeout);
+        loop {
+            // Created before the check, so that no change is missed.
+            let changed = self.knowledge_changed.notified();
+            let knowledge = self.knowledge();
+            let is_unsure = matches!(knowledge, Knowledge::Behind | Knowledge::Outdated);
+            if !is_unsure || !self.confirmation_pause().is_zero() {
+                return knowledge;
+            }
+            self.confirmation_wanted.notify_one();
+            tokio::select! {
+                () = changed => {}
+                () = &mut timeout => {
+                    self.unconfirmed_at.set(Some(self.since_boot()));
+                    return self.knowledge();
+                }
+            }
+        }
+    }
+
+    /// Time until a request waits for a confirmation again; zero if one does now.
+    #[must_use]
+    pub fn confirmation_pause(&self) -> Duration {
+        let end = self.unconfirmed_at.get().map(|it| it + CONFIRMATION_PAUSE);
+        end.map_or(Duration::ZERO, |it| it.saturating_sub(self.since_boot()))
+    }
+
     /// Changes what is known about which configuration is the newest.
     pub fn update_confirmation(&self, change: impl FnOnce(&mut Confirmation)) {
         let mut confirmation = self.confirmation.get();
         change(&mut confirmation);
-        self.confirmation.set(confirmation);
-        let newest = i64::try_from(confirmation.newest()).unwrap_or(i64::MAX);
-        self.metrics.newest_config_version.set(newest);
+        if self.confirmation.replace(confirmation) != confirmation {
+            let newest = i64::try_from(confirmation.newest()).unwrap_or(i64::MAX);
+            self.metrics.newest_config_version.set(newest);
+            self.knowledge_changed.notify_waiters();
+        }
+    }
+
+    /// Starts a query to peers about the newest configuration; replies to earlier ones don't count any
+    /// more.
+    pub fn begin_config_query(&self) -> QueryId {
+        let id = fastrand::u64(..);
+        self.config_query.set(Some((id, self.since_boot())));
+        id
+    }
+
+    /// What this daemon knows about the newest configuration, in reply to a peer's query.
+    #[must_use]
+    pub fn config_reply(&self, query: QueryId) -> ConfigReply {
+        let confirmation = self.confirmation.get();
+        let age = confirmation.age(self.since_boot());
+        let age_ms = age.map(|it| u32::try_from(it.as_millis()).unwrap_or(u32::MAX));
+        ConfigReply { query, newest: confirmation.newest(), age_ms }
+    }
+
+    /// Records a reply. The peer took the age after the query was sent, so however long the reply took,
+    /// the confirmation is from no earlier than that age before the query.
+    pub fn record_config_reply(&self, reply: ConfigReply) {
+        let query = self.config_query.get().filter(|(id, _)| *id == reply.query);
+        let Some((_, sent)) = query else { return };
+        self.update_confirmation(|it| match reply.age_ms {
+            // Rounded up, as the peer has rounded down.
+            Some(age) => {
+                let age = Duration::from_millis(age.into()) + Duration::from_millis(1);
+                it.confirm(reply.newest, sent.saturating_sub(age));
+            }
+            None => it.announce(reply.newest),
+        });
     }
 
     /// What is known, for log lines about denied requests.
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -6,6 +6,7 @@
 
 mod activity;
 mod capacity;
+mod config_reply;
 mod packet;
 mod phase;
 pub mod placement;
@@ -14,6 +15,7 @@
 
 pub use activity::Activity;
 pub use capacity::Capacity;
+pub use config_reply::{ConfigReply, QueryId};
 pub use packet::{Departure, Heartbeat, Load, Packet, Relay, Temperature};
 pub use phase::Phase;
 pub use table::{Event, Peer, Sharers, Table};
--- a/crates/gateway/src/peer/packet.rs
+++ b/crates/gateway/src/peer/packet.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::{Capacity, Phase, TenantDemands};
+use super::{Capacity, ConfigReply, Phase, QueryId, TenantDemands};
 use crate::{
     config::Version,
     load::{HostKey, Report},
@@ -26,6 +26,10 @@
     Temperatures(Vec<Temperature>),
     /// Requests of tenants with quotas.
     Demand(TenantDemands),
+    /// Asks what the receiver knows about the newest configuration.
+    ConfigQuery(QueryId),
+    /// Reply to a query about the newest configuration.
+    ConfigReply(ConfigReply),
 }
 
 /// What an upstream has said in a health answer about its slow start.
--- a/crates/gateway/src/peer/table.rs
+++ b/crates/gateway/src/peer/table.rs
@@ -238,6 +238,21 @@
         res.into_iter().map(|(_, address)| address).collect()
     }
 
+    /// Up to `count` live peers that have read the configuration from the store, those that did so last
+    /// first.
+    #[must_use]
+    pub fn last_readers(&self, now: Instant, count: usize) -> Vec<SocketAddr> {
+        let read_at = |it: &Peer| {
+            let age = Duration::from_millis(it.heartbeat.config_checked_ms?.into());
+            it.heartbeat_at.checked_sub(age)
+        };
+        let live = self.live_peers(now);
+        let mut res: Vec<_> =
+            live.filter_map(|(address, it)| Some((Reverse(read_at(it)?), address))).collect();
+        res.sort_unstable();
+        res.into_iter().take(count).map(|(_, address)| address).collect()
+    }
+
     /// Number of live peers.
     #[must_use]
     pub fn live_count(&self, now: Instant) -> u32 {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -132,6 +132,7 @@
         tasks.spawn("loads", |_, mesh| mesh.send_loads());
         tasks.spawn("departures", |_, mesh| mesh.send_departures());
         tasks.spawn("demands", |_, mesh| mesh.send_demands());
+        tasks.spawn("confirmations", |_, mesh| mesh.confirm_config());
         tasks.spawn("temperatures", |_, mesh| mesh.send_temperatures());
         tasks.spawn("temperature-checks", |gateway, _| probe::watch_temperatures(gateway));
         tasks.spawn("tick", |gateway, _| tick(gateway));
@@ -293,8 +294,8 @@
 }
 
 /// Detects that the host was suspended, when the monotonic clock stops and the clock since boot does
-/// not, or that the process did not run. After a suspension the registry may be outdated and is read
-/// again.
+/// not, or that the process did not run. The configuration may be outdated then and is confirmed, and
+/// after a suspension the registry is read again.
 fn check_suspension(
     gateway: &Gateway,
     last_clocks: (Instant, Duration),
@@ -306,9 +307,11 @@
     if asleep >= SUSPENSION_THRESHOLD {
         log::warn!(target: "belief", "event=was-suspended asleep_ms={}", asleep.as_millis());
         gateway.registry_wanted.notify_one();
+        gateway.confirmation_wanted.notify_one();
     } else if steady >= TICK_INTERVAL + STALL_THRESHOLD {
         log::warn!(target: "belief", "event=was-stalled stalled_ms={}", steady.as_millis());
         gateway.metrics.stalls.inc();
+        gateway.confirmation_wanted.notify_one();
     }
     (now, boot)
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -22,7 +22,7 @@
 pub use reply::Reply;
 
 use crate::{
-    config::{Gap, Route, Table, Tenant},
+    config::{Gap, Knowledge, Route, Table, Tenant},
     decision::{Origin, Trace},
     gateway::Gateway,
     http::{Head, Message},
@@ -68,18 +68,7 @@
     trace: &mut Trace,
 ) -> Result<Message> {
     let names = gateway.protocol.names;
-    let table = gateway.table().ok_or_else(Refusal::not_ready)?;
-    trace.version = table.version;
-    let head = &message.head;
-    let admission = Admission::new(gateway, Rc::clone(&table), head).map_err(|denied| {
-        trace.route = find(&table, head).ok().map(|it| it.id.clone());
-        // It may have taken long to arrive, or to wait behind others on its connection.
-        let earlier = table_before.filter(|it| !Rc::ptr_eq(it, &table));
-        match earlier.map(|it| Admission::new(gateway, it, head)) {
-            Some(Ok(_)) => Refusal::route_changed(),
-            _ => denied,
-        }
-    })?;
+    let admission = admit(gateway, &message.head, table_before, trace).await?;
     trace.route = Some(admission.route.id.clone());
     let route = &admission.route;
     let time_left = time_left(&message.head, names.deadline_ms, route)?;
@@ -116,6 +105,51 @@
     attempts::run(&context, trace).await
 }
 
+/// Finds route and tenant of a request. A refusal that is final rests on a configuration that is known
+/// to be the newest.
+async fn admit(
+    gateway: &Gateway,
+    head: &Head,
+    table_before: Option<Rc<Table>>,
+    trace: &mut Trace,
+) -> Result<Admission> {
+    let table = gateway.table().ok_or_else(Refusal::not_ready)?;
+    trace.version = table.version;
+    let denied = match Admission::new(gateway, Rc::clone(&table), head) {
+        Ok(it) => return Ok(it),
+        Err(it) => it,
+    };
+    trace.route = find(&table, head).ok().map(|it| it.id.clone());
+    // It may have taken long to arrive, or to wait behind others on its connection.
+    let earlier = table_before.filter(|it| !Rc::ptr_eq(it, &table));
+    if let Some(Ok(_)) = earlier.map(|it| Admission::new(gateway, it, head)) {
+        return Err(Refusal::route_changed());
+    }
+    if !denied.rests_on_config() {
+        return Err(denied);
+    }
+    confirm(gateway).await?;
+    let table = gateway.table().ok_or_else(Refusal::not_ready)?;
+    trace.version = table.version;
+    Admission::new(gateway, table, head)
+}
+
+/// Waits until the configuration is known to be the newest.
+///
+/// # Errors
+///
+/// The refusal of a request that a newer configuration may allow.
+pub async fn confirm(gateway: &Gateway) -> Result<()> {
+    match gateway.confirm_config().await {
+        Knowledge::Recent => Ok(()),
+        Knowledge::Missing => Err(Refusal::not_ready()),
+        Knowledge::Unreadable => Err(Refusal::config_incomplete()),
+        Knowledge::Behind | Knowledge::Outdated => {
+            Err(Refusal::config_outdated(gateway.confirmation_pause()))
+        }
+    }
+}
+
 /// Charges a request to the quota of its tenant.
 fn quota(gateway: &Gateway, tenant: &Tenant) -> Result<()> {
     gateway.take_quota(gateway.now(), tenant).map_err(Refusal::quota)
--- a/crates/gateway/src/request/refusal.rs
+++ b/crates/gateway/src/request/refusal.rs
@@ -81,6 +81,28 @@
         Self::not_run("config-incomplete", message, INCOMPLETE_RETRY_AFTER)
     }
 
+    /// The configuration may not be the newest, and the newest may allow the request. What is known is
+    /// checked again after `retry_after`.
+    #[must_use]
+    pub fn config_outdated(retry_after: Duration) -> Self {
+        let message = "the request was not run: this entry host may lack the newest configuration";
+        let retry_after = retry_after.max(ROUTE_CHANGED_RETRY_AFTER);
+        Self::not_run("config-outdated", message.to_owned(), retry_after)
+    }
+
+    /// A limit that the request exceeds has been raised while it was read.
+    #[must_use]
+    pub fn limit_raised() -> Self {
+        let message = "the request was not run: a limit has been raised meanwhile".to_owned();
+        Self::not_run("limit-raised", message, ROUTE_CHANGED_RETRY_AFTER)
+    }
+
+    /// Whether the refusal is final and rests on the configuration: a newer one may allow the request.
+    #[must_use]
+    pub fn rests_on_config(&self) -> bool {
+        matches!(self.status, 401 | 404)
+    }
+
     /// The daemon is leaving and could not answer in time.
     #[must_use]
     pub fn leaving() -> Self {
