gateway: what confirms a configuration is complete, and stays bounded

A review of the fix by somebody who had not seen the work showed cases in which a configuration still counted as confirmed, each with a final 404 for requests that a newer one allows: - an unreadable newest configuration was forgotten at a start beside a peer with an older one, and when it was published twice; one that the store had lost was remembered. Only what a read of the store finds says so now; - an answer with a part of the records counted as the whole topic; - an answer that the store gave at once, for a foreign record, counted as held back for the whole poll, however long it was on the way; - after the store came back from an older copy, 2.3 s counted as enough for operators to write again what was lost; the rest of the daemon waits for 5 s. It also showed harm to callers and the store: a version that a peer had announced and nobody could deliver was never forgotten, spread to other daemons and made each wrong path read the store at the speed of the round trip (1,950 calls in 3 s against 7); a request waited beyond its deadline, and beyond the end of a stopping process (3 of 3 connections closed without an answer); more short headers than the limit has room for got an unconfirmed 400.

Change: Batch says whether it reaches the end of the topic. A newer version is one that a live peer has in force; replies confirm what the peer has in force. Confirmations have a pause of 50 ms. The wait ends with the request's deadline and with the daemon's requests. Fields and functions that had nearly the same names were renamed.

Measured: the review's tests for these cases failed before and pass (outdated_denials, unsound_reads, frozen_daemon::stop_while_waiting, config_knowledge::waiting_time); 349 tests of gateway and adapter pass.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -508,7 +508,7 @@
     gap: Gap,
     is_raised: impl Fn(&Limits) -> bool,
 ) -> Option<Refusal> {
-    if let Err(it) = request::confirm(gateway).await {
+    if let Err(it) = request::require_newest_config(gateway, Duration::MAX).await {
         return Some(it);
     }
     match gateway.table() {
--- a/crates/gateway/src/config/knowledge.rs
+++ b/crates/gateway/src/config/knowledge.rs
@@ -16,6 +16,12 @@
 }
 
 impl Knowledge {
+    /// Whether reading the newest configuration may help.
+    #[must_use]
+    pub fn is_unsure(self) -> bool {
+        matches!(self, Self::Behind | Self::Outdated)
+    }
+
     /// Name in logs and metrics.
     #[must_use]
     pub fn name(self) -> &'static str {
--- a/crates/gateway/src/follow/configuration.rs
+++ b/crates/gateway/src/follow/configuration.rs
@@ -86,28 +86,22 @@
                 tokio::select! {
                     () = self.read(role.poll_time()) => {}
                     () = gateway.config_wanted.notified() => self.catch_up().await,
-                    () = gateway.config_unconfirmed.notified(), if is_held => {
-                        if self.is_behind() {
-                            self.catch_up().await;
-                        } else {
-                            self.read(Duration::ZERO).await;
-                        }
-                    }
+                    () = gateway.config_read_wanted.notified(), if is_held => self.refresh().await,
                     // The connection of the read in progress may be dead: another one is used.
-                    () = unconfirmed(&gateway, max_age), if is_held => self.read(Duration::ZERO).await,
+                    () = unread(&gateway, max_age), if is_held => self.read(Duration::ZERO).await,
                 }
                 continue;
             }
-            let is_unconfirmed = tokio::select! {
+            let is_read_wanted = tokio::select! {
                 () = gateway.config_wanted.notified() => false,
-                () = gateway.config_unconfirmed.notified() => true,
+                () = gateway.config_read_wanted.notified() => gateway.knowledge().is_unsure(),
                 // No peer has announced a newer configuration.
                 () = tokio::time::sleep(CHECK_INTERVAL) => false,
             };
             if self.is_behind() {
                 self.catch_up().await;
             } else if !gateway.waits_for_peers()
-                && (is_unconfirmed || self.is_stale(role))
+                && (is_read_wanted || self.is_stale(role))
                 && gateway.now() >= self.stale_read_from
             {
                 self.end = None;
@@ -141,7 +135,7 @@
     /// configuration.
     fn is_stale(&self, role: Role) -> bool {
         let limit = role.max_confirmation_age(self.gateway.settings().config_apply);
-        confirmation_age(&self.gateway).is_none_or(|it| it >= limit)
+        read_age(&self.gateway).is_none_or(|it| it >= limit)
     }
 
     /// Reads the store once; it may hold the read back for up to `wait`.
@@ -165,14 +159,16 @@
             Ok(it) => {
                 self.pause = MIN_RETRY_PAUSE;
                 let progress = self.apply_batch(stamp, from, &it);
-                gateway.config_confirmed.set(Some(gateway.now()));
-                if progress == Progress::Continue {
-                    let took = gateway.since_boot().saturating_sub(started);
-                    let at = started + held_for(&it, wait, took);
+                gateway.last_config_read.set(Some(gateway.now()));
+                if !it.is_complete {
+                    gateway.update_confirmation(Confirmation::miss_records);
+                } else if progress == Progress::Continue {
+                    let now = gateway.since_boot();
+                    // An empty answer may have been on the way for long, but the store held it back.
+                    let is_held = from == Some(it.end) && now.saturating_sub(started) >= wait;
+                    let at = if is_held { started + wait } else { started };
                     let era = it.era;
-                    gateway.update_confirmation(|confirmation| {
-                        confirmation.confirm_read(gateway.version(), era, at);
-                    });
+                    gateway.update_confirmation(|it| it.confirm_read(era, at, now));
                 }
                 gateway.heartbeat_wanted.notify_one();
                 if progress == Progress::ReadNewest {
@@ -217,10 +213,17 @@
         }
     }
 
+    /// Reads the newest configuration if the one in force may not be it.
+    async fn refresh(&mut self) {
+        if self.is_behind() {
+            self.catch_up().await;
+        } else if self.gateway.knowledge().is_unsure() {
+            self.read(Duration::ZERO).await;
+        }
+    }
+
     fn is_behind(&self) -> bool {
-        let gateway = &self.gateway;
-        let peers = gateway.peers.borrow();
-        peers.live_peers(gateway.now()).any(|(_, it)| it.heartbeat.config > gateway.version())
+        self.gateway.newest_config() > self.gateway.version()
     }
 
     /// Applies what was read from the offset `from` on, or the newest records if there is none.
@@ -244,36 +247,43 @@
         };
         self.end = Some(batch.end);
         self.stamp = gateway.evacuation_stamp();
+        let mut is_readable = None;
         for it in &batch.records {
-            self.apply_record(it, "store");
+            is_readable = self.apply_record(it, "store").or(is_readable);
+        }
+        if from.is_none() || is_readable.is_some() {
+            let is_unreadable = is_readable == Some(false);
+            self.gateway.update_confirmation(|it| it.set_unreadable(is_unreadable));
         }
         res
     }
 
-    fn apply_record(&mut self, record: &crate::platform::Record, source: &str) {
-        let Some(value) = &record.value else { return };
-        let Some(res) = self.platform.config(&record.key, value) else { return };
+    /// Puts a configuration in force if it is newer. Returns whether it can be read; `None` if the record
+    /// holds something else.
+    fn apply_record(&mut self, record: &crate::platform::Record, source: &str) -> Option<bool> {
+        let value = record.value.as_ref()?;
+        let res = self.platform.config(&record.key, value)?;
         let config = match res {
             Ok(it) => it,
             Err(findings) => {
                 // The same record is read again after failed calls.
                 let hash = Some(xxh3_64(value));
                 if std::mem::replace(&mut self.rejected, hash) == hash {
-                    return;
+                    return Some(false);
                 }
-                self.gateway.update_confirmation(Confirmation::reject);
                 self.gateway.metrics.config_findings.inc_by(findings.len() as u64);
                 log::error!(
                     target: "belief",
                     "event=config-rejected source={source} findings=\"{}\"", findings.join("; ")
                 );
-                return;
+                return Some(false);
             }
         };
         if self.gateway.set_config(config, source) {
             self.shared.set_config(&record.key, value);
             self.gateway.heartbeat_wanted.notify_one();
         }
+        Some(true)
     }
 
     async fn pause(&mut self) {
@@ -283,11 +293,11 @@
     }
 }
 
-/// Age of the newest confirmation that the store has no newer configuration, by this daemon or a
-/// live peer.
-fn confirmation_age(gateway: &Gateway) -> Option<Duration> {
+/// Age of the last read of the store by this daemon or a live peer, as far as it is known from
+/// heartbeats, whose time on the way is not known.
+fn read_age(gateway: &Gateway) -> Option<Duration> {
     let now = gateway.now();
-    let own = gateway.config_confirmed.get().map(|it| now.saturating_duration_since(it));
+    let own = gateway.last_config_read.get().map(|it| now.saturating_duration_since(it));
     let peers = gateway.peers.borrow();
     let reported = peers.live_peers(now).filter_map(|(_, it)| {
         let age = Duration::from_millis(it.heartbeat.config_checked_ms?.into());
@@ -296,15 +306,9 @@
     reported.chain(own).min()
 }
 
-/// Time after the start of a read that took `took` until which the store certainly held it back. It may
-/// have answered long before the answer was processed.
-fn held_for(batch: &Batch, wait: Duration, took: Duration) -> Duration {
-    if batch.records.is_empty() && took >= wait { wait } else { Duration::ZERO }
-}
-
-/// Waits until the newest confirmation of the configuration is older than `max_age`.
-async fn unconfirmed(gateway: &Gateway, max_age: Duration) {
-    while confirmation_age(gateway).is_some_and(|it| it < max_age) {
+/// Waits until the last read of the store is older than `max_age`.
+async fn unread(gateway: &Gateway, max_age: Duration) {
+    while read_age(gateway).is_some_and(|it| it < max_age) {
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -87,15 +87,15 @@
     pub activity: RefCell<peer::Activity>,
     /// Era in which this daemon last registered in the store, where other daemons find it.
     pub registered_in: Cell<Option<Era>>,
-    /// When the last read of the configuration from the store was processed. Reads are scheduled by
-    /// this; refusals rest on [`Self::confirmation`].
-    pub config_confirmed: Cell<Option<Instant>>,
-    /// What is known about which configuration is the newest.
+    /// When the answer to the last read of the configuration from the store was processed. Reads are
+    /// scheduled by this; refusals rest on [`Self::confirmation`].
+    pub last_config_read: Cell<Option<Instant>>,
+    /// When the configuration in force was last known to be the newest.
     pub confirmation: Cell<Confirmation>,
     /// Last query to peers about the newest configuration, and when it was sent.
     config_query: Cell<Option<(QueryId, BootTime)>>,
     /// When a request last waited in vain for a confirmation of the configuration.
-    unconfirmed_at: Cell<Option<BootTime>>,
+    confirmation_failed_at: Cell<Option<BootTime>>,
     /// Requests received since the start.
     pub request_count: Cell<u64>,
     /// Requests in progress.
@@ -117,7 +117,7 @@
     /// Notified when the configuration must be confirmed.
     pub confirmation_wanted: Notify,
     /// Notified when the newest configuration must be read, since no peer has confirmed this one.
-    pub config_unconfirmed: Notify,
+    pub config_read_wanted: Notify,
     /// Wakes all that wait when more is known about which configuration is the newest.
     pub knowledge_changed: Notify,
     /// Notified when an upstream has said that it is leaving.
@@ -170,10 +170,10 @@
             memory: Memory::new(settings.caller_memory_bytes(0)),
             activity: RefCell::new(peer::Activity::new(now)),
             registered_in: Cell::new(None),
-            config_confirmed: Cell::new(None),
+            last_config_read: Cell::new(None),
             confirmation: Cell::default(),
             config_query: Cell::new(None),
-            unconfirmed_at: Cell::new(None),
+            confirmation_failed_at: Cell::new(None),
             request_count: Cell::new(0),
             in_progress: Cell::new(0),
             stop: stop::State::default(),
@@ -184,7 +184,7 @@
             heartbeat_wanted: Notify::new(),
             config_wanted: Notify::new(),
             confirmation_wanted: Notify::new(),
-            config_unconfirmed: Notify::new(),
+            config_read_wanted: Notify::new(),
             knowledge_changed: Notify::new(),
             departure_noticed: Notify::new(),
             temperature_noticed: Notify::new(),
@@ -297,7 +297,6 @@
             "event=config-in-force version={version} before={old} routes={routes} source={source}"
         );
         self.metrics.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
-        self.update_confirmation(|it| it.put_in_force(version));
         self.knowledge_changed.notify_waiters();
         self.update_phase();
         true
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -92,6 +92,10 @@
             parsed = httparse::Request::new(&mut many);
             res = parsed.parse(buffer);
         }
+        if res == Err(httparse::Error::TooManyHeaders) {
+            // More headers than the limit on the size has room for.
+            return Err(Error::HeadTooLarge(limit));
+        }
         let status = res.map_err(malformed)?;
         let Some(len) = complete_len(status, buffer.len(), limit)? else { return Ok(None) };
         let base = buffer.as_ptr() as usize;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -32,9 +32,11 @@
 /// Number of recent departures sent to a peer that has joined.
 const RECENT_DEPARTURES: usize = 100;
 /// Time for which peers may answer a query about the newest configuration before the store is read.
-const CONFIG_REPLY_TIMEOUT: Duration = Duration::from_millis(100);
-/// Number of peers that are asked: one may be about to end.
-const MAX_ASKED_PEERS: usize = 2;
+const CONFIG_REPLY_TIMEOUT: Duration = Duration::from_millis(150);
+/// Number of peers that are asked: in a large fleet as many read the store.
+const MAX_ASKED_PEERS: usize = 3;
+/// Pause between two confirmations, which bounds the calls that requests cause.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(50);
 /// Age from which reports are not sent to peers.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(150);
 
@@ -174,17 +176,14 @@
     pub async fn confirm_config(self: Rc<Self>) {
         loop {
             self.gateway.confirmation_wanted.notified().await;
-            match self.gateway.knowledge() {
-                Knowledge::Behind => self.gateway.config_unconfirmed.notify_one(),
-                Knowledge::Outdated => {
-                    let asking = tokio::time::timeout(CONFIG_REPLY_TIMEOUT, self.ask_peers());
-                    let _elapsed = asking.await;
-                    if self.gateway.knowledge() != Knowledge::Recent {
-                        self.gateway.config_unconfirmed.notify_one();
-                    }
-                }
-                Knowledge::Missing | Knowledge::Unreadable | Knowledge::Recent => {}
+            if self.gateway.knowledge() == Knowledge::Outdated {
+                let asking = tokio::time::timeout(CONFIG_REPLY_TIMEOUT, self.ask_peers());
+                let _elapsed = asking.await;
+            }
+            if self.gateway.knowledge().is_unsure() {
+                self.gateway.config_read_wanted.notify_one();
             }
+            tokio::time::sleep(CONFIRMATION_INTERVAL).await;
         }
     }
 
@@ -272,7 +271,7 @@
             capacity: gateway.capacity(),
             is_active: gateway.activity.borrow().is_active(),
             config: gateway.version(),
-            config_checked_ms: gateway.config_confirmed.get().map(|it| {
+            config_checked_ms: gateway.last_config_read.get().map(|it| {
                 let age = gateway.now().saturating_duration_since(it);
                 u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
             }),
@@ -331,7 +330,6 @@
         let gateway = &self.gateway;
         let now = gateway.now();
         let is_newer = heartbeat.config > gateway.version();
-        gateway.update_confirmation(|it| it.announce(heartbeat.config));
         let (era, end, digest) =
             (heartbeat.registry_era, heartbeat.registry_end, heartbeat.registry_digest);
         let wants_reply = heartbeat.wants_reply;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -174,7 +174,7 @@
     pub peers: Gauge,
     /// Version of the configuration in force.
     pub config_version: Gauge,
-    /// Highest version of the configuration that is known to exist.
+    /// Highest version of the configurations in force here and at live peers.
     pub newest_config_version: Gauge,
     /// Times for which the process did not run.
     pub stalls: Counter,
@@ -355,7 +355,11 @@
         it.register("peers", "Peers that are alive", self.peers.clone());
         it.register("config_version", "Configuration in force", self.config_version.clone());
         let newest = self.newest_config_version.clone();
-        it.register("newest_config_version", "Newest configuration known of", newest);
+        it.register(
+            "newest_config_version",
+            "Newest configuration in force here or at a live peer",
+            newest,
+        );
         it.register("stalls", "Times for which the process did not run", self.stalls.clone());
         let evacuated = self.evacuated_domains.clone();
         it.register("evacuated_domains", "Failure domains that are evacuated", evacuated);
--- a/crates/gateway/src/peer/config_reply.rs
+++ b/crates/gateway/src/peer/config_reply.rs
@@ -10,9 +10,9 @@
 pub struct ConfigReply {
     /// Id of the query.
     pub query: QueryId,
-    /// Highest version that the peer knows to exist.
-    pub newest: Version,
-    /// Milliseconds since the latest moment at which the peer knows that nothing newer existed, if
-    /// there is one.
+    /// Version in force at the peer.
+    pub version: Version,
+    /// Milliseconds since the latest moment at which, as the peer knows, nothing newer existed, if there
+    /// is one.
     pub age_ms: Option<u32>,
 }
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -85,6 +85,8 @@
     pub end: Offset,
     /// Era of the store in which the offsets hold.
     pub era: Era,
+    /// Whether the records reach the end of the topic. Otherwise the next read continues.
+    pub is_complete: bool,
 }
 
 /// Client of the platform's store, and decoder of the platform's formats.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -35,7 +35,8 @@
 /// Difference between the advance of two clocks from which the host is assumed to have been
 /// suspended.
 const SUSPENSION_THRESHOLD: Duration = Duration::from_millis(250);
-/// Delay of the periodic work from which the process is assumed not to have run.
+/// Delay of the periodic work from which the process is assumed not to have run. Work in progress
+/// delays it by some tens of milliseconds on a slow host.
 const STALL_THRESHOLD: Duration = Duration::from_millis(500);
 /// Interval at which a leaving daemon checks whether it may stop.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -273,6 +274,8 @@
             last_sweep = now;
             gateway.pool.sweep(now);
             report_omitted(&gateway);
+            let newest = i64::try_from(gateway.newest_config()).unwrap_or(i64::MAX);
+            gateway.metrics.newest_config_version.set(newest);
         }
     }
 }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -128,19 +128,25 @@
     if !denied.rests_on_config() {
         return Err(denied);
     }
-    confirm(gateway).await?;
+    let limit = deadline(head, gateway.protocol.names.deadline_ms).ok().flatten();
+    require_newest_config(gateway, limit.unwrap_or(Duration::MAX)).await?;
     let table = gateway.table().ok_or_else(Refusal::not_ready)?;
     trace.version = table.version;
     Admission::new(gateway, table, head)
 }
 
-/// Waits until the configuration is known to be the newest.
+/// Waits until the configuration is known to be the newest, for `limit` at most.
 ///
 /// # Errors
 ///
 /// The refusal of a request that a newer configuration may allow.
-pub async fn confirm(gateway: &Gateway) -> Result<()> {
-    match gateway.confirm_config().await {
+pub async fn require_newest_config(gateway: &Gateway, limit: Duration) -> Result<()> {
+    let knowledge = tokio::select! {
+        biased;
+        it = gateway.await_confirmation(limit) => it,
+        () = gateway.stop.requests_ended() => return Err(Refusal::leaving()),
+    };
+    match knowledge {
         Knowledge::Recent => Ok(()),
         Knowledge::Missing => Err(Refusal::not_ready()),
         Knowledge::Unreadable => Err(Refusal::config_incomplete()),
@@ -181,12 +187,16 @@
 
 /// Time limit of a request: the route's timeout, or the caller's deadline if that is sooner.
 fn time_left(head: &Head, name: &str, route: &Route) -> Result<Duration> {
-    let Some(text) = head.text(name) else { return Ok(route.timeout) };
+    Ok(deadline(head, name)?.map_or(route.timeout, |it| it.min(route.timeout)))
+}
+
+/// The caller's deadline, if it has one.
+fn deadline(head: &Head, name: &str) -> Result<Option<Duration>> {
+    let Some(text) = head.text(name) else { return Ok(None) };
     let milliseconds = text.trim().parse().ok().filter(|it: &f64| it.is_finite() && *it >= 0.0);
     let milliseconds = milliseconds.ok_or_else(|| {
         Refusal::bad_request("bad-deadline", "deadline that is no number of milliseconds from 0 on")
     })?;
     // A deadline beyond the range of the type is beyond every timeout.
-    let deadline = Duration::try_from_secs_f64(milliseconds / 1_000.0).unwrap_or(Duration::MAX);
-    Ok(route.timeout.min(deadline))
+    Ok(Some(Duration::try_from_secs_f64(milliseconds / 1_000.0).unwrap_or(Duration::MAX)))
 }
--- a/crates/gateway/src/request/refusal.rs
+++ b/crates/gateway/src/request/refusal.rs
@@ -13,8 +13,8 @@
 /// `Retry-After` while the daemon is leaving: other hosts serve, and the directory lists only them.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(100);
 
-/// `Retry-After` for a request whose route has changed while it waited: the new route is in force.
-const ROUTE_CHANGED_RETRY_AFTER: Duration = Duration::from_millis(20);
+/// `Retry-After` where a newer configuration is in force, or may be at once.
+const CONFIG_CHANGED_RETRY_AFTER: Duration = Duration::from_millis(20);
 
 /// An error answer of the daemon itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -62,7 +62,7 @@
     #[must_use]
     pub fn route_changed() -> Self {
         let message = "the request was not run: its route or key has changed meanwhile".to_owned();
-        Self::not_run("route-changed", message, ROUTE_CHANGED_RETRY_AFTER)
+        Self::not_run("route-changed", message, CONFIG_CHANGED_RETRY_AFTER)
     }
 
     /// The daemon has no configuration yet.
@@ -86,7 +86,7 @@
     #[must_use]
     pub fn config_outdated(retry_after: Duration) -> Self {
         let message = "the request was not run: this entry host may lack the newest configuration";
-        let retry_after = retry_after.max(ROUTE_CHANGED_RETRY_AFTER);
+        let retry_after = retry_after.max(CONFIG_CHANGED_RETRY_AFTER);
         Self::not_run("config-outdated", message.to_owned(), retry_after)
     }
 
@@ -94,7 +94,7 @@
     #[must_use]
     pub fn limit_raised() -> Self {
         let message = "the request was not run: a limit has been raised meanwhile".to_owned();
-        Self::not_run("limit-raised", message, ROUTE_CHANGED_RETRY_AFTER)
+        Self::not_run("limit-raised", message, CONFIG_CHANGED_RETRY_AFTER)
     }
 
     /// Whether the refusal is final and rests on the configuration: a newer one may allow the request.
