daemon: a final refusal needs a document known to be the newest

Callers got a final 404, 405, 413 or 400 key-required from hosts whose document was complete but old: the log could not be read, or a record with newer fold rules had halted the replica. They don't repeat a request after these.

Cause: as in the gateway, a refusal was decided by the document in force alone, and nothing recorded when that was last known to be the newest.

Change: the follower records a confirmation, the start of a read that reached the end of the log and found nothing newer, in time since boot, with the version in force. A refusal that rests on the document is final only if that moment lies less than 5 s back, the time limit for putting a version in force (xtask config), if its version is not older than the confirmed one, and if the replica is not halted. Otherwise the answer is 503 config-outdated with Retry-After, not-run (unknown with a key, as other refusals before an order is looked up). The same holds for 400 bad-key, as only routes that aren't idempotent check the key. The decision has document_age_ms.

It works because a version accepted more than 5 s before a final refusal was in the log when the confirming read began, and so would have been found. The start of the read counts, in a clock that includes suspension, so neither a slow answer nor a suspension makes a document look newer. The confirmation is stored before a version is put in force, so requests decided by the old table don't count as confirmed by it, and a change causes no 503.

--- a/crates/daemon/src/caller/directions.rs
+++ b/crates/daemon/src/caller/directions.rs
@@ -10,6 +10,7 @@
         reply::{self, Outcome, Refusal, Reply},
         upload::Upload,
     },
+    decision::millis,
     id,
     proxy::plan,
     state::State,
@@ -117,7 +118,3 @@
         life_ms: millis(lease.ttl),
     })
 }
-
-fn millis(it: Duration) -> u64 {
-    u64::try_from(it.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/daemon/src/configuration/follower.rs
+++ b/crates/daemon/src/configuration/follower.rs
@@ -16,7 +16,10 @@
 };
 use platform::{Backoff, Log};
 
-use crate::{configuration::Source, state::State};
+use crate::{
+    configuration::{Confirmation, Source},
+    state::State,
+};
 
 /// Interval at which the end of the log is read.
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
@@ -64,6 +67,7 @@
             // The log holds records that this release can't fold; the version in force stays.
             return POLL_INTERVAL;
         };
+        let read_at = self.state.clock.since_boot();
         let progress = match self.log.read(request.stream, request.from, request.limit) {
             Ok(page) => {
                 let records: Vec<_> =
@@ -74,11 +78,21 @@
             Err(e) => return self.read_failed(&e),
         };
         self.backoff.succeeded();
+        if progress.is_current {
+            self.confirm(read_at);
+        }
         self.apply_progress(&progress);
         self.write_snapshot_if_due(&progress);
         if progress.should_wait { POLL_INTERVAL } else { Duration::ZERO }
     }
 
+    /// Records that a read of the log that began at `at` showed nothing newer. To be called before a
+    /// version is put in force, so that no request is refused by a version without a confirmation.
+    fn confirm(&self, at: Duration) {
+        let version = self.replica.in_force().and_then(Fold::version);
+        self.state.confirm(Confirmation { version, at });
+    }
+
     fn read_failed(&mut self, e: &platform::Error) -> Duration {
         log::warn!("the log can't be read: {e}");
         // The page may have exceeded the limit of an answer; the replica requests a smaller one.
--- a/crates/daemon/src/decision.rs
+++ b/crates/daemon/src/decision.rs
@@ -63,6 +63,10 @@
     pub status: u16,
     /// Reason of a refusal; empty if there was none.
     pub reason: &'static str,
+    /// For a refusal that rests on the document: time since the log held nothing newer, in
+    /// milliseconds; `None` if that is not known.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub document_age_ms: Option<u64>,
     /// Time from acceptance to the reply, in microseconds.
     pub took_us: u64,
 }
@@ -83,6 +87,7 @@
             outcome: Outcome::NotRun.as_str(),
             status: 0,
             reason: "",
+            document_age_ms: None,
             took_us: 0,
         }
     }
@@ -154,6 +159,12 @@
     }
 }
 
+/// Converts a duration to whole milliseconds.
+#[must_use]
+pub fn millis(it: Duration) -> u64 {
+    u64::try_from(it.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Converts a duration to whole microseconds.
 #[must_use]
 pub fn micros(it: Duration) -> u64 {
--- a/crates/daemon/src/orders.rs
+++ b/crates/daemon/src/orders.rs
@@ -25,7 +25,7 @@
 pub use execution::{acknowledged, answer_peer, downgrade_outcome, key, run};
 pub use guard::Guard;
 pub use message::Message;
-pub use reply::KEY_REQUIRED;
+pub use reply::{BAD_KEY, KEY_REQUIRED};
 
 /// Starts the driver of a daemon's orders and the thread that reads the log.
 ///
--- a/crates/daemon/src/orders/execution.rs
+++ b/crates/daemon/src/orders/execution.rs
@@ -1,6 +1,6 @@
 //! Handling of an order: submission to the engine, then execution or a reply with the outcome.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc};
 
 use hyper::HeaderMap;
 use order::{Event, Fingerprint, Key, Outcome, Reason, Submission};
@@ -67,7 +67,8 @@
     let _in_progress = InProgress::new(state);
     let id = state.ids.next();
     let address = SocketAddr::from(([0, 0, 0, 0], 0));
-    let Ok(plan) = plan::build(state, &head, address, id, driver.now()) else { return unreadable };
+    let planned = plan::build(&state.table(), &head, address, id, driver.now());
+    let Ok(plan) = planned else { return unreadable };
     let Some(key) = plan.order else { return unreadable };
     let message = plan::message(head, body);
     let mut draft = Draft::new(state, id);
@@ -166,8 +167,3 @@
     let text = value.to_str().unwrap_or_default();
     text.parse().map_err(|_| reply::bad_acknowledgement())
 }
-
-/// Converts a duration to whole milliseconds.
-pub(super) fn millis(it: Duration) -> u64 {
-    u64::try_from(it.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/daemon/src/orders/message.rs
+++ b/crates/daemon/src/orders/message.rs
@@ -8,8 +8,7 @@
 use peer::Blob;
 use serde::{Deserialize, Serialize};
 
-use super::execution::millis;
-use crate::{caller::header, proxy::Plan, upstream::attempt};
+use crate::{caller::header, decision::millis, proxy::Plan, upstream::attempt};
 
 /// An order as it is forwarded between entry hosts.
 #[derive(Clone, Debug, Deserialize, Serialize)]
--- a/crates/daemon/src/orders/reply.rs
+++ b/crates/daemon/src/orders/reply.rs
@@ -16,7 +16,7 @@
 };
 
 /// Reason of a refusal for a malformed key.
-pub(super) const BAD_KEY: &str = "bad-key";
+pub const BAD_KEY: &str = "bad-key";
 /// Reason of a refusal for a missing key.
 pub const KEY_REQUIRED: &str = "key-required";
 /// `Retry-After` of an order whose outcome may be known later.
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -4,6 +4,7 @@
 //! backend server's handler.
 
 pub mod attempts;
+pub mod denial;
 pub mod draft;
 pub mod hedge;
 pub mod plan;
@@ -128,11 +129,16 @@
     let accepted = state.clock.now();
     let (head, body) = req.into_parts();
     let has_key = head.headers.contains_key(header::KEY);
-    let planned = plan::build(state, &head, caller, id, accepted);
-    let plan = planned.map_err(|it| orders::downgrade_outcome(it, has_key))?;
+    let table = state.table();
+    let plan = plan::build(&table, &head, caller, id, accepted).map_err(|it| {
+        let refusal = denial::confirm(state, table.version, it, draft);
+        orders::downgrade_outcome(refusal, has_key)
+    })?;
     draft.set_plan(&plan);
-    let body = read_body(state, body, &plan).await;
-    let body = body.map_err(|it| orders::downgrade_outcome(it, plan.order.is_some()))?;
+    let body = read_body(state, body, &plan).await.map_err(|it| {
+        let refusal = denial::confirm(state, Some(plan.version), it, draft);
+        orders::downgrade_outcome(refusal, plan.order.is_some())
+    })?;
     let message = plan::message(head, body.bytes.clone());
     if plan.route.config.idempotent {
         return attempts::run(state, &plan, &message, draft).await;
@@ -178,7 +184,7 @@
     let read = state.request_memory.read(body, limit, plan.deadline.at()).await;
     read.map_err(|e| {
         let (status, reason) = match e {
-            body::Error::TooLarge(_) => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
+            body::Error::TooLarge(_) => (StatusCode::PAYLOAD_TOO_LARGE, denial::BODY_TOO_LARGE),
             body::Error::Truncated => (StatusCode::BAD_REQUEST, "body-cut"),
             body::Error::Timeout => (StatusCode::REQUEST_TIMEOUT, "body-late"),
         };
--- a/crates/daemon/src/proxy/draft.rs
+++ b/crates/daemon/src/proxy/draft.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     caller::reply::Outcome,
-    decision::{Attempt, Decision, micros},
+    decision::{Attempt, Decision, micros, millis},
     id,
     proxy::{Plan, Result},
     state::State,
@@ -58,6 +58,12 @@
         it.attempts.push(attempt);
     }
 
+    /// Sets how long ago the document that a refusal rests on was known to be the newest.
+    pub fn set_document_age(&mut self, age: Option<Duration>) {
+        let Some(it) = &mut self.decision else { return };
+        it.document_age_ms = age.map(millis);
+    }
+
     /// Sets outcome, status and reason of the reply.
     pub fn set_outcome(&mut self, outcome: Outcome, status: StatusCode, reason: &'static str) {
         let Some(it) = &mut self.decision else { return };
--- a/crates/daemon/src/proxy/plan.rs
+++ b/crates/daemon/src/proxy/plan.rs
@@ -10,9 +10,11 @@
     caller::{header, reply::Refusal},
     id,
     orders::{self, KEY_REQUIRED},
-    proxy::Result,
-    state::State,
-    table::Route,
+    proxy::{
+        Result,
+        denial::{METHOD_NOT_ALLOWED, NO_ROUTE},
+    },
+    table::{Route, Table},
     upstream::attempt::Message,
 };
 
@@ -46,13 +48,12 @@
 ///
 /// Returns a refusal that says what is wrong with the request.
 pub fn build(
-    state: &State,
+    table: &Table,
     head: &request::Parts,
     caller: SocketAddr,
     id: id::Request,
     accepted: Instant,
 ) -> Result<Plan> {
-    let table = state.table();
     let Some(version) = table.version else {
         return Err(Refusal {
             reason: "not-ready",
@@ -113,9 +114,9 @@
 
 fn route_refusal(method: &hyper::Method, path: &str, path_is_known: bool) -> Refusal {
     let (status, reason) = if path_is_known {
-        (StatusCode::METHOD_NOT_ALLOWED, "method-not-allowed")
+        (StatusCode::METHOD_NOT_ALLOWED, METHOD_NOT_ALLOWED)
     } else {
-        (StatusCode::NOT_FOUND, "no-route")
+        (StatusCode::NOT_FOUND, NO_ROUTE)
     };
     let message = format!("no route for {method} {path}");
     Refusal { status, reason, message, ..Refusal::default() }
--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -18,6 +18,7 @@
 use crate::{
     Settings,
     caller::body::Budget,
+    configuration::Confirmation,
     decision::Recorder,
     id,
     membership::Membership,
@@ -76,14 +77,20 @@
     end: Offset,
     snapshot: Option<Bytes>,
     digest: u64,
+    confirmation: Option<Confirmation>,
 }
 
 impl State {
     /// Creates the state of a daemon without a configuration.
     #[must_use]
     pub fn new(settings: Settings, clock: Arc<dyn Clock>, incarnation: id::Incarnation) -> Self {
-        let replica =
-            Replica { state: replica::State::Starting, end: 0, snapshot: None, digest: 0 };
+        let replica = Replica {
+            state: replica::State::Starting,
+            end: 0,
+            snapshot: None,
+            digest: 0,
+            confirmation: None,
+        };
         Self {
             clock,
             ids: id::Source::new(incarnation),
@@ -233,6 +240,20 @@
         replica.end = end;
     }
 
+    /// Records that the log held nothing newer than a version.
+    pub fn confirm(&self, confirmation: Confirmation) {
+        lock(&self.replica).confirmation = Some(confirmation);
+    }
+
+    /// Returns the last confirmation that a version was the newest; `None` if there was none, or if
+    /// the replica is halted and so lacks records.
+    #[must_use]
+    pub fn confirmation(&self) -> Option<Confirmation> {
+        let replica = lock(&self.replica);
+        let is_halted = matches!(replica.state, replica::State::Halted { .. });
+        replica.confirmation.filter(|_| !is_halted)
+    }
+
     /// Stores a snapshot for peers that start while the log is down.
     pub fn set_snapshot(&self, end: Offset, snapshot: Bytes, digest: u64) {
         let mut replica = lock(&self.replica);
--- a/crates/fleet/src/answer.rs
+++ b/crates/fleet/src/answer.rs
@@ -13,6 +13,8 @@
     pub request: String,
     /// Entry hosts to use instead; empty if the header is absent.
     pub entry: String,
+    /// Value of `Retry-After`; empty if the header is absent.
+    pub retry_after: String,
     /// Body of the answer, or the error message if the connection broke.
     pub body: Bytes,
 }
--- a/crates/fleet/src/caller.rs
+++ b/crates/fleet/src/caller.rs
@@ -94,6 +94,7 @@
         outcome: text(headers, "fireflydrum-outcome"),
         request: text(headers, "fireflydrum-request"),
         entry: text(headers, "fireflydrum-entry"),
+        retry_after: text(headers, "retry-after"),
         body: body.into(),
     })
 }
