gateway: the listener for peers holds the connections of a whole fleet

When a configuration came, about a quarter of the hosts of a large fleet put it in force half a second after the others, and a host that was asked for a new route meanwhile answered 503 config-outdated.

Cause: all hosts that do not read the store call the reader that announces a configuration first, within some milliseconds. The listener for calls was bound with the default queue of 128 connections. The kernel holds one more than that and drops the rest, whose calls time out after 500 ms; then these hosts read the store.

Change: the listener is bound like that for callers, with a queue of 1,024.

The test peer_calls failed before and passes.

--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -110,7 +110,6 @@
         let io = |what| move |source| Error::Io { what, source };
         let shared = rpc::Shared::default();
         let _server = rpc::serve(shared.clone(), peer_address)
-            .await
             .map_err(io("cannot bind the peer address for calls"))?;
         let mesh = Mesh::bind(Rc::clone(&gateway))
             .await
--- a/crates/gateway/src/rpc.rs
+++ b/crates/gateway/src/rpc.rs
@@ -17,6 +17,7 @@
 use jsonrpsee_http_client::HttpClientBuilder;
 
 use crate::{
+    caller,
     gateway::Gateway,
     peer::Heartbeat,
     platform::{Era, Offset},
@@ -118,7 +119,7 @@
 /// # Errors
 ///
 /// Fails if the address can't be bound.
-pub async fn serve(shared: Shared, address: SocketAddr) -> std::io::Result<ServerHandle> {
+pub fn serve(shared: Shared, address: SocketAddr) -> std::io::Result<ServerHandle> {
     let config = ServerConfig::builder()
         .max_request_body_size(MAX_CALL_BYTES)
         .max_response_body_size(MAX_ANSWER_BYTES)
@@ -126,7 +127,9 @@
         .set_batch_request_config(BatchRequestConfig::Disabled)
         .http_only()
         .build();
-    let server = Server::builder().set_config(config).build(address).await?;
+    // All peers call the daemon that announces a new configuration first, at the same moment.
+    let listener = caller::bind(address)?.into_std()?;
+    let server = Server::builder().set_config(config).build_from_tcp(listener)?;
     let methods = methods(shared).map_err(std::io::Error::other)?;
     Ok(server.start(methods))
 }
