gateway: peers send each other configurations compressed

A configuration with many routes reached most hosts of a large fleet late. While the store did not answer them, hosts stayed behind for up to 4.8 s, and answered new routes with 503 config-outdated, or with a final 404 before.

Cause: all hosts that do not read the store fetch a configuration from the reader that announces it first, at the same moment. The reader's link carries 168 copies in seconds, a link of 10 Mbit/s one copy of 1,400 routes in about the 500 ms that a call may take. The calls time out, and each later attempt meets links that are still busy with the answers to the last one.

Change: the value of the record is compressed, once, when the first peer fetches it. What decompresses to more than the largest answer is refused. The method has a new name: a daemon of an older version reads the store instead.

--- a/crates/gateway/src/rpc.rs
+++ b/crates/gateway/src/rpc.rs
@@ -1,6 +1,8 @@
 //! Calls between daemons. A daemon that can't reach the store fetches the configuration and the
 //! registry from a peer.
 
+mod compressed;
+
 use std::{
     fmt,
     net::SocketAddr,
@@ -9,6 +11,7 @@
 };
 
 use base64::{Engine, prelude::BASE64_STANDARD};
+use compressed::Compressed;
 use jsonrpsee::{
     RpcModule,
     core::{RegisterMethodError, client::ClientT, params::ArrayParams},
@@ -25,7 +28,7 @@
 };
 
 /// Method that returns the newest configuration.
-const CONFIG_METHOD: &str = "config";
+const CONFIG_METHOD: &str = "compressed-config";
 /// Method that returns the registry.
 const REGISTRY_METHOD: &str = "snapshot";
 /// Peers whose registries are fewer records apart count as equally far: upstreams write hundreds of
@@ -33,7 +36,7 @@
 const RECORDS_APART: Offset = 1_024;
 /// Timeout of a call to a peer.
 const TIMEOUT: Duration = Duration::from_millis(500);
-/// Largest answer, in bytes; configurations with many routes stay below.
+/// Largest answer, in bytes, also when decompressed; configurations with many routes stay below.
 const MAX_ANSWER_BYTES: u32 = 16 << 20;
 /// Largest call, in bytes; calls have no parameters.
 const MAX_CALL_BYTES: u32 = 16 << 10;
@@ -43,7 +46,7 @@
 const MAX_CALLED_PEERS: usize = 3;
 
 /// A record of a configuration, as in the store. Its value holds the tenants' keys.
-#[derive(Clone, serde::Deserialize, serde::Serialize)]
+#[derive(Clone)]
 pub struct Record {
     /// Key of the record.
     pub key: String,
@@ -72,10 +75,21 @@
 #[derive(Debug, Default)]
 struct Content {
     config: Option<Record>,
+    /// The configuration for peers, created when the first of them fetches it.
+    compressed_config: Option<Compressed>,
     snapshot: Snapshot,
     digest: u32,
 }
 
+impl Content {
+    fn compressed_config(&mut self) -> Option<Compressed> {
+        if self.compressed_config.is_none() {
+            self.compressed_config = Compressed::new(self.config.as_ref()?);
+        }
+        self.compressed_config.clone()
+    }
+}
+
 /// State that peers can fetch.
 #[derive(Clone, Debug, Default)]
 pub struct Shared(Arc<Mutex<Content>>);
@@ -86,7 +100,10 @@
         match std::str::from_utf8(value) {
             Ok(it) => {
                 let record = Record { key: key.to_owned(), value: it.to_owned() };
-                self.with(|content| content.config = Some(record));
+                self.with(|content| {
+                    content.config = Some(record);
+                    content.compressed_config = None;
+                });
             }
             Err(e) => log::error!("event=config-not-shared error=\"{e}\""),
         }
@@ -137,7 +154,7 @@
 fn methods(shared: Shared) -> Result<RpcModule<Shared>, RegisterMethodError> {
     let mut module = RpcModule::new(shared);
     module.register_method(CONFIG_METHOD, |_params, shared, _extensions| {
-        shared.with(|it| it.config.clone())
+        shared.with(Content::compressed_config)
     })?;
     module.register_method(REGISTRY_METHOD, |_params, shared, _extensions| {
         shared.with(|it| encode(&it.snapshot))
@@ -150,7 +167,8 @@
     let version = gateway.version();
     let addresses = candidates(gateway, |it| it.config, version);
     for address in addresses {
-        if let Some(it) = call::<Option<Record>>(address, CONFIG_METHOD).await.flatten() {
+        let compressed = call::<Option<Compressed>>(address, CONFIG_METHOD).await.flatten();
+        if let Some(it) = compressed.and_then(|it| it.into_record(address)) {
             return Some((it, address));
         }
     }
