gateway: an early answer without a length is not complete

Callers got a part of an answer as a complete 200. The upstream had answered a long upload early, without a length, and ended the connection while the upload was still being written.

An orderly end counted as the end of such a body whether or not the request was written whole. It arrives before a reset if the upstream closes while nothing it has received is unread, and the reset is sent only for the next bytes of the request. A read behind both returns 0 bytes, and a write reports a broken pipe.

The end of the connection now completes an answer without a length only if the whole request was written. For a request with a body, the socket must also report no error 5 ms later: the request may be in the send buffer still, and the reset that follows the end is then seen only as the error of the socket. Otherwise the request fails with 502, or is tried at another upstream if it is safe. An early answer that is complete by its length or chunks stays an answer.

--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -1,9 +1,6 @@
 //! A request and its answer on a connection.
 
-use std::{
-    io,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use bytes::{Buf, Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -23,6 +20,9 @@
 /// Number of times that an answer waits for memory that others give up, and the pause between them.
 const MEMORY_WAITS: u32 = 10;
 const MEMORY_PAUSE: Duration = Duration::from_millis(10);
+/// Time after the end of a connection within which a reset is awaited. The upstream sends it when the
+/// bytes reach it that were on their way, so a round trip within a data center is enough.
+const RESET_TIMEOUT: Duration = Duration::from_millis(5);
 
 /// Why an exchange gave no complete answer. Except for [`Self::NotSent`], the request may have run.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
@@ -80,7 +80,7 @@
         // Body and head are written without a copy.
         let mut unwritten = Buf::chain(self.head, &**self.body);
         let length = unwritten.remaining();
-        let mut sending = Sending::Open;
+        let mut is_writable = true;
         let (mut mismatched, mut interim) = (0, 0);
         let mut share = self.memory.share();
         let mut partial: Option<(Head, Body)> = None;
@@ -102,7 +102,6 @@
                     return Err(Failure::Malformed("answer to another request".to_owned()));
                 }
                 let is_reusable = !unwritten.has_remaining()
-                    && sending == Sending::Open
                     && connection.buffer.is_empty()
                     && head.keeps_connection()
                     && !body.ends_with_connection();
@@ -122,12 +121,15 @@
             let (mut reader, mut writer) = stream.split();
             tokio::select! {
                 res = reader.read_buf(buffer) => match res {
-                    Ok(0) => return self.finish_at_close(&connection, partial, sending),
+                    Ok(0) => {
+                        let is_sent = !unwritten.has_remaining();
+                        return self.finish_at_close(&connection, partial, is_sent).await;
+                    }
                     Ok(_) => {}
                     Err(e) => return Err(Failure::Broken(e.to_string())),
                 },
                 res = writer.write_buf(&mut unwritten),
-                    if sending == Sending::Open && unwritten.has_remaining() =>
+                    if is_writable && unwritten.has_remaining() =>
                 {
                     match res {
                         Ok(_) => {}
@@ -135,7 +137,7 @@
                             return Err(Failure::NotSent(e.to_string()));
                         }
                         // The upstream may have answered before it closed the connection.
-                        Err(e) => sending = Sending::after(&e),
+                        Err(_) => is_writable = false,
                     }
                 }
             }
@@ -188,16 +190,24 @@
         Ok(None)
     }
 
-    /// The answer, if the end of the connection completes it.
-    fn finish_at_close(
+    /// The answer, if the end of the connection completes it; `is_sent` says whether the request has
+    /// been written whole.
+    ///
+    /// Without a length, an orderly end is not enough: an upstream that closes the connection while it
+    /// is sent the request ends it in order, and resets it when the next byte of the request arrives.
+    /// A read returns 0 bytes in both cases.
+    async fn finish_at_close(
         self,
         connection: &Connection,
         partial: Option<(Head, Body)>,
-        sending: Sending,
+        is_sent: bool,
     ) -> Result<Completed> {
         match partial {
-            Some((_, body)) if body.ends_with_connection() && sending == Sending::Broken => {
-                Err(Failure::Broken("reset before its end".to_owned()))
+            Some((_, body)) if body.ends_with_connection() && !is_sent => {
+                Err(Failure::Broken("closed before the request was sent".to_owned()))
+            }
+            Some((_, body)) if body.ends_with_connection() && self.is_reset(connection).await => {
+                Err(Failure::Broken("reset behind its end".to_owned()))
             }
             Some((head, body)) if body.ends_with_connection() && self.is_own_answer(&head) => {
                 let message = Message { head, body: body.into_bytes() };
@@ -209,6 +219,16 @@
         }
     }
 
+    /// Whether a reset follows the orderly end of the connection: the upstream has not read the whole
+    /// request. One without a body is so short that it arrives at once.
+    async fn is_reset(self, connection: &Connection) -> bool {
+        if self.body.is_empty() {
+            return false;
+        }
+        tokio::time::sleep(RESET_TIMEOUT).await;
+        connection.has_error()
+    }
+
     /// Whether an answer belongs to this request. One without an id may be a late copy of the answer
     /// to an earlier health check.
     fn is_own_answer(self, head: &Head) -> bool {
@@ -216,24 +236,6 @@
     }
 }
 
-/// Whether more of the request can be written.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Sending {
-    Open,
-    /// The upstream has closed the connection in order and accepts nothing more.
-    Closed,
-    /// The connection broke. The operating system reports that once: a read after the write that
-    /// has got the error returns 0 bytes, as if the upstream had closed the connection.
-    Broken,
-}
-
-impl Sending {
-    /// State after a failed write. A reset behind the upstream's orderly end is a broken pipe.
-    fn after(e: &io::Error) -> Self {
-        if e.kind() == io::ErrorKind::BrokenPipe { Self::Closed } else { Self::Broken }
-    }
-}
-
 // Used with `map_err`, which passes the error by value.
 #[expect(clippy::needless_pass_by_value)]
 fn malformed(e: http::Error) -> Failure {
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -25,6 +25,14 @@
     pub buffer: BytesMut,
 }
 
+impl Connection {
+    /// Whether the connection broke, which a read behind the orderly end of the other side doesn't
+    /// report.
+    pub(super) fn has_error(&self) -> bool {
+        !matches!(self.stream.take_error(), Ok(None))
+    }
+}
+
 struct Idle {
     connection: Connection,
     since: Instant,
