gateway, daemon: an answer with a status that none may have is malformed

An upstream in trouble answered with status 000. Callers of the gateway waited until their deadline and got 504; 600, 742 and 999 with a signature were passed on to them as they were. A health check answered with one of those counted as one that succeeded. The older daemon passed on 101, 600, 742 and 999.

The parser of answers accepts three digits of any value. A status below 200 counted as interim, 000 to 099 included, so another answer was awaited, and none above 599 was refused. 101 was taken for an interim answer as well, although HTTP ends behind it. The HTTP library of the older daemon rejects 000 to 099, but returns 101 and 600 to 999 as answers.

The parser now takes only 100 to 599; the exchange refuses 101, as no upgrade is ever requested, and the older daemon takes only 200 to 599. The attempt fails at once, as with any other malformed answer: 502, or another upstream for a safe request.

The tests of health checks (600 gave a load report) and of attempts of the older daemon (8 of 22 passed on) failed before and pass. Calls to the store, to peers and to the log failed at once before and after.

--- a/crates/daemon/src/upstream/attempt.rs
+++ b/crates/daemon/src/upstream/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to send a request to a backend server and read its answer.
 
-use std::time::Instant;
+use std::{ops::RangeInclusive, time::Instant};
 
 use bytes::Bytes;
 use clock::Clock;
@@ -19,6 +19,10 @@
     },
 };
 
+/// Statuses that an answer may have (RFC 9110, section 15). The library accepts 101, which ends HTTP on
+/// the connection, and statuses up to 999.
+const STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Why an attempt got no whole answer.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -168,6 +172,9 @@
 
     async fn read(&self, res: hyper::Response<hyper::body::Incoming>) -> Result<Answer> {
         let (mut head, body) = res.into_parts();
+        if !STATUSES.contains(&head.status.as_u16()) {
+            return Err(Error::Broken(format!("no answer has status {}", head.status.as_u16())));
+        }
         if !self.has_matching_id(&head.headers) {
             return Err(Error::Mismatched);
         }
--- a/crates/gateway/src/http/head.rs
+++ b/crates/gateway/src/http/head.rs
@@ -1,6 +1,10 @@
 //! Heads of requests and answers.
 
-use std::{collections::HashSet, fmt, ops::Range};
+use std::{
+    collections::HashSet,
+    fmt,
+    ops::{Range, RangeInclusive},
+};
 
 use bytes::{Buf, Bytes, BytesMut};
 
@@ -27,6 +31,8 @@
     "transfer-encoding",
     "upgrade",
 ];
+/// Statuses that exist (RFC 9110, section 15).
+const STATUSES: RangeInclusive<u16> = 100..=599;
 
 /// A header of a message.
 #[derive(Clone, Eq, PartialEq)]
@@ -114,7 +120,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if the bytes are not a valid head or it exceeds `limit` bytes.
+    /// Fails if the bytes are not a valid head, its status doesn't exist, or it exceeds `limit` bytes.
     pub fn parse_answer(buffer: &mut BytesMut, limit: usize) -> Result<Option<Self>> {
         if is_long_and_incomplete(buffer, limit)? {
             return Ok(None);
@@ -135,6 +141,9 @@
         let base = buffer.as_ptr() as usize;
         let (status, minor_version) =
             (parsed.code.unwrap_or_default(), parsed.version.unwrap_or_default());
+        if !STATUSES.contains(&status) {
+            return Err(Error::Malformed("bad-status"));
+        }
         let ranges = ranges(base, parsed.headers);
         let bytes = take(buffer, len);
         let headers = slices(&bytes, ranges);
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -15,6 +15,8 @@
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum number of interim answers (status 1xx) to a request.
 const MAX_INTERIM: usize = 16;
+/// Status that ends HTTP on the connection. `Upgrade` headers are not forwarded to upstreams.
+const SWITCHING_PROTOCOLS: u16 = 101;
 /// Number of answers to other requests that are skipped before the exchange fails.
 const MAX_MISMATCHED: usize = 4;
 /// Number of times that an answer waits for memory that others give up, and the pause between them.
@@ -87,6 +89,9 @@
         loop {
             if let Some((head, body)) = self.parse(&mut connection, &mut partial)? {
                 let is_own_answer = self.is_own_answer(&head);
+                if head.status == SWITCHING_PROTOCOLS {
+                    return Err(Failure::Malformed("upgrade without a request for it".to_owned()));
+                }
                 if head.status < 200 && interim < MAX_INTERIM {
                     interim += 1;
                     continue;
