daemon: an early answer without a length is not complete

The older daemon took a part of an answer for the whole one as well: a backend server that had answered a long request early, without a length, ended its answer in order and reset the connection later.

The HTTP library completes such a body at the end of the connection, even while it is writing the request.

The stream below the library now reports its end as a reset while bytes of the request are unwritten, which it knows from the flush that follows the last one, and as the error of the socket if a reset has already arrived. An idle connection has nothing to write, so its end is seen as before.

--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -4,3 +4,4 @@
 pub mod connection;
 pub mod load;
 pub mod pool;
+mod stream;
--- a/crates/daemon/src/upstream/connection.rs
+++ b/crates/daemon/src/upstream/connection.rs
@@ -11,6 +11,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use super::stream::Stream;
+
 /// Timeout of opening a TCP connection to a backend server.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -51,7 +53,7 @@
             .await
             .map_err(|_elapsed| Error::Timeout)??;
         stream.set_nodelay(true)?;
-        let (sender, driver) = http1::handshake(TokioIo::new(stream)).await?;
+        let (sender, driver) = http1::handshake(TokioIo::new(Stream::new(stream))).await?;
         tokio::spawn(async move {
             if let Err(e) = driver.await {
                 log::debug!("connection to {address} ended: {e}");
