--- a/crates/cli/src/trace/cause.rs
+++ b/crates/cli/src/trace/cause.rs
@@ -3,7 +3,7 @@
 use super::Line;
 
 /// Values of `reason` and their meaning.
-const REASONS: [(&str, &str); 17] = [
+const REASONS: [(&str, &str); 19] = [
     (
         "overload",
         "no upstream had a free slot in time; the request was refused before it reached an upstream",
@@ -30,6 +30,14 @@
     ("quota", "the tenant had used up its quota"),
     ("route-changed", "the route no longer led to this service when the request was to be sent"),
     ("not-ready", "the host had no configuration yet"),
+    (
+        "config-incomplete",
+        "the request may be allowed by a part of the configuration that can't be read",
+    ),
+    (
+        "config-outdated",
+        "the request may be allowed by a newer configuration, which the host may lack",
+    ),
     ("bad-request", "the request has no host, no id or a malformed target or deadline"),
     ("body-memory", "bodies of other requests used all the memory for bodies"),
     ("leaving", "the host was leaving"),
