gateway, tests: refusals of unread requests and confirmations in modules of their own

What answers a request that was not read to its end is now caller::unread, what asks peers for a confirmation is mesh::confirmation. No logic is changed; cut_peers, outdated_denials, denied_requests and denial_origins pass.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -7,6 +7,7 @@
 mod listener;
 mod port;
 mod shed;
+mod unread;
 
 use std::{
     collections::VecDeque,
@@ -27,13 +28,12 @@
 };
 
 use crate::{
-    config::{Gap, Limits, Table},
-    decision::Origin,
+    config::{Limits, Table},
     gateway::Gateway,
     http::{self, Body, Message, Reader},
     memory::{Charge, Holder, Kind, Stage},
     peer::Phase,
-    request::{self, Refusal, Reply},
+    request::{Refusal, Reply},
     socket,
 };
 
@@ -186,7 +186,7 @@
                 },
                 () = self.holder.evicted() => {}
                 () = self.gateway.stop.requests_ended(), if self.is_reading_request() => {
-                    self.end_with(close_with(&self.gateway, Refusal::leaving()));
+                    self.end_with(unread::refuse(&self.gateway, Refusal::leaving()));
                 }
                 () = tokio::time::sleep_until(wake.into()) => {
                     if let Some(close) = self.time_out(&limits) {
@@ -221,7 +221,7 @@
                 // Without valid framing, no further request can be read.
                 Err(e) => {
                     let gateway = Rc::clone(&self.gateway);
-                    self.end_after(async move { parse_error(&gateway, e).await });
+                    self.end_after(async move { unread::answer(&gateway, e).await });
                 }
             }
         }
@@ -237,7 +237,7 @@
             shed::record(&self.gateway, "head-memory", format_args!("bytes={}", charge.bytes()));
             let message = "the headers of other requests hold the memory for requests".to_owned();
             let refusal = Refusal::not_run("head-memory", message, MEMORY_RETRY_AFTER);
-            self.end_with(close_with(&self.gateway, refusal));
+            self.end_with(unread::refuse(&self.gateway, refusal));
             return;
         }
         let closes_connection = !message.head.keeps_connection();
@@ -337,7 +337,7 @@
     fn refuse_body(&mut self) {
         let bytes = self.holder.bytes.get();
         shed::record(&self.gateway, "body-memory", format_args!("bytes={bytes}"));
-        self.end_with(close_with(&self.gateway, out_of_memory()));
+        self.end_with(unread::refuse(&self.gateway, unread::out_of_memory()));
     }
 
     /// Answers with `reply` and starts no further requests.
@@ -466,7 +466,7 @@
                 shed::record(&self.gateway, "stalled-body", format_args!(""));
             }
             if idle >= limit || is_stalled {
-                self.end_with(request_timeout(&self.gateway));
+                self.end_with(unread::time_out(&self.gateway));
             }
             return None;
         }
@@ -479,70 +479,3 @@
 fn excess_of_head(held: usize) -> usize {
     held.saturating_sub(REQUEST_BYTES)
 }
-
-/// Answers a request that can't be read.
-async fn parse_error(gateway: &Gateway, e: http::Error) -> Reply {
-    let refusal = match e {
-        http::Error::OutOfMemory => return close_with(gateway, out_of_memory()),
-        http::Error::Malformed(_) | http::Error::Framing(_) => denial(400, &e),
-        http::Error::HeadTooLarge(limit) => {
-            let is_raised = |it: &Limits| it.head_bytes > limit;
-            over_limit(gateway, Gap::HeadLimit, is_raised).await.unwrap_or_else(|| denial(431, &e))
-        }
-        http::Error::BodyTooLarge(limit) => {
-            let is_raised = |it: &Limits| it.body_bytes > limit;
-            over_limit(gateway, Gap::BodyLimit, is_raised).await.unwrap_or_else(|| denial(413, &e))
-        }
-    };
-    close_with(gateway, refusal)
-}
-
-/// A final refusal of a request that can't be read.
-fn denial(status: u16, e: &http::Error) -> Refusal {
-    Refusal { status, reason: e.reason(), message: e.to_string(), retry_after: None }
-}
-
-/// Refusal of a request over a limit while the operator's newest limit may be higher.
-async fn over_limit(
-    gateway: &Gateway,
-    gap: Gap,
-    is_raised: impl Fn(&Limits) -> bool,
-) -> Option<Refusal> {
-    if let Err(it) = request::require_newest_config(gateway, Duration::MAX).await {
-        return Some(it);
-    }
-    match gateway.table() {
-        None => Some(Refusal::not_ready()),
-        Some(it) if it.gaps.contains(&gap) => Some(Refusal::config_incomplete()),
-        Some(it) => is_raised(&it.limits).then(Refusal::limit_raised),
-    }
-}
-
-fn request_timeout(gateway: &Gateway) -> Reply {
-    let message = "the request was not whole in time".to_owned();
-    close_with(gateway, Refusal { status: 408, reason: "slow-caller", message, retry_after: None })
-}
-
-fn out_of_memory() -> Refusal {
-    let message = "the bodies of other requests hold the memory for bodies".to_owned();
-    Refusal::not_run("body-memory", message, MEMORY_RETRY_AFTER)
-}
-
-fn close_with(gateway: &Gateway, refusal: Refusal) -> Reply {
-    Reply { closes_connection: true, ..refuse(gateway, refusal) }
-}
-
-/// Refuses a request that was not read to its end.
-fn refuse(gateway: &Gateway, refusal: Refusal) -> Reply {
-    gateway.metrics.count_unread(refusal.status, refusal.reason, || gateway.knowledge());
-    let limit = gateway.settings().failure_lines_per_s;
-    if gateway.log_limiter.borrow_mut().allows(gateway.now(), refusal.reason, limit) {
-        log::info!(
-            target: "request",
-            "event=request-refused status={} reason={} origin={} config={} {}",
-            refusal.status, refusal.reason, Origin::Daemon.name(), gateway.version(),
-            gateway.knowledge_text()
-        );
-    }
-    Reply::refuse(refusal, None)
-}
