gateway: the registry's digest covers all that decides how an upstream is used

What callers would have seen: a daemon sent requests for an upstream to an address that another server had, and each got 421 and was sent elsewhere.

Cause: the digest left out address, service, domain and slots. It kept it until the entry was written again, 18 s after the last fault.

Change: the digest covers all fields but the rest of a slow start, which is read at different times. A changed domain counts as a change.

Measured: registry_fold::digest_of_changes failed before and passes, with the 10 other tests of the file.

--- a/crates/gateway/src/registry/fold.rs
+++ b/crates/gateway/src/registry/fold.rs
@@ -254,6 +254,7 @@
                 || old.state != it.state
                 || old.slots != it.slots
                 || old.service != it.service
+                || old.domain != it.domain
                 // It has become cold again, or warm; in between the time only shrinks.
                 || it.cold_for > old.cold_for
                 || it.cold_for.is_zero() != old.cold_for.is_zero()
@@ -289,9 +290,11 @@
     }
 }
 
-/// Contribution of one entry to the digest.
+/// Contribution of one entry to the digest: all that decides whether and how it is used. The rest of its
+/// slow start is left out, since it is read at different times.
 fn hash(it: &Registration) -> u32 {
-    let text = format!("{}/{}/{:?}", it.id, it.born_ms, it.state);
+    let Registration { id, born_ms, service, address, domain, slots, state, cold_for: _ } = it;
+    let text = format!("{id}/{born_ms}/{service}/{address}/{domain}/{slots}/{state:?}");
     // Any 32 bits of the hash are equally good.
     #[expect(clippy::cast_possible_truncation)]
     let res = xxh3_64(text.as_bytes()) as u32;
--- a/crates/gateway/tests/registry_fold.rs
+++ b/crates/gateway/tests/registry_fold.rs
@@ -167,3 +167,26 @@
     let changes = [0, 5, 4, 1, 0, 0, 3, 6].map(&mut is_change);
     assert_eq!(changes, [false, true, false, false, true, false, true, true]);
 }
+
+/// A daemon that starts took an address that the sender of the snapshot had replaced already: daemons
+/// update the snapshot for peers, and compare registries, by the digest alone.
+#[test]
+fn digest_of_changes() {
+    let now = Instant::now();
+    let base = upstream("u", 1);
+    let changes = [
+        Registration { address: "10.0.0.2:80".parse().unwrap(), ..base.clone() },
+        Registration { service: "other".into(), ..base.clone() },
+        Registration { domain: "other".into(), ..base.clone() },
+        Registration { slots: base.slots + 1, ..base.clone() },
+    ];
+    for changed in changes {
+        let mut fold = Fold::new(GRACE);
+        fold.apply(now, put("u", 1));
+        let before = fold.digest();
+        assert!(fold.apply(now, Change::Put(changed.clone())).is_some());
+        assert_ne!(fold.digest(), before, "{changed:?}");
+        fold.apply(now, put("u", 1));
+        assert_eq!(fold.digest(), before, "{changed:?}");
+    }
+}
