soak: daemons that miss configurations must not deny what these allow

Cause: the soak did not find that a daemon with a complete but outdated configuration gives final refusals. Its callers use only routes that all configurations have, the requests of its watchers for the newest route may be refused, pauses were at most 2.5 s and met a configuration only by chance, and nothing was sent to a daemon at the end of its pause.

Change: a fault pauses some daemons and cuts others off from the store, each on a link of its own, and publishes a configuration that they miss for 2.2 to 3.5 s; the time limit for applying one is 2 s. The fault has a random generator of its own. Each configuration adds a route that all later ones keep and raises the limits on heads and bodies by 128 bytes. A probe for each daemon sends requests that only the newest configuration older than the time limit, and later ones, allow; some are sent to each paused daemon before it runs again. The check for denied requests applies to them, and a 503 must have a Retry-After. The report counts their answers. No other check has changed.

--- a/crates/daemon/tests/soak_short.rs
+++ b/crates/daemon/tests/soak_short.rs
@@ -2,18 +2,24 @@
 
 use std::{path::PathBuf, time::Duration};
 
-use soak::Options;
+use soak::{Options, Report};
 
 /// Seeds to run. A seed that has found a fault stays here, with the cause in a comment.
 const SEEDS: [u64; 1] = [1];
+/// Seed with daemons that miss a configuration in six of the faults.
+const GUARDS_SEED: u64 = 14;
 
-fn check(options: &Options, name: &str) {
-    let report = soak::run(&Options {
+fn run(options: &Options, name: &str) -> Report {
+    soak::run(&Options {
         daemon: PathBuf::from(env!("CARGO_BIN_EXE_fireflydrumd")),
         folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", options.seed)),
         ..options.clone()
     })
-    .expect("the daemons start");
+    .expect("the daemons start")
+}
+
+fn check(options: &Options, name: &str) {
+    let report = run(options, name);
     assert!(report.findings.is_empty(), "{report}");
 }
 
@@ -33,3 +39,14 @@
         Options { length, daemons: 6, callers: 21, only_stops: true, ..Options::default() };
     check(&options, "stops");
 }
+
+/// Daemons that take a configuration for the newest for a minute refuse requests by outdated ones. The
+/// soak must find it.
+#[test]
+fn detects_missing_guards() {
+    let (length, config_apply) = (Duration::from_secs(8), Duration::from_mins(1));
+    let options = Options { seed: GUARDS_SEED, length, config_apply, ..Options::default() };
+    let report = run(&options, "guards");
+    let is_denial = |it: &String| it.contains("no signature") && it.contains("GET-settled-");
+    assert!(report.findings.iter().any(is_denial), "{report}");
+}
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -5,7 +5,7 @@
     net::{SocketAddr, TcpStream},
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -15,6 +15,7 @@
 use crate::{
     form::{self, Form},
     ledger::{Denial, Ledger},
+    publications::Publications,
 };
 
 /// Time-out for reading an answer. Slightly longer than the route's time-out.
@@ -46,8 +47,9 @@
     pub(crate) fault_free_requests: AtomicU64,
     /// Number of starts of each daemon.
     pub(crate) starts: Vec<Arc<AtomicU64>>,
-    /// Version of the newest configuration that the store has acknowledged.
-    pub(crate) published: AtomicU64,
+    pub(crate) publications: Publications,
+    /// Number of probes that have been sent.
+    pub(crate) probes: AtomicUsize,
 }
 
 /// An answer of a daemon.
@@ -220,7 +222,8 @@
     connect_to(context, rng.usize(..context.addresses.len()))
 }
 
-fn connect_to(context: &Context, daemon: usize) -> io::Result<Connection> {
+/// Opens a connection to a daemon.
+pub(crate) fn connect_to(context: &Context, daemon: usize) -> io::Result<Connection> {
     let stream =
         TcpStream::connect_timeout(&context.addresses[daemon], Duration::from_millis(500))?;
     stream.set_read_timeout(Some(READ_TIMEOUT))?;
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -57,9 +57,10 @@
             "[gateway]\nhost = daemon-{number}\ndomain = {domain}\ncaller_address = {caller_address}\n\
              ready_address = {ready_address}\ndirectory_address = {directory_address}\npeer_address = {}\n\
              metrics_address = {metrics_address}\nseeds = {}\nstore_address = {store}\n\
-             failure_lines_per_s = 500\n",
+             failure_lines_per_s = 500\nconfig_apply = {}ms\n",
             peer(number),
-            seeds.join(",")
+            seeds.join(","),
+            options.config_apply.as_millis()
         );
         fs::write(&settings, text)?;
         let log = options.folder.join(format!("daemon-{number}.log"));
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -5,7 +5,7 @@
     fs,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     thread::{self, JoinHandle},
     time::{Duration, Instant},
@@ -15,12 +15,15 @@
     Proxy, Store, Upstream,
     config::{self, Route},
 };
+use rustix::process::Signal;
 
 use crate::{
     Error, Options, Report, Result,
     caller::{self, Context},
     daemon::{self, Daemon},
     ledger::Ledger,
+    probe,
+    publications::Publications,
     stop_caller, watcher,
 };
 
@@ -40,7 +43,8 @@
 /// The daemons under test, and the simulated store, upstreams and callers.
 pub(crate) struct Environment {
     pub(crate) store: Store,
-    pub(crate) store_proxy: Proxy,
+    /// The way of each daemon to the store.
+    pub(crate) store_links: Vec<Proxy>,
     pub(crate) upstreams: Vec<(Upstream, Proxy)>,
     pub(crate) daemons: RefCell<Vec<Daemon>>,
     pub(crate) context: Arc<Context>,
@@ -53,7 +57,8 @@
         drop(fs::remove_dir_all(&options.folder));
         fs::create_dir_all(&options.folder)?;
         let store = Store::start();
-        let store_proxy = Proxy::start(store.address);
+        let store_links: Vec<_> =
+            (0..options.daemons).map(|_| Proxy::start(store.address)).collect();
         let mut upstreams = Vec::new();
         let count = if options.only_stops { UPSTREAMS_FOR_STOPS } else { UPSTREAMS };
         for number in 0..count {
@@ -63,8 +68,8 @@
         }
         let peer_port = daemon::shared_port(options.daemons)?;
         let mut daemons = Vec::new();
-        for number in 0..options.daemons {
-            let mut daemon = Daemon::new(options, number, peer_port, store_proxy.address)?;
+        for (number, link) in (0..options.daemons).zip(&store_links) {
+            let mut daemon = Daemon::new(options, number, peer_port, link.address)?;
             daemon.start()?;
             daemons.push(daemon);
         }
@@ -76,11 +81,12 @@
             is_fault_free: AtomicBool::new(false),
             fault_free_requests: AtomicU64::new(0),
             starts: daemons.iter().map(|it| Arc::clone(&it.starts)).collect(),
-            published: AtomicU64::new(0),
+            publications: Publications::default(),
+            probes: AtomicUsize::new(0),
         });
         let res = Self {
             store,
-            store_proxy,
+            store_links,
             upstreams,
             daemons: RefCell::new(daemons),
             context,
@@ -101,6 +107,8 @@
         for daemon in 0..usize::from(watched) {
             let context = Arc::clone(&res.context);
             threads.push(thread::spawn(move || watcher::run(&context, daemon)));
+            let context = Arc::clone(&res.context);
+            threads.push(thread::spawn(move || probe::run(&context, daemon)));
         }
         drop(threads);
         Ok(res)
@@ -136,23 +144,26 @@
         self.store.remove(config::TOPIC, EVACUATION_KEY);
     }
 
-    /// Publishes the next configuration: the routes that all configurations have, and one that only
-    /// this one has.
+    /// Publishes the next configuration. It has the routes of the one before, but for the route that
+    /// only that one has, two new routes and higher limits.
     pub(crate) fn publish(&self) {
-        let version = self.context.published.load(Ordering::Relaxed) + 1;
+        let version = self.context.publications.newest() + 1;
         let own = config::own_path(version);
-        let routes = [
+        let since: Vec<_> = (1..=version).map(config::since_path).collect();
+        let mut routes = vec![
             Route { name: "read", prefix: "/read/", is_idempotent: true },
             Route { name: "order", prefix: "/order/", is_idempotent: false },
             Route { name: "own", prefix: &own, is_idempotent: true },
         ];
-        self.store.put(config::TOPIC, config::KEY, &config::text(version, &routes));
-        self.context.published.store(version, Ordering::Relaxed);
+        routes.extend(since.iter().map(|it| Route { name: it, prefix: it, is_idempotent: true }));
+        let text = config::text_with_limits(version, &routes, probe::limits(version));
+        self.store.put(config::TOPIC, config::KEY, &text);
+        self.context.publications.record();
     }
 
     /// Path of the route that only the newest configuration has.
     pub(crate) fn newest_path(&self) -> String {
-        config::own_path(self.context.published.load(Ordering::Relaxed))
+        config::own_path(self.context.publications.newest())
     }
 
     /// Waits until every daemon is ready. Returns false if this takes longer than 30 s.
@@ -167,6 +178,16 @@
         false
     }
 
+    /// Lets a paused daemon run again. Requests are sent to it before, so that they wait for it.
+    pub(crate) fn resume(&self, daemon: usize) -> Result<()> {
+        let probes = probe::send_while_paused(&self.context, daemon);
+        self.daemons.borrow()[daemon].signal(Signal::CONT)?;
+        let context = Arc::clone(&self.context);
+        let check = move || probes.into_iter().for_each(|it| it.check(&context));
+        self.threads.borrow_mut().push(thread::spawn(check));
+        Ok(())
+    }
+
     /// Stops callers and watchers and returns the report.
     pub(crate) fn finish(&self) -> Report {
         self.context.stop.store(true, Ordering::Relaxed);
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -15,7 +15,7 @@
 use crate::{
     Result,
     environment::{Environment, UPSTREAMS_IN_B},
-    watcher,
+    probe, watcher,
 };
 
 /// Time from the start of one fault to the start of the next, in milliseconds.
@@ -44,6 +44,10 @@
 const DENIAL_STATUSES: [u16; 3] = [302, 400, 404];
 /// One in this many of these upstreams signs its answers, which callers must get unchanged then.
 const SIGNED_DENIAL_EVERY: u8 = 4;
+/// One in this many faults is accompanied by daemons that miss a configuration.
+const MISSED_CONFIG_EVERY: u8 = 8;
+/// Time for which they miss it, beyond the time limit for applying it, in milliseconds.
+const MISSED_CONFIG_EXTRA_MS: std::ops::Range<u64> = 200..1_500;
 /// Time within which every daemon must apply an evacuation.
 const EVACUATION_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time for which an evacuated domain must get nothing.
@@ -56,6 +60,8 @@
 enum End {
     Store,
     StoreLink,
+    /// A daemon that is cut off from the store.
+    Isolation(usize),
     Upstream(usize),
     AllUpstreams,
     UpstreamLink(usize),
@@ -74,14 +80,16 @@
     evacuation_rng: fastrand::Rng,
     /// As `evacuation_rng`, for upstreams that deny requests.
     denial_rng: fastrand::Rng,
+    /// As `evacuation_rng`, for daemons that miss a configuration.
+    missed_rng: fastrand::Rng,
     ends: Vec<(Instant, End)>,
 }
 
 impl<'a> Faults<'a> {
     pub(crate) fn new(env: &'a Environment, seed: u64) -> Self {
-        let [rng, evacuation_rng, denial_rng] =
-            [seed, !seed, seed.rotate_left(32)].map(fastrand::Rng::with_seed);
-        Self { env, rng, evacuation_rng, denial_rng, ends: Vec::new() }
+        let seeds = [seed, !seed, seed.rotate_left(32), !seed.rotate_left(32)];
+        let [rng, evacuation_rng, denial_rng, missed_rng] = seeds.map(fastrand::Rng::with_seed);
+        Self { env, rng, evacuation_rng, denial_rng, missed_rng, ends: Vec::new() }
     }
 
     /// Injects faults for `length`, then ends all faults that are still active.
@@ -91,6 +99,7 @@
             self.begin()?;
             self.begin_evacuation();
             self.begin_denial();
+            self.begin_missed_config()?;
             let next = Instant::now() + Duration::from_millis(self.rng.u64(FAULT_INTERVAL_MS));
             while Instant::now() < next {
                 self.end_due(false)?;
@@ -118,7 +127,7 @@
                 ("store", Some(End::Store))
             }
             1 => {
-                env.store_proxy.set_fault(link_fault);
+                env.store_links.iter().for_each(|it| it.set_fault(link_fault));
                 ("store-link", Some(End::StoreLink))
             }
             2 => {
@@ -219,6 +228,34 @@
         self.ends.push((Instant::now() + duration, End::Upstream(upstream)));
     }
 
+    /// Pauses some daemons and cuts others off from the store, then publishes a configuration that they
+    /// miss for longer than the time limit for applying it.
+    fn begin_missed_config(&mut self) -> Result<()> {
+        if self.missed_rng.u8(..MISSED_CONFIG_EVERY) != 0 {
+            return Ok(());
+        }
+        let env = self.env;
+        for daemon in 0..env.store_links.len() {
+            let extra = Duration::from_millis(self.missed_rng.u64(MISSED_CONFIG_EXTRA_MS));
+            let until = Instant::now() + probe::CONFIG_APPLY + extra;
+            match self.missed_rng.u8(..3) {
+                0 if self.is_up(daemon) => {
+                    env.daemons.borrow()[daemon].signal(Signal::STOP)?;
+                    env.context.ledger.record_fault("missed-config-pause");
+                    self.ends.push((until, End::Pause(daemon)));
+                }
+                1 => {
+                    env.store_links[daemon].set_fault(proxy::Fault::Silence);
+                    env.context.ledger.record_fault("missed-config-cut");
+                    self.ends.push((until, End::Isolation(daemon)));
+                }
+                _ => {}
+            }
+        }
+        env.publish();
+        Ok(())
+    }
+
     /// Whether a daemon runs and is not paused, stopping or killed.
     fn is_up(&self, daemon: usize) -> bool {
         !self.ends.iter().any(|(_, it)| match it {
@@ -242,7 +279,10 @@
         let env = self.env;
         match end {
             End::Store => env.store.set_fault(store::Fault::None),
-            End::StoreLink => env.store_proxy.set_fault(proxy::Fault::None),
+            End::StoreLink => {
+                env.store_links.iter().for_each(|it| it.set_fault(proxy::Fault::None));
+            }
+            End::Isolation(it) => env.store_links[*it].set_fault(proxy::Fault::None),
             // It may have said that it leaves, so it starts again.
             End::Upstream(it) => {
                 env.upstreams[*it].0.restart();
@@ -251,7 +291,7 @@
             End::AllUpstreams => env.upstreams.iter().for_each(|it| it.0.set_mode(Mode::Good)),
             End::UpstreamLink(it) => env.upstreams[*it].1.set_fault(proxy::Fault::None),
             End::Registration(it) => env.register(*it, "ready"),
-            End::Pause(it) => env.daemons.borrow()[*it].signal(Signal::CONT)?,
+            End::Pause(it) => env.resume(*it)?,
             End::Stop(it) => {
                 let mut daemons = env.daemons.borrow_mut();
                 if !daemons[*it].wait(STOP_TIMEOUT)? {
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -9,7 +9,7 @@
 
 use platform_standin::Upstream;
 
-use crate::{form::Form, retry_budget};
+use crate::{form::Form, probe::Need, retry_budget};
 
 /// Maximum number of findings in a report. Further ones are usually repetitions.
 const MAX_FINDINGS: usize = 500;
@@ -25,6 +25,8 @@
     pub faults: BTreeMap<&'static str, u64>,
     /// Number of successful requests by their unusual form. A request can have two forms.
     pub forms: BTreeMap<String, u64>,
+    /// Number of requests that need the newest configuration, by what they need and the status.
+    pub probes: BTreeMap<String, u64>,
     /// Broken promises.
     pub findings: Vec<String>,
 }
@@ -33,7 +35,7 @@
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(out, "seed={} findings={}", self.seed, self.findings.len())?;
         write!(out, " answers={:?} faults={:?}", self.answers, self.faults)?;
-        write!(out, " forms={:?}", self.forms)?;
+        write!(out, " forms={:?} probes={:?}", self.forms, self.probes)?;
         self.findings.iter().try_for_each(|it| write!(out, "\n  {it}"))
     }
 }
@@ -90,6 +92,11 @@
         });
     }
 
+    /// Records the answer to a request that needs the newest configuration.
+    pub(crate) fn record_probe(&self, need: Need, status: u16) {
+        self.with(|it| *it.probes.entry(format!("{need:?} {status}")).or_default() += 1);
+    }
+
     pub(crate) fn record_denial(&self, id: &str, denial: Denial) {
         let mut denials = self.denials.lock().unwrap_or_else(PoisonError::into_inner);
         denials.push((id.to_owned(), denial));
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -2,6 +2,8 @@
 
 use std::{path::PathBuf, time::Duration};
 
+use crate::probe;
+
 /// Parameters of a run.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -20,6 +22,9 @@
     /// Whether the only faults are planned stops of the daemons, in turn and overlapping, so that
     /// every request that reached an upstream must be answered.
     pub only_stops: bool,
+    /// Time limit for applying a configuration in the daemons' settings. What the soak checks does not
+    /// depend on it: with a longer one, daemons refuse requests by outdated configurations.
+    pub config_apply: Duration,
 }
 
 impl Default for Options {
@@ -32,6 +37,7 @@
             daemons: 3,
             callers: 6,
             only_stops: false,
+            config_apply: probe::CONFIG_APPLY,
         }
     }
 }
--- a/crates/soak/src/watcher.rs
+++ b/crates/soak/src/watcher.rs
@@ -26,7 +26,7 @@
         thread::sleep(REQUEST_INTERVAL);
         serial += 1;
         let start = context.starts[daemon].load(Ordering::Relaxed);
-        let published = context.published.load(Ordering::Relaxed);
+        let published = context.publications.newest();
         if newest_served.0 != start {
             newest_served = (start, 0);
         }
