--- a/crates/gateway/tests/peer_calls.rs
+++ b/crates/gateway/tests/peer_calls.rs
@@ -43,20 +43,17 @@
     tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap()
 }
 
-/// A configuration as operators publish it, with names that have nothing in common.
+/// A configuration with names that have nothing in common.
 fn large_configuration() -> String {
     let mut random = fastrand::Rng::with_seed(1);
     let mut name = || -> String { (0..8).map(|_| random.lowercase()).collect() };
-    let routes: Vec<_> = (0..ROUTES)
-        .map(|_| {
-            let (id, prefix, service) = (name(), name(), name());
-            format!(
-                r#"{{"name":"{id}","path_prefix":"/{prefix}/","service":"{service}","kind":"safe","#
-            ) + r#""max_attempts":2,"timeout_ms":2500,"target_latency_ms":800,"priority":2,"#
-                + r#""max_header_bytes":16384,"max_body_bytes":1048576,"public":false}"#
-        })
-        .collect();
-    format!(r#"{{"version":9,"virtual_hosts":[{{"routes":[{}]}}]}}"#, routes.join(","))
+    let route = |_| {
+        let (id, prefix, service) = (name(), name(), name());
+        format!("[route {id}]\nhost = a.example\nprefix = /{prefix}/\nservice = {service}\n")
+            + "idempotent = yes\nattempt_limit = 2\ntimeout = 2500ms\ntarget_latency = 800ms\n"
+            + "priority = 2\nhead_limit = 16384\nbody_limit = 1048576\npublic = no\n"
+    };
+    (0..ROUTES).map(route).collect()
 }
 
 fn heartbeat() -> Heartbeat {
