tests: addresses of started daemons are no longer found by binding them

Cause: the test bound sockets to find free ports and closed them. A child that another test thread forked in between holds a copy of them until it executes its program; a daemon that binds the address before fails.

Change: `loopback` of the stand-ins returns ports of a counter, below the range of outgoing connections, on IP addresses that only this process uses. Nothing is bound. The settings of early_signals have names of their own process: two runs in one build folder overwrote each other's.

--- a/crates/daemon/tests/caller_limits.rs
+++ b/crates/daemon/tests/caller_limits.rs
@@ -3,7 +3,7 @@
 use std::{
     fs,
     io::{Read, Write},
-    net::TcpStream,
+    net::{SocketAddr, TcpStream},
     process::{Child, Command, Stdio},
     thread,
     time::Duration,
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use fleet::{Caller, Fleet, Service, Settings, await_condition};
+use platform_standin::loopback;
 use standin::backend;
 
 /// Timeout of every wait.
@@ -91,9 +92,8 @@
     let mut fleet = Fleet::start(settings).expect("fleet starts");
     let document = fleet.document();
     let _version = fleet.publish(&document).expect("publishes");
-    let port = free_port();
-    let daemon = start(&fleet, port);
-    let address = ([127, 0, 0, 1], port).into();
+    let address = loopback::address();
+    let daemon = start(&fleet, address);
     let serves = || Caller::default().get(address, "/stock/1").outcome == "done";
     await_condition(LIMIT, "the daemon serves", serves).expect("serves");
 
@@ -114,9 +114,9 @@
     assert!(peak <= bound, "{peak} bytes at the peak, bound {bound}");
 }
 
-fn start(fleet: &Fleet, port: u16) -> Daemon {
+fn start(fleet: &Fleet, address: SocketAddr) -> Daemon {
     let text = format!(
-        "[daemon]\ncaller_address = 127.0.0.1:{port}\npeer_address = 127.0.0.1:0\n\
+        "[daemon]\ncaller_address = {address}\npeer_address = 127.0.0.1:0\n\
          admin_address = 127.0.0.1:0\nlog_address = {}\nhosts_address = {}\n\
          peers_token = loopback-fleet-token\ndomain = a\nlog_decisions = no\nlog_level = off\n\
          request_memory = 64MiB\nanswer_memory = 64MiB\n",
@@ -133,11 +133,6 @@
     Daemon(child)
 }
 
-fn free_port() -> u16 {
-    let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    socket.local_addr().expect("an address").port()
-}
-
 /// Returns the peak resident memory of a process in bytes.
 fn peak_memory_bytes(process: u32) -> u64 {
     let status = fs::read_to_string(format!("/proc/{process}/status")).expect("a process");
--- a/crates/daemon/tests/crowd/mod.rs
+++ b/crates/daemon/tests/crowd/mod.rs
@@ -3,15 +3,15 @@
 use std::{
     fs,
     io::{self, Read, Write},
-    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpStream},
     path::PathBuf,
-    process::{self, Child, Command, Stdio},
+    process::{Child, Command, Stdio},
     sync::{Mutex, MutexGuard, PoisonError},
     thread,
     time::{Duration, Instant},
 };
 
-use platform_standin::{Store, Upstream, config};
+use platform_standin::{Store, Upstream, config, loopback};
 use serde_json::json;
 
 /// Memory of the daemon's settings, in MB.
@@ -30,8 +30,6 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(40);
 /// Time-out of single reads and writes of the crowd.
 const IO_TIMEOUT: Duration = Duration::from_secs(5);
-/// Base of the loopback addresses; the process id is added to it.
-const BASE: u32 = 0x7f40_0000;
 
 /// Held while a crowd runs: the figures of one must not be moved by another.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
@@ -53,7 +51,7 @@
         let upstream = Upstream::start("u");
         store.put(config::UPSTREAMS, "u", &upstream.entry("stock", "ready"));
         store.put(config::TOPIC, config::KEY, &configuration());
-        let [callers, ready, directory, peer, metrics] = free_addresses();
+        let [callers, ready, directory, peer, metrics] = [(); 5].map(|()| loopback::address());
         let text = format!(
             "[gateway]\nhost = h\ndomain = a\ncaller_address = {callers}\nready_address = {ready}\n\
              directory_address = {directory}\npeer_address = {peer}\nmetrics_address = {metrics}\n\
@@ -187,10 +185,3 @@
     })
     .to_string()
 }
-
-/// Addresses that were free a moment ago, on an IP address that only this process uses.
-fn free_addresses() -> [SocketAddr; 5] {
-    let ip = Ipv4Addr::from_bits(BASE + process::id());
-    let listeners = [(); 5].map(|()| TcpListener::bind((ip, 0)).expect("a free port"));
-    listeners.map(|it| it.local_addr().expect("an address"))
-}
--- a/crates/daemon/tests/early_signals.rs
+++ b/crates/daemon/tests/early_signals.rs
@@ -5,14 +5,14 @@
 use std::{
     fs::{self, File},
     io::Write,
-    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpStream},
     path::{Path, PathBuf},
     process::{self, Child, Command, ExitStatus, Stdio},
     thread,
     time::{Duration, Instant},
 };
 
-use platform_standin::Store;
+use platform_standin::{Store, loopback};
 use rustix::process::{Pid, Signal, kill_process};
 
 /// Timeout of every wait.
@@ -21,8 +21,6 @@
 const ROUNDS: u32 = 40;
 /// Numbers of the signals in the mask of `/proc/PID/status`: bit 0 is signal 1.
 const HANG_UP_AND_TERMINATE: u64 = 1 | 1 << 14;
-/// Base of the loopback addresses; the process id is added to it.
-const BASE: u32 = 0x7f40_0000;
 
 fn await_condition(what: &str, mut holds: impl FnMut() -> bool) {
     let until = Instant::now() + TIMEOUT;
@@ -32,10 +30,7 @@
 }
 
 fn settings(store: &Store) -> (String, SocketAddr) {
-    let ip = Ipv4Addr::from_bits(BASE + process::id());
-    let listeners = [(); 5].map(|()| TcpListener::bind((ip, 0)).expect("a free port"));
-    let [callers, ready, directory, peers, metrics] =
-        listeners.map(|it| it.local_addr().expect("an address"));
+    let [callers, ready, directory, peers, metrics] = [(); 5].map(|()| loopback::address());
     let text = format!(
         "[gateway]\nhost = h\ndomain = a\ncaller_address = {callers}\nready_address = {ready}\n\
          directory_address = {directory}\npeer_address = {peers}\nmetrics_address = {metrics}\n\
@@ -74,10 +69,15 @@
     status.expect("a status")
 }
 
+/// A path that only this process uses.
+fn settings_path(name: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}.ini", process::id()))
+}
+
 /// A settings file that the daemon has to wait for, and what is to be written to it.
 fn pipe(name: &str, store: &Store) -> (PathBuf, String, SocketAddr) {
-    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
-    // It may be left over from an earlier run.
+    let path = settings_path(name);
+    // It may be left over from a process with the same id.
     let _left = fs::remove_file(&path);
     assert!(Command::new("mkfifo").arg(&path).status().expect("mkfifo runs").success());
     let (text, ready) = settings(store);
@@ -96,7 +96,7 @@
 #[test]
 fn reload_while_settings_are_read() {
     let store = Store::start();
-    let (path, text, ready) = pipe("early-reload.ini", &store);
+    let (path, text, ready) = pipe("early-reload", &store);
     let mut child = start(&path);
     signal(&mut child, Signal::HUP);
     write_settings(&path, &text);
@@ -111,7 +111,7 @@
 #[test]
 fn stop_while_settings_are_read() {
     let store = Store::start();
-    let (path, text, _ready) = pipe("early-stop.ini", &store);
+    let (path, text, _ready) = pipe("early-stop", &store);
     let mut child = start(&path);
     signal(&mut child, Signal::TERM);
     write_settings(&path, &text);
@@ -122,7 +122,7 @@
 #[test]
 fn signals_after_spawn() {
     let store = Store::start();
-    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("early-signals.ini");
+    let path = settings_path("early-signals");
     fs::write(&path, settings(&store).0).expect("settings are written");
     for round in 0..ROUNDS {
         let mut child = start(&path);
--- a/crates/daemon/tests/frozen_daemon.rs
+++ b/crates/daemon/tests/frozen_daemon.rs
@@ -4,9 +4,9 @@
 use std::{
     fs::{self, File},
     io::{Read, Write},
-    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpStream},
     path::PathBuf,
-    process::{self, Child, Command, Stdio},
+    process::{Child, Command, Stdio},
     thread,
     time::{Duration, Instant},
 };
@@ -14,6 +14,7 @@
 use platform_standin::{
     Store, Upstream,
     config::{self, Route},
+    loopback,
     store::Fault,
 };
 use rustix::process::{Pid, Signal, kill_process};
@@ -26,8 +27,6 @@
 const GRACE: Duration = Duration::from_secs(3);
 /// Requests sent to a stopped daemon.
 const REQUESTS: usize = 30;
-/// Base of the loopback addresses; the process id is added to it.
-const BASE: u32 = 0x7f40_0000;
 
 /// Processes of a fleet, each with the address for its callers. They end with the test.
 struct Fleet {
@@ -44,14 +43,13 @@
         store.put(config::UPSTREAMS, "u", &upstream.entry("stock", "ready"));
         store.put(config::TOPIC, config::KEY, &configuration(3));
         // All daemons of a fleet use one port for each other, on addresses of their own.
-        let ip = |number: u32| Ipv4Addr::from_bits(BASE + (number << 22) + process::id());
-        let seed = TcpListener::bind((ip(0), 0)).unwrap().local_addr().unwrap();
+        let seed = loopback::address();
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let start = |number| {
-            let listeners = [(); 4].map(|()| TcpListener::bind((ip(number), 0)).unwrap());
+            let ip = loopback::ip(number);
             let [callers, ready, directory, metrics] =
-                listeners.map(|it| it.local_addr().expect("an address"));
-            let peers = SocketAddr::from((ip(number), seed.port()));
+                [(); 4].map(|()| SocketAddr::from((ip, loopback::port())));
+            let peers = SocketAddr::from((ip, seed.port()));
             let text = format!(
                 "[gateway]\nhost = h{number}\ndomain = a\ncaller_address = {callers}\n\
                  ready_address = {ready}\ndirectory_address = {directory}\n\
