soak, tests, docs: findings and comments in the terms of the field

Findings said that orders were "told" as not run and that daemons did not end "when told to"; they name the answer and the time limit now. No check changed.

--- a/crates/gateway/tests/cold_upstreams.rs
+++ b/crates/gateway/tests/cold_upstreams.rs
@@ -218,8 +218,8 @@
             let id = upstream(number, COLD).id;
             let now = fleet.now;
             fleet.limited.insert(id.clone(), now + STEP);
-            assert!(fleet.hosts[7].service.record_health(now, &id, cold_for), "peers are told");
-            assert!(!fleet.hosts[7].service.record_health(now, &id, cold_for), "and told once");
+            assert!(fleet.hosts[7].service.record_health(now, &id, cold_for), "peers are informed");
+            assert!(!fleet.hosts[7].service.record_health(now, &id, cold_for), "and only once");
             for it in &mut fleet.hosts {
                 it.service.record_peer_temperature(now, &id, cold_for);
             }
@@ -336,7 +336,7 @@
     service.put(now, upstream(2, Duration::ZERO));
     service.iter_mut().for_each(|it| it.temperature.set_rank(Some(1)));
     service.share_slow_start(now, 1.0);
-    assert!(service.record_health(now, "u-2", Duration::ZERO), "peers are told");
+    assert!(service.record_health(now, "u-2", Duration::ZERO), "peers are informed");
     assert!(!is_cold(&service, now, 2), "its health answer says that it is warm");
 
     service.put(now, upstream(0, Duration::from_secs(3)));
@@ -400,7 +400,7 @@
     service.put_found(now, upstream(0, Duration::ZERO));
     assert!(service.temperature_checks(now, true).is_empty(), "not the one that checks");
     service.put(now, upstream(1, Duration::ZERO));
-    assert!(service.temperature_checks(now, true).is_empty(), "may still be told");
+    assert!(service.temperature_checks(now, true).is_empty(), "peers may still learn of it");
     assert!(service.temperature_checks(now + ms(1_100), false).is_empty(), "callers use others");
     assert_eq!(service.temperature_checks(now + ms(1_100), true).len(), 1);
     assert!(service.temperature_checks(now + ms(1_200), true).is_empty(), "answer expected");
--- a/crates/gateway/tests/config_knowledge.rs
+++ b/crates/gateway/tests/config_knowledge.rs
@@ -69,7 +69,7 @@
     assert_eq!(knowledge(&confirmation, 18), Knowledge::Recent);
 }
 
-/// Starts a daemon with version 5 that has never heard of another.
+/// Starts a daemon with version 5 that knows of no other.
 fn start() -> (Rc<Gateway>, Arc<Manual>) {
     let clock = Arc::new(Manual::default());
     clock.advance(seconds(100));
--- a/crates/gateway/tests/fleet/mod.rs
+++ b/crates/gateway/tests/fleet/mod.rs
@@ -68,7 +68,7 @@
 /// A fault, until [`Fleet::heal`] or its own end.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Fault {
-    /// The daemons are divided into groups that don't hear of each other.
+    /// The daemons are divided into groups that can't reach each other.
     Cut { groups: usize },
     /// Some daemons are cut off from all others.
     Islands { share: f64 },
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -295,7 +295,9 @@
             End::Stop(it) => {
                 let mut daemons = env.daemons.borrow_mut();
                 if !daemons[*it].wait(STOP_TIMEOUT)? {
-                    env.context.ledger.add_finding(format!("daemon {it} did not end when told to"));
+                    env.context.ledger.add_finding(format!(
+                        "daemon {it} did not end within the time limit of a planned stop"
+                    ));
                 }
                 daemons[*it].start()?;
             }
@@ -414,7 +416,9 @@
             let mut daemons = env.daemons.borrow_mut();
             daemons[number].signal(Signal::TERM)?;
             if !daemons[number].wait(STOP_TIMEOUT)? {
-                ledger.add_finding(format!("daemon {number} did not end when told to"));
+                ledger.add_finding(format!(
+                    "daemon {number} did not end within the time limit of a planned stop"
+                ));
             }
             // The simulated callers don't query the directory, so their connections may be refused
             // until the daemon runs again.
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -133,7 +133,7 @@
         }
         for id in self.not_run.lock().unwrap_or_else(PoisonError::into_inner).iter() {
             if id.starts_with("POST") && counts.contains_key(id.as_str()) {
-                self.add_finding(format!("order {id} was told as not run and has run"));
+                self.add_finding(format!("order {id} was answered as not run and has run"));
             }
         }
         for id in self.broken.lock().unwrap_or_else(PoisonError::into_inner).iter() {
