gateway: callers that read slowly keep their connection

Seen: a caller that took nothing for some seconds lost the rest of its answer: the connection was reset after 3 s with a closed receive window, although a caller has 10 s to take some of an answer.

Cause: one TCP user timeout of 3 s for all connections. It is there to find upstreams that vanished; a caller's window that stays closed, or opens by less than a segment, counts as the same.

Change: connections of callers have 30 s, those to upstreams and the store still 3 s. The daemon's own limit on unread answers is unchanged. Idle callers that vanish are found after 30 s, or by the idle time limit.

--- a/crates/gateway/src/caller/listener.rs
+++ b/crates/gateway/src/caller/listener.rs
@@ -80,7 +80,7 @@
                 continue;
             }
         }
-        if let Err(e) = socket::prepare(&stream) {
+        if let Err(e) = socket::prepare(&stream, socket::CALLER_TIMEOUT) {
             log::warn!("event=socket-options-failed port={port:?} error={e}");
         }
         let count = Count::new(&gateway, &open);
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -14,19 +14,22 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unanswered keep-alive probes after which the connection counts as broken.
 const KEEPALIVE_RETRIES: u32 = 2;
-/// Longest time that sent bytes may remain unacknowledged.
-const USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest time that bytes sent to an upstream or the store may remain unacknowledged.
+pub const SERVER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest time that bytes sent to a caller may remain unacknowledged. A receive window that never opens
+/// far enough for the next segment counts as this, also while the caller reads.
+pub const CALLER_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Time for a caller to read the last answer before its connection is closed.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Sets the options of a connection: sends small messages without delay, and detects within seconds
-/// that the other end has vanished without closing it.
+/// Sets the options of a connection: sends small messages without delay, and detects within
+/// `user_timeout` that the other end has vanished without closing it.
 ///
 /// # Errors
 ///
 /// Fails if the operating system rejects an option.
-pub fn prepare(stream: &TcpStream) -> io::Result<()> {
+pub fn prepare(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
@@ -34,7 +37,7 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_RETRIES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(user_timeout))
 }
 
 /// Gives a caller time to read the last answer, then closes its connection. Closing a socket with
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -65,7 +65,7 @@
         }
         let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
         let stream = connecting.await.map_err(|_elapsed| io::ErrorKind::TimedOut)??;
-        socket::prepare(&stream)?;
+        socket::prepare(&stream, socket::SERVER_TIMEOUT)?;
         Ok(Connection { stream, buffer: BytesMut::new() })
     }
 
