daemon: a mark of a leaving server is no longer lost when a version comes into force

Seen: on review, while a leaving server that got requests again was traced. A version that comes into force applies the known marks to the services that it may have added. It copied the marks, then applied the copy. A mark set in between, by the heartbeats' task, could be applied first and replaced by the older copy. The daemon took the mark as known and did not apply it again, so the server got requests until its mark changed or the next version came into force.

Change: the marks stay locked while they are applied.

--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -166,7 +166,7 @@
         };
         let table = Arc::new(Table::build(&Arc::new(document), version, &old, &context));
         *self.table.write().unwrap_or_else(PoisonError::into_inner) = table;
-        self.apply_leaving();
+        self.apply_leaving(&lock(&self.leaving_upstreams));
         if let Some(it) = self.membership() {
             it.set_version(version);
         }
@@ -194,8 +194,7 @@
             log::info!("upstream {it} leaving: {}", leaving.contains(it));
         }
         *known = leaving;
-        drop(known);
-        self.apply_leaving();
+        self.apply_leaving(&known);
     }
 
     /// Sets the backend servers that the platform's host list marks as leaving.
@@ -345,8 +344,9 @@
         }
     }
 
-    fn apply_leaving(&self) {
-        let addresses = lock(&self.leaving_upstreams).clone();
+    /// Applies the addresses of leaving upstreams to the services. They stay locked meanwhile, as
+    /// otherwise a call with older ones could finish last and the services would keep those.
+    fn apply_leaving(&self, addresses: &BTreeSet<SocketAddr>) {
         let table = self.table();
         let leaving = table.document.upstreams.iter().filter(|it| addresses.contains(&it.address));
         let leaving: HashSet<_> = leaving.map(|it| Arc::clone(&it.id)).collect();
