tests: a leaving server is checked once the daemon knows its mark

A batch of 60 calls did not reach the leaving server, and a second later another batch did.

Cause: the test took the first batch without a request at the server as the sign that the mark had arrived. The daemon that it calls is in another failure domain than the server and chooses its local server first. Batches passed the leaving server by before the mark was known, and varying times of the answers led some requests of a later batch to it. No mark was lost.

Change: both daemons are in the server's failure domain, and a batch before the mark must reach the server. The tests wait until the daemon has applied the mark, within the same 20 s, and no call may reach the server then or a second later. reported_by_server also checks that the second daemon knows the report after its 3 s. Failures tell which daemon sent how many requests and whether it knew the mark. State::leaving_upstreams returns the marks.

--- a/crates/daemon/src/state.rs
+++ b/crates/daemon/src/state.rs
@@ -197,6 +197,13 @@
         self.apply_leaving(&known);
     }
 
+    /// Returns the addresses of all leaving upstreams, which get no new requests, for tests and
+    /// measurements.
+    #[must_use]
+    pub fn leaving_upstreams(&self) -> BTreeSet<SocketAddr> {
+        lock(&self.leaving_upstreams).clone()
+    }
+
     /// Sets the backend servers that the platform's host list marks as leaving.
     pub fn set_listed_servers(&self, marked: BTreeSet<SocketAddr>) {
         if let Some(it) = self.membership() {
--- a/crates/daemon/tests/leaving_server.rs
+++ b/crates/daemon/tests/leaving_server.rs
@@ -1,16 +1,33 @@
 //! A backend server that is leaving gets no new requests after a few seconds.
 
-use std::{thread, time::Duration};
+use std::{net::SocketAddr, thread, time::Duration};
 
 use fleet::{Caller, Fleet, Settings, await_condition};
 use platform::State as HostState;
-use standin::backend::Intake;
+use standin::{backend::Intake, hosts::Hosts};
 
 /// Timeout until a leaving server gets no new requests.
 const LIMIT: Duration = Duration::from_secs(20);
 /// Number of calls made to check that a server gets none of them.
 const CALLS: usize = 60;
 
+/// Starts a fleet of two daemons in the failure domain of the first server, and waits until they
+/// discover each other. Daemons in another domain seldom choose that server, so calls through them
+/// rarely reach it even if it isn't leaving.
+///
+/// The second daemon reads the host list at `list`, or that of the fleet.
+fn start(settings: Settings, list: Option<SocketAddr>) -> Fleet {
+    let mut fleet = Fleet::start(Settings { daemons: 1, ..settings }).expect("starts");
+    let domain = fleet.daemons[0].state().settings.domain.clone();
+    let daemon = fleet.start_daemon_with(1, |it| {
+        it.hosts_address = list.unwrap_or(it.hosts_address);
+        it.domain = domain;
+    });
+    fleet.daemons.push(daemon.expect("starts"));
+    fleet.await_hosts(2).expect("daemons discover each other");
+    fleet
+}
+
 fn calls(fleet: &Fleet, daemon: usize) {
     let caller = Caller::default();
     for it in 0..CALLS {
@@ -23,29 +40,44 @@
     fleet.backends[0][0].total().started
 }
 
-/// Waits until calls through `daemon` no longer reach the first server, and checks that it stays
-/// so.
-fn check(fleet: &Fleet, daemon: usize) {
-    let is_unused = || {
-        let before = started(fleet);
-        calls(fleet, daemon);
-        started(fleet) == before
-    };
-    await_condition(LIMIT, "nothing new", is_unused).expect("the leaving server gets nothing new");
-    thread::sleep(Duration::from_secs(1));
+/// Whether `daemon` has applied that the first server is leaving.
+fn is_marked(fleet: &Fleet, daemon: usize) -> bool {
+    let marked = fleet.daemons[daemon].state().leaving_upstreams();
+    marked.contains(&fleet.backends[0][0].address())
+}
+
+/// Checks that calls through `daemon` reach the first server.
+fn check_used(fleet: &Fleet, daemon: usize) {
     let before = started(fleet);
     calls(fleet, daemon);
-    assert_eq!(started(fleet), before, "the leaving server got new requests again");
+    assert!(started(fleet) > before, "daemon {daemon} sends the server requests at first");
+}
+
+/// Waits until `daemon` knows that the first server is leaving, and checks that calls through it no
+/// longer reach that server, then and a second later.
+fn check_unused(fleet: &Fleet, daemon: usize) {
+    await_condition(LIMIT, "marked", || is_marked(fleet, daemon)).expect("the mark is known");
+    for when in ["as soon as it knew the mark", "a second later"] {
+        let before = started(fleet);
+        calls(fleet, daemon);
+        let new = started(fleet) - before;
+        let is_marked = is_marked(fleet, daemon);
+        assert_eq!(
+            new, 0,
+            "daemon {daemon} sent {new} requests to the leaving server {when}; known: {is_marked}"
+        );
+        thread::sleep(Duration::from_secs(1));
+    }
 }
 
 #[test]
 fn marked_in_list() {
-    let fleet = Fleet::start(Settings { daemons: 2, ..Settings::default() }).expect("starts");
-    calls(&fleet, 0);
-    assert!(started(&fleet) > 0, "the server gets requests at first");
+    let fleet = start(Settings::default(), None);
+    check_used(&fleet, 0);
+    check_used(&fleet, 1);
     fleet.hosts.set(fleet.backends[0][0].address(), HostState::Leaving);
-    check(&fleet, 0);
-    check(&fleet, 1);
+    check_unused(&fleet, 0);
+    check_unused(&fleet, 1);
     fleet.hosts.set(fleet.backends[0][0].address(), HostState::Live);
     let before = started(&fleet);
     let is_used = || {
@@ -55,24 +87,23 @@
     await_condition(LIMIT, "is used", is_used).expect("the server gets requests again");
 }
 
+/// A mark that reached only one daemon's host list must take effect at the other as well.
 #[test]
 fn marked_for_one_reader() {
-    let mut fleet = Fleet::start(Settings { daemons: 1, ..Settings::default() }).expect("starts");
     // The second daemon reads another host list, in which the server is never marked.
-    let stale = standin::hosts::Hosts::start().expect("host list starts");
-    let daemon = fleet.start_daemon_with(1, |it| it.hosts_address = stale.address());
-    fleet.daemons.push(daemon.expect("starts"));
-    fleet.await_hosts(2).expect("daemons discover each other");
+    let stale = Hosts::start().expect("host list starts");
+    let fleet = start(Settings::default(), Some(stale.address()));
+    check_used(&fleet, 1);
     fleet.hosts.set(fleet.backends[0][0].address(), HostState::Leaving);
-    check(&fleet, 1);
+    check_unused(&fleet, 1);
 }
 
 #[test]
 fn reported_by_server() {
-    let mut settings = Settings { daemons: 2, ..Settings::default() };
+    let mut settings = Settings::default();
     settings.services[0].upstreams = 2;
-    let fleet = Fleet::start(settings).expect("starts");
-    fleet.await_hosts(2).expect("daemons discover each other");
+    let fleet = start(settings, None);
+    check_used(&fleet, 1);
     let server = &fleet.backends[0][0];
     server.update(|it| it.intake = Intake::Drain);
     let shed = || {
@@ -83,6 +114,7 @@
     // The server isn't marked in the host list; heartbeats of the first daemon report it to the
     // second.
     thread::sleep(Duration::from_secs(3));
+    assert!(is_marked(&fleet, 1), "the second daemon knows that the server is leaving");
     let before = server.total().shed;
     calls(&fleet, 1);
     calls(&fleet, 0);
