tests: daemon processes are set up in one module

Seen: frozen_daemon, the crowd and early_signals each wrote the settings of a daemon, started its process and ended it on their own.

Change: the module `host` of the daemon's tests has the addresses, the settings' text, the start, signals and the end on drop. What the tests check and wait for is unchanged. Processes of early_signals now end with the test too and write their log beside the settings, like the others.

--- a/crates/daemon/tests/crowd/mod.rs
+++ b/crates/daemon/tests/crowd/mod.rs
@@ -4,16 +4,16 @@
     fs,
     io::{self, Read, Write},
     net::{SocketAddr, TcpStream},
-    path::PathBuf,
-    process::{Child, Command, Stdio},
     sync::{Mutex, MutexGuard, PoisonError},
     thread,
     time::{Duration, Instant},
 };
 
-use platform_standin::{Store, Upstream, config, loopback};
+use platform_standin::{Store, Upstream, config};
 use serde_json::json;
 
+use crate::host::{Addresses, Process};
+
 /// Memory of the daemon's settings, in MB.
 const MEMORY_MB: u64 = 64;
 /// Share of the memory that may be resident, as 4 in 5.
@@ -37,7 +37,7 @@
 /// A daemon process with a store and an upstream.
 pub(crate) struct Setup {
     callers: SocketAddr,
-    child: Child,
+    process: Process,
     _store: Store,
     _upstream: Upstream,
     _turn: MutexGuard<'static, ()>,
@@ -51,24 +51,11 @@
         let upstream = Upstream::start("u");
         store.put(config::UPSTREAMS, "u", &upstream.entry("stock", "ready"));
         store.put(config::TOPIC, config::KEY, &configuration());
-        let [callers, ready, directory, peer, metrics] = [(); 5].map(|()| loopback::address());
-        let text = format!(
-            "[gateway]\nhost = h\ndomain = a\ncaller_address = {callers}\nready_address = {ready}\n\
-             directory_address = {directory}\npeer_address = {peer}\nmetrics_address = {metrics}\n\
-             store_address = {}\nmemory_mb = {MEMORY_MB}\ndescriptor_limit = {DESCRIPTORS}\n",
-            store.address
-        );
-        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
-        let settings = folder.join(format!("{name}.ini"));
-        fs::write(&settings, text).expect("settings are written");
-        let log = fs::File::create(folder.join(format!("{name}.log"))).expect("a log file");
-        let child = Command::new(env!("CARGO_BIN_EXE_fireflydrumd"))
-            .arg(&settings)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .spawn()
-            .expect("the daemon starts");
-        let mut res = Self { callers, child, _store: store, _upstream: upstream, _turn: turn };
+        let addresses = Addresses::unused();
+        let limits = format!("memory_mb = {MEMORY_MB}\ndescriptor_limit = {DESCRIPTORS}\n");
+        let process = Process::start_with(name, &addresses.settings("h", &store, &limits));
+        let callers = addresses.callers;
+        let mut res = Self { callers, process, _store: store, _upstream: upstream, _turn: turn };
         res.await_answer();
         res
     }
@@ -105,7 +92,7 @@
             descriptors = descriptors.max(self.descriptors());
             thread::sleep(Duration::from_millis(20));
         }
-        self.assert_alive();
+        self.process.assert_alive();
         self.await_answer();
         drop(open);
         self.await_answer();
@@ -119,7 +106,7 @@
     fn await_answer(&mut self) {
         let until = Instant::now() + ANSWER_TIMEOUT;
         while !self.request().is_ok_and(|it| it.starts_with("HTTP/1.1 200 ")) {
-            self.assert_alive();
+            self.process.assert_alive();
             assert!(Instant::now() < until, "no ordinary request is answered");
             thread::sleep(Duration::from_millis(50));
         }
@@ -133,28 +120,16 @@
         Ok(text)
     }
 
-    fn assert_alive(&mut self) {
-        assert_eq!(self.child.try_wait().expect("the state of the process"), None, "it has ended");
-    }
-
     /// Largest resident memory so far, in kB.
     fn peak_kb(&self) -> u64 {
-        let text = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let text = fs::read_to_string(format!("/proc/{}/status", self.process.id()));
         let text = text.expect("the process's status");
         let line = text.lines().find_map(|it| it.strip_prefix("VmHWM:")).expect("a peak");
         line.trim().trim_end_matches("kB").trim().parse().expect("a number")
     }
 
     fn descriptors(&self) -> usize {
-        fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
-    }
-}
-
-impl Drop for Setup {
-    fn drop(&mut self) {
-        // It may have ended already.
-        let _killed = self.child.kill();
-        let _ended = self.child.wait();
+        fs::read_dir(format!("/proc/{}/fd", self.process.id())).map_or(0, Iterator::count)
     }
 }
 
--- a/crates/daemon/tests/early_signals.rs
+++ b/crates/daemon/tests/early_signals.rs
@@ -2,18 +2,21 @@
 //! while the settings are being read. Before, the handlers were installed once the daemon listened,
 //! and a signal until then ended the process by its default action.
 
+mod host;
+
 use std::{
     fs::{self, File},
     io::Write,
     net::{SocketAddr, TcpStream},
     path::{Path, PathBuf},
-    process::{self, Child, Command, ExitStatus, Stdio},
+    process::{self, Command, ExitStatus},
     thread,
     time::{Duration, Instant},
 };
 
-use platform_standin::{Store, loopback};
-use rustix::process::{Pid, Signal, kill_process};
+use host::{Addresses, Process};
+use platform_standin::Store;
+use rustix::process::Signal;
 
 /// Timeout of every wait.
 const TIMEOUT: Duration = Duration::from_secs(30);
@@ -30,40 +33,28 @@
 }
 
 fn settings(store: &Store) -> (String, SocketAddr) {
-    let [callers, ready, directory, peers, metrics] = [(); 5].map(|()| loopback::address());
-    let text = format!(
-        "[gateway]\nhost = h\ndomain = a\ncaller_address = {callers}\nready_address = {ready}\n\
-         directory_address = {directory}\npeer_address = {peers}\nmetrics_address = {metrics}\n\
-         store_address = {}\ngrace = 1s\n",
-        store.address
-    );
-    (text, ready)
-}
-
-fn start(settings: &Path) -> Child {
-    let program = env!("CARGO_BIN_EXE_fireflydrumd");
-    Command::new(program).arg(settings).stdout(Stdio::null()).spawn().expect("the daemon starts")
+    let addresses = Addresses::unused();
+    (addresses.settings("h", store, "grace = 1s\n"), addresses.ready)
 }
 
 /// Sends a signal as soon as the process has handlers. Nothing can be done about a signal before:
 /// the program has not been loaded then.
-fn signal(child: &mut Child, signal: Signal) {
+fn signal(process: &mut Process, signal: Signal) {
     await_condition("handlers are installed", || {
-        assert_eq!(child.try_wait().unwrap(), None, "it has ended");
-        let text = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+        process.assert_alive();
+        let text = fs::read_to_string(format!("/proc/{}/status", process.id())).unwrap_or_default();
         let mask = text.lines().find_map(|it| it.strip_prefix("SigCgt:"));
         let mask = mask.and_then(|it| u64::from_str_radix(it.trim(), 16).ok()).unwrap_or_default();
         mask & HANG_UP_AND_TERMINATE == HANG_UP_AND_TERMINATE
     });
-    let pid = i32::try_from(child.id()).ok().and_then(Pid::from_raw).expect("an id");
-    kill_process(pid, signal).expect("the signal is sent");
+    process.signal(signal);
 }
 
-fn await_end(child: &mut Child) -> ExitStatus {
+fn await_end(process: &mut Process) -> ExitStatus {
     let mut status = None;
     await_condition("the process ends", || {
         thread::sleep(Duration::from_millis(5));
-        status = child.try_wait().unwrap();
+        status = process.try_wait().unwrap();
         status.is_some()
     });
     status.expect("a status")
@@ -71,7 +62,7 @@
 
 /// A path that only this process uses.
 fn settings_path(name: &str) -> PathBuf {
-    PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}.ini", process::id()))
+    host::settings_path(&format!("{name}-{}", process::id()))
 }
 
 /// A settings file that the daemon has to wait for, and what is to be written to it.
@@ -97,25 +88,25 @@
 fn reload_while_settings_are_read() {
     let store = Store::start();
     let (path, text, ready) = pipe("early-reload", &store);
-    let mut child = start(&path);
-    signal(&mut child, Signal::HUP);
+    let mut daemon = Process::start(&path);
+    signal(&mut daemon, Signal::HUP);
     write_settings(&path, &text);
     await_condition("the daemon listens", || {
-        assert_eq!(child.try_wait().unwrap(), None, "it has ended");
+        daemon.assert_alive();
         TcpStream::connect(ready).is_ok()
     });
-    signal(&mut child, Signal::TERM);
-    assert_eq!(await_end(&mut child).code(), Some(0));
+    signal(&mut daemon, Signal::TERM);
+    assert_eq!(await_end(&mut daemon).code(), Some(0));
 }
 
 #[test]
 fn stop_while_settings_are_read() {
     let store = Store::start();
     let (path, text, _ready) = pipe("early-stop", &store);
-    let mut child = start(&path);
-    signal(&mut child, Signal::TERM);
+    let mut daemon = Process::start(&path);
+    signal(&mut daemon, Signal::TERM);
     write_settings(&path, &text);
-    assert_eq!(await_end(&mut child).code(), Some(0));
+    assert_eq!(await_end(&mut daemon).code(), Some(0));
 }
 
 /// Signals at any moment of the start: SIGHUP, a little later SIGTERM.
@@ -125,10 +116,10 @@
     let path = settings_path("early-signals");
     fs::write(&path, settings(&store).0).expect("settings are written");
     for round in 0..ROUNDS {
-        let mut child = start(&path);
-        signal(&mut child, Signal::HUP);
+        let mut daemon = Process::start(&path);
+        signal(&mut daemon, Signal::HUP);
         thread::sleep(Duration::from_micros(u64::from(round) * 100));
-        signal(&mut child, Signal::TERM);
-        assert_eq!(await_end(&mut child).code(), Some(0), "round {round}");
+        signal(&mut daemon, Signal::TERM);
+        assert_eq!(await_end(&mut daemon).code(), Some(0), "round {round}");
     }
 }
--- a/crates/daemon/tests/frozen_daemon.rs
+++ b/crates/daemon/tests/frozen_daemon.rs
@@ -1,23 +1,23 @@
 //! Daemons that don't run for a while and then find requests, datagrams and answers of the store
 //! waiting, and one that ends while requests wait for a confirmation.
 
+mod host;
+
 use std::{
-    fs::{self, File},
     io::{Read, Write},
     net::{SocketAddr, TcpStream},
-    path::PathBuf,
-    process::{Child, Command, Stdio},
     thread,
     time::{Duration, Instant},
 };
 
+use host::{Addresses, Process};
 use platform_standin::{
     Store, Upstream,
     config::{self, Route},
     loopback,
     store::Fault,
 };
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 
 /// Timeout of every wait.
 const TIMEOUT: Duration = Duration::from_secs(30);
@@ -30,8 +30,8 @@
 
 /// Processes of a fleet, each with the address for its callers. They end with the test.
 struct Fleet {
+    daemons: Vec<(Process, SocketAddr)>,
     store: Store,
-    daemons: Vec<(Child, SocketAddr)>,
     _upstream: Upstream,
 }
 
@@ -44,31 +44,19 @@
         store.put(config::TOPIC, config::KEY, &configuration(3));
         // All daemons of a fleet use one port for each other, on addresses of their own.
         let seed = loopback::address();
-        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let start = |number| {
             let ip = loopback::ip(number);
             let [callers, ready, directory, metrics] =
                 [(); 4].map(|()| SocketAddr::from((ip, loopback::port())));
             let peers = SocketAddr::from((ip, seed.port()));
-            let text = format!(
-                "[gateway]\nhost = h{number}\ndomain = a\ncaller_address = {callers}\n\
-                 ready_address = {ready}\ndirectory_address = {directory}\n\
-                 peer_address = {peers}\nmetrics_address = {metrics}\nseeds = {seed}\n\
-                 store_address = {}\nconfig_apply = {}ms\ngrace = {}ms\n",
-                store.address,
+            let addresses = Addresses { callers, ready, directory, peers, metrics };
+            let times = format!(
+                "seeds = {seed}\nconfig_apply = {}ms\ngrace = {}ms\n",
                 CONFIG_APPLY.as_millis(),
                 GRACE.as_millis()
             );
-            let settings = folder.join(format!("{name}-{number}.ini"));
-            fs::write(&settings, text).expect("settings are written");
-            let log = File::create(folder.join(format!("{name}-{number}.log"))).expect("a log");
-            let child = Command::new(env!("CARGO_BIN_EXE_fireflydrumd"))
-                .arg(&settings)
-                .stdin(Stdio::null())
-                .stdout(log)
-                .spawn()
-                .expect("the daemon starts");
-            (child, callers)
+            let text = addresses.settings(&format!("h{number}"), &store, &times);
+            (Process::start_with(&format!("{name}-{number}"), &text), callers)
         };
         let daemons: Vec<_> = (0..count).map(start).collect();
         let res = Self { store, daemons, _upstream: upstream };
@@ -78,36 +66,22 @@
         res
     }
 
-    fn signal(&self, number: usize, signal: Signal) {
-        let pid = i32::try_from(self.daemons[number].0.id()).ok().and_then(Pid::from_raw);
-        kill_process(pid.expect("an id"), signal).expect("the signal is sent");
-    }
-
     /// Stops a daemon while the configuration `version` comes, and returns the statuses of requests
     /// for a route that only this configuration has. They are sent beyond the time limit for
     /// applying it, before the daemon runs again.
     fn deny_while_stopped(&self, number: usize, version: u64) -> Vec<u16> {
-        self.signal(number, Signal::STOP);
+        self.daemons[number].0.signal(Signal::STOP);
         thread::sleep(Duration::from_secs(1));
         self.store.put(config::TOPIC, config::KEY, &configuration(version));
         thread::sleep(CONFIG_APPLY + Duration::from_secs(1));
         let path = config::own_path(version);
         let streams: Vec<_> =
             (0..REQUESTS).map(|_| send(self.daemons[number].1, &path).unwrap()).collect();
-        self.signal(number, Signal::CONT);
+        self.daemons[number].0.signal(Signal::CONT);
         streams.into_iter().map(status).collect()
     }
 }
 
-impl Drop for Fleet {
-    fn drop(&mut self) {
-        for (child, _) in &mut self.daemons {
-            drop(child.kill());
-            drop(child.wait());
-        }
-    }
-}
-
 /// A configuration with a route that no other version has.
 fn configuration(version: u64) -> String {
     let own = config::own_path(version);
@@ -175,7 +149,7 @@
     fleet.store.set_fault(Fault::Refuse(503));
     thread::sleep(CONFIG_APPLY + Duration::from_secs(1));
     let until = Instant::now() + GRACE;
-    fleet.signal(0, Signal::TERM);
+    fleet.daemons[0].0.signal(Signal::TERM);
     // The last answers are due 600 ms, and the process ends 400 ms, before the grace period does.
     let left = until.saturating_duration_since(Instant::now());
     thread::sleep(left.saturating_sub(Duration::from_millis(660)));
--- a/crates/daemon/tests/hostile_crowd.rs
+++ b/crates/daemon/tests/hostile_crowd.rs
@@ -2,6 +2,7 @@
 //! its memory and its descriptors, and answers an ordinary request afterwards. One crowd at a time.
 
 mod crowd;
+mod host;
 
 use std::{
     io::{self, Write},
