gateway: measured memory always lowers the limit of what is held for callers

Cause: what isn't counted is measured and taken off the limit, but at most a third of the share. With 64 MB that is 17,476 kB, less than the fixed 22 MiB, so the measurement never had an effect (nor with any memory below 83 MB). The limit stayed at 30,618,416 bytes in every run.

Evidence: at a peak of 50,912 kB (debug build), 22,992 kB were pages of bodies and 27,920 kB others: 14,792 program text, 7,424 heap, 3,348 other anonymous pages, 2,092 libraries, 160 stack. 22,528 kB were set aside for them. The peak stayed below the bound only while answers didn't use their whole limit.

Change: the part that callers keep in any case is a quarter of the share, as before; the second bound on measured memory is removed. A process whose measured memory and margin are below a third of its share has the same limit as before.

A release build was not measured.

--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -16,7 +16,7 @@
 /// Share of the host's memory that the process may use, as 4 in 5.
 const MEMORY_SHARE: (u64, u64) = (4, 5);
 /// Least memory set aside for what isn't counted: the program itself, configuration, registry,
-/// peers and the log queue. A daemon that has just started uses 10 MB; 16 MB in a debug build.
+/// peers and the log queue. A daemon that has just started uses 10 MB; 20 MB in a debug build.
 const RUNTIME_BYTES: u64 = 22 << 20;
 /// One part in this many of the host's memory is the receive buffer of a caller's connection.
 const RECEIVE_BUFFER_DIVISOR: u64 = 2_048;
@@ -27,10 +27,9 @@
 /// 2 MiB, a daemon of 64 MB exceeded its share by 1 % on a busy machine.
 const MARGIN_BYTES: u64 = 4 << 20;
 const MARGIN_DIVISOR: u64 = 16;
-/// One part in this many of the process's share is the most that measured memory takes from callers:
-/// a process that also hosts something else still serves.
-const MAX_UNCOUNTED_DIVISOR: u64 = 3;
-/// One part in this many of the process's share is for callers in any case.
+/// One part in this many of the process's share is for callers in any case: a process that also hosts
+/// something else still serves. With two thirds, the measurement had no effect below 83 MB: a debug
+/// build of 64 MB used 28 MB besides bodies while 22 MiB were set aside.
 const MIN_CALLER_DIVISOR: u64 = 4;
 
 /// Settings of one daemon.
@@ -176,8 +175,7 @@
     pub fn caller_memory_bytes(&self, uncounted: u64) -> usize {
         let share = self.memory_bytes / MEMORY_SHARE.1 * MEMORY_SHARE.0;
         let margin = MARGIN_BYTES + share / MARGIN_DIVISOR;
-        let uncounted = (uncounted + margin).min(share / MAX_UNCOUNTED_DIVISOR);
-        let rest = share.saturating_sub(uncounted.max(RUNTIME_BYTES));
+        let rest = share.saturating_sub((uncounted + margin).max(RUNTIME_BYTES));
         usize::try_from(rest.max(share / MIN_CALLER_DIVISOR)).unwrap_or(usize::MAX)
     }
 
--- a/crates/gateway/tests/memory_pressure.rs
+++ b/crates/gateway/tests/memory_pressure.rs
@@ -6,7 +6,10 @@
     time::{Duration, Instant},
 };
 
-use gateway::memory::{Account, Buffer, Holder, Kind, Memory, Stage};
+use gateway::{
+    Settings,
+    memory::{Account, Buffer, Holder, Kind, Memory, Stage},
+};
 
 const LIMIT: usize = 64 << 20;
 const MB: usize = 1 << 20;
@@ -118,3 +121,28 @@
     assert_eq!(closed, [[true, false, false], [true, true, false], [true, true, true]]);
     assert!(!other.is_evicted());
 }
+
+/// Failure: memory that isn't counted is larger than what is set aside for it, so the process
+/// exceeds its share while every caller keeps to the limit.
+#[test]
+fn uncounted_memory_is_set_aside() {
+    for memory_mb in [32, 64, 112, 256, 512] {
+        let settings = Settings { memory_bytes: memory_mb << 20, ..Settings::default() };
+        let share = settings.memory_bytes / 5 * 4;
+        for percent in 0..=75 {
+            let uncounted = share * percent / 100;
+            let total = uncounted + settings.caller_memory_bytes(uncounted) as u64;
+            assert!(total <= share, "{memory_mb} MB, {uncounted} uncounted: {total} of {share}");
+        }
+    }
+}
+
+/// Failure: a process that also hosts something else takes all memory from callers.
+#[test]
+fn callers_keep_a_quarter() {
+    let settings = Settings { memory_bytes: LIMIT as u64, ..Settings::default() };
+    let share = settings.memory_bytes / 5 * 4;
+    for uncounted in [share, 10 * share, u64::MAX / 2] {
+        assert_eq!(settings.caller_memory_bytes(uncounted) as u64, share / 4);
+    }
+}
