gateway: large heads hold at most a quarter of the memory for callers

Callers saw: after a crowd of requests with thousands of headers, the bodies of the next crowd took a daemon of 64 MB over the 0.8 of its memory that it promises.

Cause: header lists are in the heap, and glibc keeps what is freed there. Heads could use the whole limit; afterwards that memory was no longer counted, and the part that callers keep in any case came on top.

Evidence: with the limit already lowered by what is measured, a peak of 56,392 kB had 26,284 kB of heap while 10,686,464 bytes were counted of a limit of 13,421,772, the least that callers keep.

Change: heads are a kind of their own in the account. A request with a header list over 8 kB (more than 128 headers) is refused (503 `head-memory`, not run) while heads hold more than a quarter of the limit, and not only once all of it is used. Requests with fewer headers are never refused for this. `fireflydrum_held_bytes` gets the kind `heads`.

--- a/crates/daemon/tests/hostile_crowd.rs
+++ b/crates/daemon/tests/hostile_crowd.rs
@@ -4,7 +4,7 @@
 mod crowd;
 
 use std::{
-    io::{self, Write},
+    io::{self, Read, Write},
     net::TcpStream,
     thread,
     time::{Duration, Instant},
@@ -128,8 +128,6 @@
 /// Failure: answers that are read slowly are held several times.
 #[test]
 fn slowly_read_answers() {
-    use std::io::Read;
-
     Setup::start("slowly-read-answers").check(|mut it| {
         SockRef::from(&it).set_recv_buffer_size(SMALL_BUFFER)?;
         it.write_all(read(BODY_BYTES).repeat(4).as_bytes())?;
@@ -195,3 +193,29 @@
         Ok(it)
     });
 }
+
+/// Failure: memory that freed heads leave in the heap isn't taken off the limit of the bodies that
+/// follow them.
+#[test]
+fn bodies_after_heads() {
+    let usual = config::request("GET", "/read/1", "crowd", false);
+    let headers = "a:\r\n".repeat(3_900);
+    let heads = usual.replace("\r\n\r\n", &format!("\r\n{headers}\r\n")).repeat(PIPELINED);
+    let body = vec![b'x'; BODY_BYTES - 1];
+    let setup = Setup::start("bodies-after-heads");
+    thread::scope(|scope| {
+        for _ in 0..CROWD {
+            // The daemon may refuse or close any connection of the crowd.
+            scope.spawn(|| {
+                let mut it = setup.connect()?;
+                it.write_all(heads.as_bytes())?;
+                it.read(&mut [0; 1])
+            });
+        }
+    });
+    setup.check(|mut it| {
+        it.write_all(head(&format!("Content-Length: {BODY_BYTES}")).as_bytes())?;
+        it.write_all(&body)?;
+        Ok(it)
+    });
+}
--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -230,10 +230,10 @@
     fn start(&mut self, message: Message) {
         let received = self.gateway.now();
         self.since = received;
-        let mut charge = self.gateway.memory.account().charge(Kind::Requests);
+        let mut charge = self.gateway.memory.account().charge(Kind::Heads);
         charge.resize(excess_of_head(message.head.held()));
         // Only the head's text was counted when it was read.
-        if message.head.list_bytes() > REQUEST_BYTES && self.gateway.memory.is_exceeded() {
+        if message.head.list_bytes() > REQUEST_BYTES && !self.gateway.memory.allows_head() {
             shed::record(&self.gateway, "head-memory", format_args!("bytes={}", charge.bytes()));
             let message = "the headers of other requests hold the memory for requests".to_owned();
             let refusal = Refusal::not_run("head-memory", message, MEMORY_RETRY_AFTER);
--- a/crates/gateway/src/memory/account.rs
+++ b/crates/gateway/src/memory/account.rs
@@ -12,6 +12,8 @@
 pub enum Kind {
     /// Connections: their state, and bytes read ahead.
     Connections,
+    /// Heads of requests in progress, beyond what is counted for each request.
+    Heads,
     /// Bodies of requests, from their first byte until the last attempt has ended.
     Requests,
     /// Answers, from their first byte until they are written to the caller.
@@ -20,13 +22,14 @@
 
 impl Kind {
     /// Every kind.
-    pub const ALL: [Self; 3] = [Self::Connections, Self::Requests, Self::Answers];
+    pub const ALL: [Self; 4] = [Self::Connections, Self::Heads, Self::Requests, Self::Answers];
 
     /// Name in metrics.
     #[must_use]
     pub fn name(self) -> &'static str {
         match self {
             Self::Connections => "connections",
+            Self::Heads => "heads",
             Self::Requests => "requests",
             Self::Answers => "answers",
         }
--- a/crates/gateway/src/memory/pool.rs
+++ b/crates/gateway/src/memory/pool.rs
@@ -14,6 +14,9 @@
 const RESERVE_DIVISOR: usize = 32;
 /// Smallest and largest reserve, in bytes.
 const RESERVE_BYTES: (usize, usize) = (1 << 20, 16 << 20);
+/// One part in this many of the limit is for large heads. They are in the heap, which keeps what is
+/// freed: of 64 MB, it kept 26 MB that no body could use.
+const HEADS_DIVISOR: usize = 4;
 /// Size up to which a connection may use the reserve, in bytes.
 const SMALL_BYTES: usize = 256 << 10;
 /// Shortest time between two searches for connections to evict, since each looks at all of them.
@@ -89,6 +92,13 @@
         bytes <= FREE_BYTES || !self.is_exceeded()
     }
 
+    /// Whether a large head, which is counted already, may be kept.
+    #[must_use]
+    pub fn allows_head(&self) -> bool {
+        let account = &self.0.account;
+        !self.is_exceeded() && account.used_for(Kind::Heads) <= account.limit() / HEADS_DIVISOR
+    }
+
     /// Whether a connection that holds `held` bytes may hold `more`. Connections that hold little
     /// may use the reserve.
     #[must_use]
--- a/crates/gateway/tests/memory_pressure.rs
+++ b/crates/gateway/tests/memory_pressure.rs
@@ -60,6 +60,22 @@
     assert!(!memory.allows(0, 4 << 10));
 }
 
+/// Failure: heads hold so much of the heap, which keeps it, that no memory is left for bodies.
+#[test]
+fn heads_hold_a_quarter() {
+    let memory = Memory::new(LIMIT);
+    let mut bodies = memory.account().charge(Kind::Requests);
+    bodies.resize(LIMIT / 2);
+    let mut heads = memory.account().charge(Kind::Heads);
+    heads.resize(LIMIT / 4);
+    assert!(memory.allows_head());
+    heads.resize(LIMIT / 4 + 1);
+    assert!(!memory.allows_head());
+    heads.resize(1);
+    bodies.resize(LIMIT);
+    assert!(!memory.allows_head(), "the limit holds for heads too");
+}
+
 /// Load pattern: many bodies stop short of their end, one still arrives.
 #[test]
 fn stalled_bodies_go_first() {
