--- a/crates/gateway/tests/memory_pressure.rs
+++ b/crates/gateway/tests/memory_pressure.rs
@@ -6,7 +6,10 @@
     time::{Duration, Instant},
 };
 
-use gateway::memory::{Account, Buffer, Holder, Kind, Memory, Stage};
+use gateway::{
+    Settings,
+    memory::{Account, Buffer, Holder, Kind, Memory, Stage},
+};
 
 const LIMIT: usize = 64 << 20;
 const MB: usize = 1 << 20;
@@ -57,6 +60,22 @@
     assert!(!memory.allows(0, 4 << 10));
 }
 
+/// Failure: heads hold so much of the heap, which keeps it, that no memory is left for bodies.
+#[test]
+fn heads_hold_a_quarter() {
+    let memory = Memory::new(LIMIT);
+    let mut bodies = memory.account().charge(Kind::Requests);
+    bodies.resize(LIMIT / 2);
+    let mut heads = memory.account().charge(Kind::Heads);
+    heads.resize(LIMIT / 4);
+    assert!(memory.allows_head());
+    heads.resize(LIMIT / 4 + 1);
+    assert!(!memory.allows_head());
+    heads.resize(1);
+    bodies.resize(LIMIT);
+    assert!(!memory.allows_head(), "the limit holds for heads too");
+}
+
 /// Load pattern: many bodies stop short of their end, one still arrives.
 #[test]
 fn stalled_bodies_go_first() {
@@ -118,3 +137,28 @@
     assert_eq!(closed, [[true, false, false], [true, true, false], [true, true, true]]);
     assert!(!other.is_evicted());
 }
+
+/// Failure: memory that isn't counted is larger than what is set aside for it, so the process
+/// exceeds its share while every caller keeps to the limit.
+#[test]
+fn uncounted_memory_is_set_aside() {
+    for memory_mb in [32, 64, 112, 256, 512] {
+        let settings = Settings { memory_bytes: memory_mb << 20, ..Settings::default() };
+        let share = settings.memory_bytes / 5 * 4;
+        for percent in 0..=75 {
+            let uncounted = share * percent / 100;
+            let total = uncounted + settings.caller_memory_bytes(uncounted) as u64;
+            assert!(total <= share, "{memory_mb} MB, {uncounted} uncounted: {total} of {share}");
+        }
+    }
+}
+
+/// Failure: a process that also hosts something else takes all memory from callers.
+#[test]
+fn callers_keep_a_quarter() {
+    let settings = Settings { memory_bytes: LIMIT as u64, ..Settings::default() };
+    let share = settings.memory_bytes / 5 * 4;
+    for uncounted in [share, 10 * share, u64::MAX / 2] {
+        assert_eq!(settings.caller_memory_bytes(uncounted) as u64, share / 4);
+    }
+}
