gateway: daemons that restart together learn of each other's use of quotas at once

Cause: 0.5 s after all daemons were killed they ran again and knew each other 0.3 s later, but activity is measured over a second, so that no daemon was known to be in use. Reports go only to daemons in use, so none was sent, and each daemon counted itself as the whole fleet. Change: while no peer is known to be in use, for up to 1.5 s after the start, reports go to all live peers, and until the first reports are due a daemon spends only its part of the live daemons' budget.

--- a/crates/gateway/src/gateway/quotas.rs
+++ b/crates/gateway/src/gateway/quotas.rs
@@ -8,7 +8,7 @@
 use super::Gateway;
 use crate::{
     config,
-    peer::{Table, TenantDemands},
+    peer::{Peer, Table, TenantDemands},
     rate::Terms,
 };
 
@@ -38,8 +38,8 @@
         res
     }
 
-    /// Reports of the tenants' requests for peers, and their receivers: daemons that callers use,
-    /// and others that have reported requests lately. `None` if there is nothing to send.
+    /// Reports of the tenants' requests for peers, and their receivers. `None` if there is nothing to
+    /// send.
     #[must_use]
     pub fn demands_to_send(&self, now: Instant) -> Option<(Vec<SocketAddr>, Vec<TenantDemands>)> {
         if !self.has_quotas.get() {
@@ -50,11 +50,10 @@
         if demands.is_empty() && !self.activity.borrow().is_active() {
             return None;
         }
-        let members: Vec<_> = quotas.recent_members(now).collect();
         let peers = self.peers.borrow();
-        let takes_part =
-            |it: &crate::peer::Peer| it.heartbeat.is_active || members.contains(&it.heartbeat.key);
-        let to = peers.live_peers(now).filter(|(_, it)| takes_part(it)).map(|(at, _)| at);
+        let is_receiver =
+            |it: &Peer| quotas.is_receiver(now, it.heartbeat.key, it.heartbeat.is_active);
+        let to = peers.live_peers(now).filter(|(_, it)| is_receiver(it)).map(|(at, _)| at);
         let age_ms = u32::try_from(quotas.age(now).as_millis()).unwrap_or(u32::MAX);
         Some((to.collect(), TenantDemands::split(self.key, age_ms, serial, &demands)))
     }
@@ -75,6 +74,7 @@
             overshoot: settings.quota_overshoot,
             slack: settings.quota_slack,
         });
-        quotas.set_fleet(now, peers.presence(now), u32::try_from(active).unwrap_or(u32::MAX));
+        let active = u32::try_from(active).unwrap_or(u32::MAX);
+        quotas.set_fleet(now, peers.presence(now), peers.live_count(now), active);
     }
 }
--- a/crates/gateway/src/rate/quotas.rs
+++ b/crates/gateway/src/rate/quotas.rs
@@ -29,6 +29,12 @@
 const SURGE: f64 = 1.0;
 /// Time after the start within which a daemon may still find its peers.
 const DISCOVERY_TIME: Duration = Duration::from_secs(2);
+/// Time after the start in which no peer may be known to be used by callers: a daemon finds out after
+/// a second of requests, and then tells its peers.
+const UNKNOWN_USE_TIME: Duration = Duration::from_millis(1_500);
+/// Time after the start within which reports of peers have arrived: finding them took 0.3 s for 44
+/// daemons that started at once.
+const FIRST_REPORTS_TIME: Duration = Duration::from_millis(600);
 /// Multiple of its rate above which a tenant counts as flooding. In the first window after a start of
 /// the whole fleet it gets less than others, since it has probably used its quota before.
 const FLOOD: f64 = 1.3;
@@ -54,6 +60,13 @@
     started: Instant,
 }
 
+impl Member {
+    /// Whether it has sent a report lately.
+    fn has_reported(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.heard_at) < MAX_SILENCE
+    }
+}
+
 /// Quotas of tenants, shared by all daemons.
 ///
 /// Each daemon sends its peers how many requests it has admitted in the window. It admits a request if
@@ -66,6 +79,7 @@
     started_at: Instant,
     accounts: HashMap<TenantKey, Account>,
     members: HashMap<HostKey, Member>,
+    live_peers: u32,
     active_peers: u32,
     presence: f64,
     serial: u32,
@@ -93,6 +107,7 @@
             started_at: now,
             accounts: HashMap::new(),
             members: HashMap::new(),
+            live_peers: 0,
             active_peers: 0,
             presence: 1.0,
             serial: 0,
@@ -108,10 +123,10 @@
         self.terms = terms;
     }
 
-    /// Sets the part of the known daemons that this one is in contact with, and the number of live
-    /// peers that callers use.
-    pub fn set_fleet(&mut self, now: Instant, presence: f64, active_peers: u32) {
-        (self.presence, self.active_peers) = (presence, active_peers);
+    /// Sets the part of the known daemons that this one is in contact with, the number of live peers,
+    /// and how many of these callers use.
+    pub fn set_fleet(&mut self, now: Instant, presence: f64, live_peers: u32, active_peers: u32) {
+        (self.presence, self.live_peers, self.active_peers) = (presence, live_peers, active_peers);
         let lifetime = self.lifetime();
         self.members.retain(|_, it| now.saturating_duration_since(it.heard_at) < lifetime);
         self.accounts.retain(|_, it| it.expire(now, lifetime, MAX_SILENCE));
@@ -216,10 +231,15 @@
         now.saturating_duration_since(self.started_at)
     }
 
-    /// Peers that have sent a report lately.
-    pub fn recent_members(&self, now: Instant) -> impl Iterator<Item = HostKey> {
-        let is_recent = move |it: &Member| now.saturating_duration_since(it.heard_at) < MAX_SILENCE;
-        self.members.iter().filter(move |(_, it)| is_recent(it)).map(|(host, _)| *host)
+    /// Whether a live peer needs this daemon's reports: callers use it (`is_active`), it has sent
+    /// reports lately, or no peer is known to be in use yet. After a start of the whole fleet all would
+    /// otherwise spend without learning of each other.
+    #[must_use]
+    pub fn is_receiver(&self, now: Instant, host: HostKey, is_active: bool) -> bool {
+        let member = self.members.get(&host);
+        is_active
+            || self.is_use_unknown(now, UNKNOWN_USE_TIME)
+            || member.is_some_and(|it| it.has_reported(now))
     }
 
     /// Number of tenants with recent requests.
@@ -229,7 +249,8 @@
     }
 
     fn heard(&self, now: Instant) -> u32 {
-        u32::try_from(self.recent_members(now).count()).unwrap_or(u32::MAX)
+        let count = self.members.values().filter(|it| it.has_reported(now)).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
     }
 
     /// Time after which nothing that a peer has reported is in the window any more.
@@ -267,13 +288,19 @@
         ages.fold(REPORT_DELAY, Duration::max)
     }
 
+    /// Whether no peer is known to be used by callers, `time` after the start at most.
+    fn is_use_unknown(&self, now: Instant, time: Duration) -> bool {
+        self.active_peers == 0 && self.age(now) < time
+    }
+
     /// Part of the fleet that this daemon knows the use of.
     fn presence(&self, now: Instant) -> f64 {
-        if self.knows_nobody(now) {
-            return self.presence;
-        }
-        let heard = self.heard(now).min(self.active_peers);
-        self.presence * f64::from(heard + 1) / f64::from(self.active_peers + 1)
+        // Until they can have reported, any live peers may be in use.
+        let time = if self.members.is_empty() { UNKNOWN_USE_TIME } else { FIRST_REPORTS_TIME };
+        let is_unknown = self.is_use_unknown(now, time);
+        let used = if is_unknown { self.live_peers } else { self.active_peers };
+        let heard = self.heard(now).min(used);
+        self.presence * f64::from(heard + 1) / f64::from(used + 1)
     }
 
     /// Part of a budget that may be used in the first window after the start: what daemons that have
--- a/crates/gateway/tests/fleet/mod.rs
+++ b/crates/gateway/tests/fleet/mod.rs
@@ -189,6 +189,8 @@
     loss: f64,
     delay: Duration,
     next_tick: Instant,
+    discovery_time: Duration,
+    activity_time: Duration,
 }
 
 impl Fleet {
@@ -230,6 +232,8 @@
             loss: 0.01,
             delay: Duration::from_millis(30),
             next_tick: now,
+            discovery_time: DISCOVERY_TIME,
+            activity_time: Duration::ZERO,
         };
         for _ in 0..hosts {
             let it = res.new_host(hosts);
@@ -273,6 +277,12 @@
         (self.load, self.spread) = (load, spread);
     }
 
+    /// Sets the time after its start until a daemon has found the others, and until they know that
+    /// callers use it.
+    pub(crate) fn set_start_times(&mut self, discovery: Duration, activity: Duration) {
+        (self.discovery_time, self.activity_time) = (discovery, activity);
+    }
+
     pub(crate) fn set_quota_factor(&mut self, factor: f64) {
         for it in &mut self.clients {
             it.tenant.rate_per_s = it.usual_per_s * QUOTA_FACTOR * factor;
@@ -439,6 +449,12 @@
         !self.hosts[number].is_dead && self.hosts[number].still_until <= self.now
     }
 
+    /// Whether a daemon says in its heartbeats that callers use it.
+    fn is_active(&self, number: usize) -> bool {
+        let age = self.now.duration_since(self.hosts[number].started);
+        self.used.contains(&number) && age >= self.activity_time
+    }
+
     /// Updates what a daemon knows of the others from heartbeats.
     fn tick(&mut self, number: usize) {
         let now = self.now;
@@ -446,25 +462,25 @@
             return;
         }
         for other in 0..self.hosts.len() {
-            let is_found = now.duration_since(self.hosts[number].started) >= DISCOVERY_TIME
-                && now.duration_since(self.hosts[other].started) >= DISCOVERY_TIME;
+            let is_found = now.duration_since(self.hosts[number].started) >= self.discovery_time
+                && now.duration_since(self.hosts[other].started) >= self.discovery_time;
             let is_connected = self.hosts[number].group == self.hosts[other].group;
             if other != number && is_found && is_connected && self.runs(other) {
                 self.hosts[number].heard[other] = Some(now);
             }
         }
-        let (mut live, mut known, mut active) = (0.0, 0.0, 0);
+        let (mut live, mut known, mut active) = (0, 0.0, 0);
         for other in 0..self.hosts.len() {
             let age = self.hosts[number].heard[other].map(|it| now.duration_since(it));
             if age.is_some_and(|it| it < LIVE_TIME) {
-                live += 1.0;
-                active += u32::from(self.used.contains(&other));
+                live += 1;
+                active += u32::from(self.is_active(other));
             }
             known += f64::from(u8::from(age.is_some_and(|it| it < CONTACT_TIME)));
         }
-        let presence: f64 = (live + 1.0) / (known + 1.0);
-        let presence = if live > 0.0 { presence } else { presence.min(0.25) };
-        self.hosts[number].quotas.set_fleet(now, presence, active);
+        let presence = (f64::from(live) + 1.0) / (known + 1.0);
+        let presence = if live > 0 { presence } else { presence.min(0.25) };
+        self.hosts[number].quotas.set_fleet(now, presence, live, active);
     }
 
     fn report(&mut self, number: usize) {
@@ -484,16 +500,17 @@
                 demands.push(Demand { tenant, spent: 0, silent: 0, rate });
             }
         }
-        if demands.is_empty() && !self.used.contains(&number) {
+        if demands.is_empty() && !self.is_active(number) {
             return;
         }
+        let host = &self.hosts[number];
         let (key, age) = (host.key, now.duration_since(host.started));
-        let members: Vec<_> = host.quotas.recent_members(now).collect();
         for other in 0..self.hosts.len() {
             let is_live = self.hosts[number].heard[other]
                 .is_some_and(|it| now.duration_since(it) < LIVE_TIME);
-            let takes_part = self.used.contains(&other) || members.contains(&self.hosts[other].key);
-            if is_live && takes_part {
+            let is_active = self.is_active(other);
+            let quotas = &self.hosts[number].quotas;
+            if is_live && quotas.is_receiver(now, self.hosts[other].key, is_active) {
                 let demands = demands.clone();
                 self.send(number, other, Content::Report { key, age, serial, demands });
             }
--- a/crates/gateway/tests/fleet_rates.rs
+++ b/crates/gateway/tests/fleet_rates.rs
@@ -197,6 +197,28 @@
     }
 }
 
+/// All daemons are killed at once and find each other before it is known which ones callers use. Guards
+/// against each daemon spending the whole quota until then.
+#[test]
+fn all_killed_use_unknown() {
+    for (hosts, used) in [(12, 12), (40, 40)] {
+        for factor in [1.0, 4.0, 7.5] {
+            let mut fleet = Fleet::new(5, hosts, used, Policy::Quotas, &USUAL);
+            fleet.set_start_times(SECOND / 5, SECOND);
+            fleet.set_load(Load { factor }, Spread::Even);
+            fleet.run(SECOND * 10);
+            fleet.clear_results();
+            fleet.apply(Fault::KillPart { share: 1.0, time: SECOND / 2 });
+            fleet.run(SECOND * 15);
+            for it in fleet.results() {
+                assert!(it.worst <= 1.0, "{hosts} hosts, x{factor}: {it:?}");
+            }
+            let share = refused(&fleet.results(), 0.0, 1e9);
+            assert!(factor > 1.0 || share <= 0.05, "{hosts} hosts, x{factor}: {share} refused");
+        }
+    }
+}
+
 /// A quota falls to a fifth during a flood, and rises again: it holds one window later, and more is
 /// admitted at once.
 #[test]
--- a/crates/gateway/tests/tenant_quotas.rs
+++ b/crates/gateway/tests/tenant_quotas.rs
@@ -23,7 +23,7 @@
 /// A daemon that has run for a while, without peers in a fleet of its own.
 fn quotas(now: Instant) -> Quotas {
     let mut res = Quotas::new(now.checked_sub(SECOND * 20).unwrap(), Terms::default());
-    res.set_fleet(now, 1.0, 0);
+    res.set_fleet(now, 1.0, 0, 0);
     res
 }
 
@@ -69,7 +69,7 @@
     quotas.record(now, 7, SECOND * 60, 1, &demands);
     assert_eq!(quotas.account_count(), 10_000);
     for step in 1..100 {
-        quotas.set_fleet(now + SECOND / 10 * step, 1.0, 0);
+        quotas.set_fleet(now + SECOND / 10 * step, 1.0, 0, 0);
         drop(quotas.report(now + SECOND / 10 * step));
     }
     assert_eq!(quotas.account_count(), 0);
@@ -81,12 +81,12 @@
 fn peers_reports() {
     let now = Instant::now() + SECOND * 30;
     let mut quotas = quotas(now);
-    quotas.set_fleet(now, 1.0, 1);
+    quotas.set_fleet(now, 1.0, 1, 1);
     let tenant = tenant("a", 10.0, 0.0);
     let demand = |spent| [Demand { tenant: tenant_key("a"), spent, silent: 0, rate: 1 }];
     quotas.record(now, 7, SECOND * 60, 2, &demand(100));
     quotas.record(now, 7, SECOND * 60, 1, &demand(0));
-    quotas.set_fleet(now, 1.0, 1);
+    quotas.set_fleet(now, 1.0, 1, 1);
     assert!(quotas.take(now, &tenant).is_err(), "the peer has used the quota");
     quotas.record(now, 7, SECOND * 60, 3, &demand(0));
     assert!(quotas.take(now, &tenant).is_ok());
