--- a/crates/daemon/tests/leaving_server.rs
+++ b/crates/daemon/tests/leaving_server.rs
@@ -72,9 +72,9 @@
 
 #[test]
 fn marked_in_list() {
-    let fleet = start(Settings::default(), None);
+    // The second daemon is in another failure domain than the server.
+    let fleet = Fleet::start(Settings { daemons: 2, ..Settings::default() }).expect("starts");
     check_used(&fleet, 0);
-    check_used(&fleet, 1);
     fleet.hosts.set(fleet.backends[0][0].address(), HostState::Leaving);
     check_unused(&fleet, 0);
     check_unused(&fleet, 1);
--- a/crates/gateway/tests/fleet_rates.rs
+++ b/crates/gateway/tests/fleet_rates.rs
@@ -236,6 +236,23 @@
     }
 }
 
+/// All daemons of fleets in which callers use few are killed at once, at the usual load. Guards against
+/// refusing requests since any live daemon may be in use.
+#[test]
+fn all_killed_few_used() {
+    for (hosts, used) in [(3, 1), (12, 2), (171, 40)] {
+        let mut fleet = Fleet::new(5, hosts, used, Policy::Quotas, &USUAL);
+        fleet.set_start_times(SECOND / 5, SECOND);
+        fleet.set_load(Load::usual(), Spread::Even);
+        fleet.run(SECOND * 10);
+        fleet.clear_results();
+        fleet.apply(Fault::KillPart { share: 1.0, time: SECOND / 2 });
+        fleet.run(SECOND * 9);
+        let share = refused(&fleet.results(), 0.0, 1e9);
+        assert!(share <= 0.05, "{hosts} hosts, {used} used: {share} refused");
+    }
+}
+
 /// A quota falls to a fifth during a flood, and rises again: it holds one window later, and more is
 /// admitted at once.
 #[test]
