tests: one set-up of restarted fleets, the crowd's configuration from the stand-ins

The crowd wrote a configuration in the platform's names itself; the stand-ins have the same text. Two tests of quotas set up the same fleet.

--- a/crates/daemon/tests/crowd/mod.rs
+++ b/crates/daemon/tests/crowd/mod.rs
@@ -9,8 +9,10 @@
     time::{Duration, Instant},
 };
 
-use platform_standin::{Store, Upstream, config};
-use serde_json::json;
+use platform_standin::{
+    Store, Upstream,
+    config::{self, Route},
+};
 
 use crate::host::{Addresses, Process};
 
@@ -24,6 +26,8 @@
 pub(crate) const CROWD: usize = 40;
 /// Largest body of the configuration, in bytes: the whole crowd's bodies exceed the memory.
 pub(crate) const BODY_BYTES: usize = 4 << 20;
+/// Largest head of the configuration, in bytes.
+const MAX_HEAD_BYTES: u64 = 16_384;
 /// Time for which a crowd is watched after it has sent what it sends.
 const WATCH_TIME: Duration = Duration::from_secs(2);
 /// Longest time until an ordinary request is answered. Refusals may be repeated.
@@ -144,19 +148,7 @@
 }
 
 fn configuration() -> String {
-    let path = |name: &str, kind: &str| {
-        json!({
-            "name": name, "path_prefix": format!("/{name}/"), "kind": kind, "timeout_ms": 3_000,
-            "target_latency_ms": 1_000, "priority": 0, "service": "stock", "max_attempts": 2,
-        })
-    };
-    json!({
-        "version": 3,
-        "services": [{ "name": "stock", "health_path": "/healthz", "max_conns": 400 }],
-        "limits": { "max_header_bytes": 16_384, "max_body_bytes": BODY_BYTES,
-                    "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
-        "virtual_hosts": [{ "hostname": config::HOST,
-                            "paths": [path("read", "safe"), path("order", "unsafe")] }],
-    })
-    .to_string()
+    let route = |name, prefix, is_idempotent| Route { name, prefix, is_idempotent };
+    let routes = [route("read", "/read/", true), route("order", "/order/", false)];
+    config::text_with_limits(3, &routes, (MAX_HEAD_BYTES, BODY_BYTES as u64))
 }
--- a/crates/gateway/tests/fleet_rates.rs
+++ b/crates/gateway/tests/fleet_rates.rs
@@ -214,18 +214,25 @@
     }
 }
 
+/// A fleet whose daemons are killed at once and start again. They find each other before it is known
+/// which ones callers use.
+fn restarted_fleet(hosts: usize, used: usize, factor: f64) -> Fleet {
+    let mut fleet = Fleet::new(5, hosts, used, Policy::Quotas, &USUAL);
+    fleet.set_start_times(SECOND / 5, SECOND);
+    fleet.set_load(Load { factor }, Spread::Even);
+    fleet.run(SECOND * 10);
+    fleet.clear_results();
+    fleet.apply(Fault::KillPart { share: 1.0, time: SECOND / 2 });
+    fleet
+}
+
 /// All daemons are killed at once and find each other before it is known which ones callers use. Guards
 /// against each daemon spending the whole quota until then.
 #[test]
 fn all_killed_use_unknown() {
     for (hosts, used) in [(12, 12), (40, 40)] {
         for factor in [1.0, 4.0, 7.5] {
-            let mut fleet = Fleet::new(5, hosts, used, Policy::Quotas, &USUAL);
-            fleet.set_start_times(SECOND / 5, SECOND);
-            fleet.set_load(Load { factor }, Spread::Even);
-            fleet.run(SECOND * 10);
-            fleet.clear_results();
-            fleet.apply(Fault::KillPart { share: 1.0, time: SECOND / 2 });
+            let mut fleet = restarted_fleet(hosts, used, factor);
             fleet.run(SECOND * 15);
             for it in fleet.results() {
                 assert!(it.worst <= 1.0, "{hosts} hosts, x{factor}: {it:?}");
@@ -241,12 +248,7 @@
 #[test]
 fn all_killed_few_used() {
     for (hosts, used) in [(3, 1), (12, 2), (171, 40)] {
-        let mut fleet = Fleet::new(5, hosts, used, Policy::Quotas, &USUAL);
-        fleet.set_start_times(SECOND / 5, SECOND);
-        fleet.set_load(Load::usual(), Spread::Even);
-        fleet.run(SECOND * 10);
-        fleet.clear_results();
-        fleet.apply(Fault::KillPart { share: 1.0, time: SECOND / 2 });
+        let mut fleet = restarted_fleet(hosts, used, 1.0);
         fleet.run(SECOND * 9);
         let share = refused(&fleet.results(), 0.0, 1e9);
         assert!(share <= 0.05, "{hosts} hosts, {used} used: {share} refused");
