tests: one heartbeat for the tests of peers

peer_calls and peer_table of the gateway each wrote all fields of one. The module heartbeat has the usual one, and they set what differs.

--- a/crates/gateway/tests/peer_calls.rs
+++ b/crates/gateway/tests/peer_calls.rs
@@ -1,5 +1,7 @@
 //! Calls between daemons.
 
+mod heartbeat;
+
 use std::{
     io::Write,
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
@@ -14,8 +16,7 @@
 use gateway::{
     Settings,
     gateway::Gateway,
-    peer::{Capacity, Heartbeat, Phase},
-    registry::Evacuations,
+    peer::{Capacity, Heartbeat},
     rpc::{self, Shared},
     wire::{Names, Protocol},
 };
@@ -56,33 +57,21 @@
     (0..ROUTES).map(route).collect()
 }
 
-fn heartbeat() -> Heartbeat {
-    Heartbeat {
-        key: 7,
-        host: "peer".to_owned(),
-        domain: "a".into(),
-        caller_address: SocketAddr::from(([127, 0, 0, 1], 1)),
-        phase: Phase::Ready,
-        capacity: Capacity { link_mbps: 100.0, cpu_cores: 1.0, used_cores: 0.0 },
-        is_active: true,
-        config: 9,
-        config_checked_ms: Some(0),
-        evacuations: Evacuations::default(),
-        registry_era: 0,
-        registry_end: 0,
-        registry_digest: 0,
-        peers: Vec::new(),
-        wants_reply: false,
-    }
-}
-
 /// A daemon that knows one peer, which has a newer configuration.
 fn gateway_with_peer(address: SocketAddr) -> Rc<Gateway> {
     let names = Names::default();
     let directory = |_: &[SocketAddr], _: Duration| String::new();
     let protocol = Protocol { names, parse_load: |_| None, directory };
     let gateway = Gateway::new(Settings::default(), Arc::new(System), protocol, 1);
-    gateway.peers.borrow_mut().record_heartbeat(gateway.now(), address, heartbeat());
+    let capacity = Capacity { link_mbps: 100.0, cpu_cores: 1.0, used_cores: 0.0 };
+    let heartbeat = Heartbeat {
+        capacity,
+        is_active: true,
+        config: 9,
+        config_checked_ms: Some(0),
+        ..heartbeat::usual()
+    };
+    gateway.peers.borrow_mut().record_heartbeat(gateway.now(), address, heartbeat);
     gateway
 }
 
--- a/crates/gateway/tests/peer_table.rs
+++ b/crates/gateway/tests/peer_table.rs
@@ -1,14 +1,13 @@
 //! Discovery of peers and detection of their end.
 
+mod heartbeat;
+
 use std::{
     net::SocketAddr,
     time::{Duration, Instant},
 };
 
-use gateway::{
-    peer::{Capacity, Event, Heartbeat, Phase, Sharers, Table},
-    registry::Evacuations,
-};
+use gateway::peer::{Capacity, Event, Heartbeat, Phase, Sharers, Table};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -20,19 +19,9 @@
     Heartbeat {
         key,
         host: format!("host-{number}"),
-        domain: "a".into(),
         caller_address: SocketAddr::from(([10, 0, 0, number], 80)),
         phase,
-        capacity: Capacity { link_mbps: 100.0, ..Capacity::default() },
-        is_active: false,
-        config: 1,
-        config_checked_ms: None,
-        evacuations: Evacuations::default(),
-        registry_era: 0,
-        registry_end: 0,
-        registry_digest: 0,
-        peers: Vec::new(),
-        wants_reply: false,
+        ..heartbeat::usual()
     }
 }
 
