--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -2,16 +2,15 @@
 //! upstreams and a simulated store, and injects faults from outside of the daemons.
 //!
 //! Faults overlap. Loopback proxies delay, close or drop the traffic to the store and the
-//! upstreams. Signals kill, stop, pause and reload daemons. Daemons that are paused or cut off from the
-//! store miss new configurations. The store refuses requests, sends
-//! garbage or drops entries. Upstreams refuse requests, deny them, send garbage or leave. New
-//! configurations are published. Callers keep their connections until these break, and send
-//! requests of unusual forms. The soak checks what callers and upstreams see: each answer belongs
-//! to its request, no order runs twice, an order answered as "not run" has not run, a proper
-//! request gets no 3xx or 4xx of a daemon, no daemon returns to an older configuration, no daemon with an outdated one denies what the newest
-//! allows, and
-//! repeated attempts stay within the retry budget. After the last fault it checks recovery and
-//! planned stops.
+//! upstreams. Signals kill, stop, pause and reload daemons. Daemons that are paused or cut off from
+//! the store miss new configurations. The store refuses requests, sends garbage or drops entries.
+//! Upstreams refuse requests, deny them, send garbage or leave. New configurations are published.
+//! Callers keep their connections until these break, and send requests of unusual forms. The soak
+//! checks what callers and upstreams see: each answer belongs to its request, no order runs twice,
+//! an order answered as "not run" has not run, a proper request gets no 3xx or 4xx of a daemon, no
+//! daemon returns to an older configuration, no daemon with an outdated one denies what the newest
+//! allows, and repeated attempts stay within the retry budget. After the last fault it checks
+//! recovery and planned stops.
 //!
 //! With [`Options::only_stops`], the daemons are only stopped and started again as planned, several
 //! at a time, beside reloads and new configurations. Then nothing excuses a request that reached an
