--- a/review/standin-2/case_early.rs
+++ b/review/standin-2/case_early.rs
@@ -30,7 +30,7 @@
 const DEADLINE_MS: u64 = 15_000;
 
 pub fn run(program: &Path, temporary: &Path, record: &Arc<Record>, trouble: bool) -> io::Result<i32> {
-    let bounds = Bounds { drain_ms: 2_000, config_apply_ms: 2_000, grace_s: 6, memory_mb: 650 };
+    let bounds = Bounds { drain_ms: "2000", config_apply_ms: "2000", grace_s: "6", memory_mb: "650" };
     let store = Store::start()?;
     let (sender, received) = mpsc::channel();
     let handler = handler(sender, Arc::clone(record), trouble);
--- a/review/standin-2/case_stop.rs
+++ b/review/standin-2/case_stop.rs
@@ -48,7 +48,7 @@
 /// A long upload: the upstream reads a part of it, works, and reads on.
 pub fn upload(program: &Path, temporary: &Path, record: &Arc<Record>, trouble: bool) -> io::Result<i32> {
     let setup = Setup {
-        bounds: Bounds { drain_ms: 2_500, config_apply_ms: 2_500, grace_s: 6, memory_mb: 512 },
+        bounds: Bounds { drain_ms: "2500", config_apply_ms: "2500", grace_s: "6", memory_mb: "512" },
         kind: "upload",
         size: 16 << 20,
         deadline_ms: 15_000,
@@ -61,7 +61,7 @@
 /// An order that arrives more than 3 s after the signal.
 pub fn late_order(program: &Path, temporary: &Path, record: &Arc<Record>, trouble: bool) -> io::Result<i32> {
     let setup = Setup {
-        bounds: Bounds { drain_ms: 3_000, config_apply_ms: 3_000, grace_s: 10, memory_mb: 512 },
+        bounds: Bounds { drain_ms: "3000", config_apply_ms: "3000", grace_s: "10", memory_mb: "512" },
         kind: "unsafe",
         size: 300,
         deadline_ms: 15_000,
--- a/review/standin-2/daemon.rs
+++ b/review/standin-2/daemon.rs
@@ -11,16 +11,19 @@
     time::{Duration, Instant},
 };
 
+/// Template of the settings that the deploy file names.
+const TEMPLATE: &str = "deploy/fleet.ini";
+
 /// Ids of the processes that run.
 static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
-/// Bounds of a deployment that the settings of a daemon hold.
+/// Figures of a deployment from which the platform fills in the settings, as it writes them.
 #[derive(Clone, Copy)]
 pub struct Bounds {
-    pub drain_ms: u32,
-    pub config_apply_ms: u32,
-    pub grace_s: u32,
-    pub memory_mb: u32,
+    pub drain_ms: &'static str,
+    pub config_apply_ms: &'static str,
+    pub grace_s: &'static str,
+    pub memory_mb: &'static str,
 }
 
 /// Addresses of one daemon.
@@ -102,19 +105,7 @@
         store: SocketAddr,
         bounds: &Bounds,
     ) -> io::Result<Self> {
-        let seeds: Vec<_> = seeds.iter().map(ToString::to_string).collect();
-        let Addresses { caller, ready, directory, peer, metrics } = &addresses;
-        let Bounds { drain_ms, config_apply_ms, grace_s, memory_mb } = bounds;
-        let text = format!(
-            "[gateway]\nhost = {name}\ndomain = {zone}\nregion = region\nregions = {zone}:region\n\
-             caller_address = {caller}\nready_address = {ready}\ndirectory_address = {directory}\n\
-             peer_address = {peer}\nmetrics_address = {metrics}\nseeds = {}\nfirst_start = true\n\
-             store_address = {store}\nmemory_mb = {memory_mb}\nlink_mbps = 2500.0\ncpu_cores = 0.5\n\
-             descriptor_limit = 10250\nconfig_apply = {config_apply_ms}ms\ndrain = {drain_ms}ms\n\
-             grace = {grace_s}s\nretry_ratio = 0.2\nretry_slack = 56\nretry_window = 10s\n\
-             probe_rate = 60\ndirectory_keep = 2s\nsuccess_lines_per_s = 2\nfailure_lines_per_s = 50\n",
-            seeds.join(",")
-        );
+        let text = render(&fs::read_to_string(TEMPLATE)?, name, zone, &addresses, seeds, store, bounds);
         let settings = folder.join(format!("{name}.ini"));
         fs::write(&settings, text)?;
         let log = folder.join(format!("{name}.log"));
@@ -123,6 +114,11 @@
         Ok(Self { addresses, child })
     }
 
+    /// How the process has ended, if it has.
+    pub fn ended(&mut self) -> Option<String> {
+        self.child.try_wait().ok().flatten().map(|it| it.to_string())
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, name: &str) -> bool {
         let id = self.child.id().to_string();
@@ -133,7 +129,7 @@
     pub fn await_ready(&self, timeout: Duration) -> bool {
         let until = Instant::now() + timeout;
         while Instant::now() < until {
-            if status(self.addresses.ready, "/fireflydrum/ready") == Some(200) {
+            if status(self.addresses.ready, "ready", "/fireflydrum/ready") == Some(200) {
                 return true;
             }
             thread::sleep(Duration::from_millis(50));
@@ -151,6 +147,54 @@
     }
 }
 
+/// Fills in the template as the platform does.
+fn render(
+    template: &str,
+    name: &str,
+    zone: &str,
+    addresses: &Addresses,
+    seeds: &[SocketAddr],
+    store: SocketAddr,
+    bounds: &Bounds,
+) -> String {
+    let Addresses { caller, ready, directory, peer, metrics } = addresses;
+    let seeds: Vec<_> = seeds.iter().map(ToString::to_string).collect();
+    let (ip, peer_port) = (peer.ip().to_string(), peer.port().to_string());
+    let values = [
+        ("{{#zones}}{{@}}:{{.}}{{,}}{{/zones}}", &format!("{zone}:region-a")),
+        ("{{node}}", &name.to_owned()),
+        ("{{zone}}", &zone.to_owned()),
+        ("{{region}}", &"region-a".to_owned()),
+        ("{{listen.front}}", &caller.to_string()),
+        ("{{listen.ready}}", &ready.to_string()),
+        ("{{listen.directory}}", &directory.to_string()),
+        ("{{ip}}:{{internal_ports.1}}", &metrics.to_string()),
+        ("{{ip}}", &ip),
+        ("{{internal_ports.0}}", &peer_port),
+        ("{{seeds}}", &seeds.join(",")),
+        ("{{bootstrap}}", &"true".to_owned()),
+        ("{{platform.address}}", &store.to_string()),
+        ("{{limits.memory_mb}}", &bounds.memory_mb.to_owned()),
+        ("{{limits.link_mbps}}", &"2500.0".to_owned()),
+        ("{{limits.cpu_share}}", &"0.5".to_owned()),
+        ("{{limits.max_fds}}", &"10250".to_owned()),
+        ("{{bounds.config_apply_ms}}", &bounds.config_apply_ms.to_owned()),
+        ("{{bounds.drain_ms}}", &bounds.drain_ms.to_owned()),
+        ("{{bounds.grace_period_s}}", &bounds.grace_s.to_owned()),
+        ("{{bounds.retry_budget_ratio}}", &"0.2".to_owned()),
+        ("{{bounds.retry_budget_slack}}", &"56".to_owned()),
+        ("{{bounds.budget_window_s}}", &"10".to_owned()),
+        ("{{bounds.probes_per_s}}", &"60".to_owned()),
+    ];
+    // Sections of bounds that the deployment doesn't have.
+    let lines = template.lines().filter(|it| !it.starts_with("{{#bounds."));
+    let mut text: String = lines.map(|it| format!("{it}\n")).collect();
+    for (placeholder, value) in values {
+        text = text.replace(placeholder, value);
+    }
+    text
+}
+
 fn spawn(program: &Path, settings: &Path, log: &Path) -> io::Result<Child> {
     let log = File::options().create(true).append(true).open(log)?;
     let errors = log.try_clone()?;
@@ -158,10 +202,15 @@
 }
 
 /// Status of the answer to a `GET`.
-pub fn status(address: SocketAddr, path: &str) -> Option<u16> {
+pub fn status(address: SocketAddr, host: &str, path: &str) -> Option<u16> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
     stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
-    write!(stream, "GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n").ok()?;
+    write!(
+        stream,
+        "GET {path} HTTP/1.1\r\nHost: {host}\r\nX-Fireflydrum-Request-Id: 5f0c\r\n\
+         X-Fireflydrum-Deadline-Ms: 1000\r\nConnection: close\r\n\r\n"
+    )
+    .ok()?;
     let mut text = String::new();
     stream.read_to_string(&mut text).ok()?;
     text.split(' ').nth(1)?.parse().ok()
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -10,6 +10,9 @@
 /// Time after which machines count as in touch, and daemons know one another.
 const CALM: Duration = Duration::from_millis(4_500);
 
+/// Time within which daemons that start are ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// A configuration with one service and one route to it.
 pub fn config(version: u32, service: &str, kind: &str, timeout_ms: u32) -> String {
     format!(
@@ -37,7 +40,7 @@
         let name = format!("host-{index}");
         daemons.push(Daemon::start(program, temporary, &name, "zone-a", it, &seeds, store.address, bounds)?);
     }
-    if !daemons.iter().all(|it| it.await_ready(Duration::from_secs(15))) {
+    if !daemons.iter().all(|it| it.await_ready(READY_TIMEOUT)) {
         return Ok(None);
     }
     thread::sleep(CALM);
