--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,6 +1,7 @@
 //! Cases of the second review: stand-ins for the platform, upstreams and clients round real daemons.
 
 mod case_early;
+mod case_entry;
 mod case_start;
 mod case_stop;
 mod daemon;
@@ -35,6 +36,7 @@
     });
     record.line(&format!("case {case}, trouble: {trouble}"));
     let run = match &**case {
+        "odd-entry" => case_entry::run,
         "early-answer" => case_early::run,
         "fraction-start" => case_start::run,
         "stop-upload" => case_stop::upload,
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -149,8 +149,11 @@
             format!("{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}", base64(value))
         };
         let items: Vec<_> = items.iter().map(item).collect();
-        let text =
-            format!("{{\"items\":[{}],\"has_more\":{has_more},\"end\":{}}}", items.join(","), records.len());
+        let text = format!(
+            "{{\"items\":[{}],\"has_more\":{has_more},\"end\":{}}}",
+            items.join(","),
+            records.len()
+        );
         (200, "application/json", text.into_bytes())
     }
 }
