review: show that an upstream that comes back under its id is shut out

Cause: connections to upstreams are kept by id alone, so one to the former incarnation goes back into the pool of the next one, and what is said on it counts for the next one.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-rustc --edition 2024 -C opt-level=2 -D warnings -o target/review-3/standin-3 review/standin-3/src/main.rs
+rustc --edition 2024 -C opt-level=2 -o target/review-3/standin-3 review/standin-3/src/main.rs
--- a/review/standin-3/src/cases/fraction.rs
+++ b/review/standin-3/src/cases/fraction.rs
@@ -22,7 +22,7 @@
     let _heartbeat = Heartbeat::start(record, &store, &upstream);
     let routes = [Route { prefix: "/stock/", kind: "safe", service: "stock" }];
     store.put(OPERATOR, "config", &config(1, &["stock"], &routes));
-    let address = store.listen().address;
+    let address = store.listen();
     let start = |host| Daemon::start(record, PROGRAM, Settings::new(host, address));
     let mut daemons = [start("edge-1")?, start("edge-2")?];
     for it in &daemons {
--- a/review/standin-3/src/cases/mod.rs
+++ b/review/standin-3/src/cases/mod.rs
@@ -3,8 +3,8 @@
 pub mod fraction;
 pub mod late_entry;
 pub mod long_paths;
-pub mod moved_store;
 pub mod odd_entry;
+pub mod same_id;
 
 use std::time::Duration;
 
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -30,7 +30,7 @@
     let run = match &**case {
         "fraction" => cases::fraction::run,
         "long-paths" => cases::long_paths::run,
-        "moved-store" => cases::moved_store::run,
+        "same-id" => cases::same_id::run,
         "odd-entry" => cases::odd_entry::run,
         "late-entry" => cases::late_entry::run,
         _ => {
