--- a/review/standin-3/src/cases/late_entry.rs
+++ b/review/standin-3/src/cases/late_entry.rs
@@ -28,7 +28,7 @@
     let heartbeat = Heartbeat::start(record, &store, &leaving);
     let routes = [Route { prefix: "/order/", kind: "unsafe", service: "orders" }];
     store.put(OPERATOR, "config", &config(1, &["orders"], &routes));
-    let daemon = Daemon::start(record, PROGRAM, Settings::new("edge-1", store.listen()))?;
+    let daemon = Daemon::start(record, PROGRAM, Settings::new("edge-1", store.listen().address))?;
     let before = thread::scope(|scope| {
         let order = |number| {
             let daemon = &daemon;
--- a/review/standin-3/src/cases/long_paths.rs
+++ b/review/standin-3/src/cases/long_paths.rs
@@ -43,7 +43,7 @@
     let _heartbeat = Heartbeat::start(record, &store, &upstream);
     let routes = [Route { prefix: "/stock/", kind: "safe", service: "stock" }];
     store.put(OPERATOR, "config", &config(1, &["stock"], &routes));
-    let daemon = Daemon::start(record, PROGRAM, Settings::new("edge-1", store.listen()))?;
+    let daemon = Daemon::start(record, PROGRAM, Settings::new("edge-1", store.listen().address))?;
     let caller = daemon.settings.caller;
     let call = |id: &str| http::call(caller, &request("/stock/1", id), TIMEOUT + LATER);
     if call("before").map(|it| it.status()) != Ok(200) {
--- a/review/standin-3/src/cases/mod.rs
+++ b/review/standin-3/src/cases/mod.rs
@@ -1,8 +1,8 @@
 //! The cases, and what they share.
 
-pub mod fraction;
 pub mod late_entry;
 pub mod long_paths;
+pub mod moved_store;
 pub mod odd_entry;
 pub mod same_id;
 
--- a/review/standin-3/src/cases/odd_entry.rs
+++ b/review/standin-3/src/cases/odd_entry.rs
@@ -31,7 +31,7 @@
         Route { prefix: "/order/", kind: "unsafe", service: "orders" },
     ];
     store.put(OPERATOR, "config", &config(1, &["stock", "orders"], &routes));
-    let daemon = Daemon::start(record, PROGRAM, Settings::new("edge-1", store.listen()))?;
+    let daemon = Daemon::start(record, PROGRAM, Settings::new("edge-1", store.listen().address))?;
     for (method, path) in [("GET", "/stock/1"), ("POST", "/order/1")] {
         if send(record, &daemon, method, path, "before").map(|it| it.status()) != Ok(200) {
             return Err("the routes are not served before the disruption".to_owned());
--- a/review/standin-3/src/cases/same_id.rs
+++ b/review/standin-3/src/cases/same_id.rs
@@ -33,7 +33,7 @@
     let heartbeat = Heartbeat::start(record, &store, &old);
     let routes = [Route { prefix: "/order/", kind: "unsafe", service: "orders" }];
     store.put(OPERATOR, "config", &config(1, &["orders"], &routes));
-    let daemon = Daemon::start(record, PROGRAM, Settings::new("edge-1", store.listen()))?;
+    let daemon = Daemon::start(record, PROGRAM, Settings::new("edge-1", store.listen().address))?;
     let mut number = 0;
     let mut replaced = 0;
     let statuses: Vec<_> = thread::scope(|scope| {
--- a/review/standin-3/src/daemon.rs
+++ b/review/standin-3/src/daemon.rs
@@ -16,7 +16,6 @@
 }
 
 pub const SIGHUP: i32 = 1;
-pub const SIGTERM: i32 = 15;
 
 /// The template that the deploy file names.
 const TEMPLATE: &str = "deploy/fleet.ini";
@@ -33,8 +32,6 @@
     pub peer: SocketAddr,
     pub metrics: SocketAddr,
     pub store: SocketAddr,
-    /// `grace_period_s` of the platform, as it fills it into the template.
-    pub grace_s: &'static str,
 }
 
 impl Settings {
@@ -47,7 +44,6 @@
             peer: free(),
             metrics: free(),
             store,
-            grace_s: "6",
         }
     }
 
@@ -75,7 +71,7 @@
             ("{{limits.max_fds}}", "10250".to_owned()),
             ("{{bounds.config_apply_ms}}", "2000".to_owned()),
             ("{{bounds.drain_ms}}", "2000".to_owned()),
-            ("{{bounds.grace_period_s}}", self.grace_s.to_owned()),
+            ("{{bounds.grace_period_s}}", "6".to_owned()),
             ("{{bounds.retry_budget_ratio}}", "0.2".to_owned()),
             ("{{bounds.retry_budget_slack}}", "56".to_owned()),
             ("{{bounds.budget_window_s}}", "10".to_owned()),
@@ -95,7 +91,6 @@
 /// A running daemon, killed when it is dropped.
 pub struct Daemon {
     pub settings: Settings,
-    program: String,
     folder: PathBuf,
     child: Child,
     record: Record,
@@ -111,8 +106,8 @@
         fs::write(&file, settings.text()?).map_err(|e| format!("no settings: {e}"))?;
         let child = spawn(program, &folder).map_err(|e| format!("{program}: {e}"))?;
         record.line(&format!("daemon {}: starts, store {}", settings.host, settings.store));
-        let (program, record) = (program.to_owned(), record.clone());
-        let mut res = Self { settings, program, folder, child, record };
+        let record = record.clone();
+        let mut res = Self { settings, folder, child, record };
         res.wait_ready().map(|()| res)
     }
 
@@ -133,27 +128,6 @@
         Ok(())
     }
 
-    /// Tells the daemon to stop, kills it after `grace` if it still runs, and starts it again with the
-    /// settings file as it is then.
-    pub fn restart(&mut self, grace: Duration) -> Result<(), String> {
-        self.signal(SIGTERM);
-        let until = Instant::now() + grace;
-        while matches!(self.child.try_wait(), Ok(None)) && Instant::now() < until {
-            thread::sleep(Duration::from_millis(10));
-        }
-        let _ = self.child.kill();
-        let status = self.child.wait().map_err(|e| e.to_string())?;
-        self.record.line(&format!("daemon {}: has stopped, {status}", self.settings.host));
-        self.start_again()
-    }
-
-    /// Starts the daemon, which has ended, again.
-    pub fn start_again(&mut self) -> Result<(), String> {
-        self.child = spawn(&self.program, &self.folder).map_err(|e| e.to_string())?;
-        self.record.line(&format!("daemon {}: starts again", self.settings.host));
-        self.wait_ready().inspect_err(|e| self.record.line(e))
-    }
-
     pub fn is_ready(&self) -> bool {
         let request = "GET /fireflydrum/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
         let res = http::call(self.settings.ready, request, Duration::from_secs(1));
@@ -164,10 +138,8 @@
     pub fn change_settings(&self, settings: &Settings) {
         let text = settings.text().expect("the template was read before");
         fs::write(self.folder.join("settings.ini"), text).expect("it was written before");
-        let Settings { host, store, grace_s, .. } = settings;
-        self.record.line(&format!(
-            "daemon {host}: settings file changed, store {store}, grace {grace_s}s"
-        ));
+        let Settings { host, store, .. } = settings;
+        self.record.line(&format!("daemon {host}: settings file changed, store {store}"));
     }
 
     pub fn signal(&self, signal: i32) {
@@ -177,11 +149,6 @@
         self.record.line(&format!("daemon {}: signal {signal}", self.settings.host));
     }
 
-    /// What it has written to standard error.
-    pub fn errors(&self) -> String {
-        fs::read_to_string(self.folder.join("errors")).unwrap_or_default()
-    }
-
     /// Lines of its log that contain `text`.
     pub fn log(&self, text: &str) -> Vec<String> {
         let log = fs::read_to_string(self.folder.join("log")).unwrap_or_default();
--- a/review/standin-3/src/main.rs
+++ b/review/standin-3/src/main.rs
@@ -28,8 +28,8 @@
         if has_trouble { "with the" } else { "without" }
     ));
     let run = match &**case {
-        "fraction" => cases::fraction::run,
         "long-paths" => cases::long_paths::run,
+        "moved-store" => cases::moved_store::run,
         "same-id" => cases::same_id::run,
         "odd-entry" => cases::odd_entry::run,
         "late-entry" => cases::late_entry::run,
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -3,8 +3,11 @@
 use std::{
     collections::BTreeMap,
     io::Write,
-    net::{SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Condvar, Mutex},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -17,18 +20,37 @@
 
 type Topic = Vec<(Vec<u8>, Vec<u8>)>;
 
-/// A store on loopback.
+/// An address at which the store is served, until it is closed.
+#[derive(Clone)]
+pub struct Door {
+    pub address: SocketAddr,
+    is_closed: Arc<AtomicBool>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Door {
+    /// Closes the connections to this address, and all further ones.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::SeqCst);
+        for it in self.connections.lock().expect("no holder panics").drain(..) {
+            let _ = it.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// A store on loopback. Its contents can be served at more than one address.
 #[derive(Clone, Default)]
 pub struct Store(Arc<(Mutex<BTreeMap<String, Topic>>, Condvar)>);
 
 impl Store {
-    /// Serves the store; returns its address.
-    pub fn listen(&self) -> SocketAddr {
+    /// Serves the store at a further address.
+    pub fn listen(&self) -> Door {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("it is bound");
-        let store = self.clone();
-        http::serve(listener, move |stream| store.serve(stream));
-        address
+        let door = Door { address, is_closed: Arc::default(), connections: Arc::default() };
+        let (store, res) = (self.clone(), door.clone());
+        http::serve(listener, move |stream| store.serve(stream, &door));
+        res
     }
 
     /// Writes a record, as the operator or an upstream does; returns its offset once it is
@@ -47,7 +69,13 @@
         offset
     }
 
-    fn serve(&self, mut stream: TcpStream) {
+    fn serve(&self, mut stream: TcpStream, door: &Door) {
+        if door.is_closed.load(Ordering::SeqCst) {
+            return;
+        }
+        if let Ok(it) = stream.try_clone() {
+            door.connections.lock().expect("no holder panics").push(it);
+        }
         let mut buffer = Vec::new();
         let _ = stream.set_nodelay(true);
         while let Ok(Some(request)) = http::read(&mut stream, &mut buffer) {
