--- a/crates/daemon/tests/soak_short.rs
+++ b/crates/daemon/tests/soak_short.rs
@@ -36,8 +36,11 @@
 fn planned_stops() {
     let length = Duration::from_secs(12);
     let options =
-        Options { length, daemons: 6, callers: 21, only_stops: true, ..Options::default() };
-    check(&options, "stops");
+        Options { length, daemons: 6, callers: 24, only_stops: true, ..Options::default() };
+    // A grace period each.
+    for seed in 1..=3 {
+        check(&Options { seed, ..options.clone() }.with_grace_of_seed(), "stops");
+    }
 }
 
 /// Daemons that take a configuration for the newest for a minute refuse requests by outdated ones. The
--- a/crates/daemon/tests/stop_paths.rs
+++ b/crates/daemon/tests/stop_paths.rs
@@ -22,6 +22,8 @@
 const TIMEOUT: Duration = Duration::from_secs(20);
 /// Time from the signal to the forced kill. Default of the daemon's settings.
 const GRACE: Duration = Duration::from_secs(6);
+/// Timeout of the routes, unless a test needs another.
+const ROUTE_TIMEOUT_MS: u32 = 3_000;
 /// Time after the signal from which no rule excuses a request that is cut off.
 const LATE: Duration = Duration::from_millis(3_100);
 /// Interval of pipelined requests, shorter than the work of each.
@@ -34,10 +36,15 @@
     _store: Store,
     upstreams: Vec<Upstream>,
     daemon: Daemon,
+    grace: Duration,
 }
 
 impl Setup {
     fn start() -> Self {
+        Self::with(GRACE, ROUTE_TIMEOUT_MS)
+    }
+
+    fn with(grace: Duration, timeout_ms: u32) -> Self {
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let store = Store::start();
         let upstreams: Vec<_> = (0..3).map(|it| Upstream::start(&format!("u{it}"))).collect();
@@ -48,13 +55,17 @@
             Route { name: "read", prefix: "/read/", is_idempotent: true },
             Route { name: "order", prefix: "/order/", is_idempotent: false },
         ];
-        store.put(config::TOPIC, config::KEY, &config::text(1, &routes));
+        let timeout = format!("\"timeout_ms\":{timeout_ms}");
+        let text = config::text(1, &routes).replace("\"timeout_ms\":3000", &timeout);
+        assert!(text.contains(&timeout));
+        store.put(config::TOPIC, config::KEY, &text);
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("stop-{number}"));
         std::fs::create_dir_all(&folder).unwrap();
         let options = Options {
             daemon: PathBuf::from(env!("CARGO_BIN_EXE_fireflydrumd")),
             folder,
             daemons: 1,
+            grace,
             ..Options::default()
         };
         let peer_port = soak::shared_port(1).unwrap();
@@ -65,7 +76,7 @@
             assert!(Instant::now() < until, "the daemon is not ready in time");
             thread::sleep(Duration::from_millis(20));
         }
-        Self { _store: store, upstreams, daemon }
+        Self { _store: store, upstreams, daemon, grace }
     }
 
     fn connect(&self) -> TcpStream {
@@ -84,7 +95,7 @@
 
     /// Checks that the daemon ends by itself.
     fn finish(mut self) {
-        assert!(self.daemon.wait(GRACE).unwrap(), "the daemon did not end");
+        assert!(self.daemon.wait(self.grace).unwrap(), "the daemon did not end");
     }
 }
 
@@ -179,6 +190,66 @@
     setup.finish();
 }
 
+/// Orders that came more than 3 s after the signal, with more time left than the stop, were passed on
+/// and broken off by the daemon at its end (`docs/incidents/late_long_orders.md`).
+#[test]
+fn late_long_orders() {
+    let setup = Setup::with(Duration::from_secs(10), 8_000);
+    let send = |mut stream: TcpStream, id: &'static str| {
+        let text = config::request("POST", "/order/1?work_ms=6600", id, true);
+        let text = text.replace("Deadline-Ms: 5000", "Deadline-Ms: 15000");
+        thread::spawn(move || {
+            stream.write_all(text.as_bytes()).unwrap();
+            read_status(&mut stream)
+        })
+    };
+    // Keeps a connection that was open before the signal.
+    let mut kept = setup.connect();
+    setup.terminate();
+    thread::sleep(Duration::from_millis(1_000));
+    let text = config::request("POST", "/order/1", "kept-part", true);
+    let (first, rest) = text.split_at(text.len() / 2);
+    kept.write_all(first.as_bytes()).unwrap();
+    thread::sleep(LATE - Duration::from_millis(1_000));
+    let late = send(setup.connect(), "late");
+    let rest = rest.replace("Deadline-Ms: 5000", "Deadline-Ms: 15000");
+    kept.write_all(rest.as_bytes()).unwrap();
+    assert_eq!((read_status(&mut kept), setup.has_run("kept-part")), (503, false));
+    assert_eq!((late.join().unwrap(), setup.has_run("late")), (503, false));
+    setup.finish();
+}
+
+/// Orders that wait for an upstream when the signal comes are refused once they might not end in time.
+/// They were sent up to the end of the stop, and were broken off there
+/// (`docs/incidents/late_long_orders.md`).
+#[test]
+fn waiting_orders() {
+    let setup = Setup::with(GRACE, 15_000);
+    setup.upstreams.iter().for_each(|it| it.set_mode(Mode::Held));
+    let orders: Vec<_> = (0..24)
+        .map(|number| {
+            let (mut stream, id) = (setup.connect(), format!("order-{number}"));
+            let text = config::request("POST", "/order/1?work_ms=2000", &id, true);
+            let text = text.replace("Deadline-Ms: 5000", "Deadline-Ms: 15000");
+            thread::spawn(move || {
+                stream.write_all(text.as_bytes()).unwrap();
+                (id, read_status(&mut stream))
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(1_000));
+    setup.terminate();
+    thread::sleep(Duration::from_millis(4_000));
+    setup.upstreams.iter().for_each(|it| it.set_mode(Mode::Good));
+    let results: Vec<_> = orders.into_iter().map(|it| it.join().unwrap()).collect();
+    for (id, status) in &results {
+        let expected = if setup.has_run(id) { 200 } else { 503 };
+        assert_eq!(*status, expected, "{id} of {results:?}");
+    }
+    assert!(results.iter().any(|(_, status)| *status == 503), "none waited: {results:?}");
+    setup.finish();
+}
+
 /// A request that can be answered before the end of the process is still served.
 #[test]
 fn late_but_short() {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -199,16 +199,21 @@
     /// Stops as planned: leaves the directory and deregisters, serves the requests in progress and
     /// those that still arrive and can be answered in time, closes the callers' port, and ends once
     /// every answer is sent.
-    async fn stop(self, reason: &str) {
+    async fn stop(mut self, reason: &str) {
+        let started = self.gateway.now();
+        // The grace period may have changed since the settings were last read.
+        self.reload("stop");
         let gateway = &self.gateway;
-        let started = gateway.now();
         let schedule = stop::Schedule::new(started, gateway.settings().grace);
         gateway.phase.set(Phase::Leaving);
         gateway.stop.begin(schedule);
         log::info!(target: "belief", "event=stopping reason={reason} in_work={}", gateway.in_progress.get());
         self.mesh.broadcast_heartbeat();
-        follow::deregister(gateway, &*self.platform).await;
-        tokio::time::sleep_until(schedule.port_closed_at().into()).await;
+        let port_closed_at = schedule.port_closed_at().into();
+        // A store that doesn't answer must not hold up the last answers of a short grace period.
+        let deregister = follow::deregister(gateway, &*self.platform);
+        let _done = tokio::time::timeout_at(port_closed_at, deregister).await;
+        tokio::time::sleep_until(port_closed_at).await;
         gateway.callers_closed.notify_one();
         self.wait_idle(schedule.last_answers_at()).await;
         gateway.stop.end_requests();
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -26,6 +26,7 @@
     decision::{Origin, Trace},
     gateway::Gateway,
     http::{Head, Message},
+    stop,
 };
 
 /// A value, or the refusal that is sent to the caller.
@@ -84,10 +85,14 @@
         return Err(Refusal::no_upstream());
     }
     let dispatcher = gateway.dispatcher(&service).ok_or_else(Refusal::no_upstream)?;
-    let mut deadline = received + time_left;
+    let work = stop::Work {
+        received,
+        deadline: received + time_left,
+        service_time: dispatcher.expected_service_time(&route.id),
+    };
+    let mut deadline = work.deadline;
     if let Some(it) = gateway.stop.schedule() {
-        let service_time = dispatcher.expected_service_time(&route.id);
-        if !it.accepts(received, time_left, service_time) {
+        if !it.accepts(gateway.now(), &work) {
             return Err(Refusal::leaving());
         }
         deadline = deadline.min(it.last_answers_at());
@@ -101,6 +106,7 @@
         message: &message,
         received,
         deadline,
+        work,
     };
     attempts::run(&context, trace).await
 }
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -21,6 +21,7 @@
     load::Eligibility,
     probe,
     registry::UpstreamId,
+    stop,
 };
 
 /// Factor of the mean service time within which most requests complete.
@@ -50,6 +51,24 @@
     pub received: Instant,
     /// When the caller must have an answer.
     pub deadline: Instant,
+    /// What a planned stop needs to know of the request.
+    pub work: stop::Work,
+}
+
+impl Context<'_> {
+    /// Whether a planned stop leaves time for another attempt.
+    fn may_start(&self) -> bool {
+        let schedule = self.gateway.stop.schedule();
+        schedule.is_none_or(|it| it.accepts(self.gateway.now(), &self.work))
+    }
+
+    /// Waits until a planned stop leaves no time for another attempt.
+    async fn last_start(&self) {
+        let schedule = self.gateway.stop.begun().await;
+        if let Some(it) = schedule.latest_start(&self.work) {
+            tokio::time::sleep_until(it.into()).await;
+        }
+    }
 }
 
 /// Attempts made for a request so far. Those still in progress when it is dropped are recorded in the
@@ -161,11 +180,12 @@
 
     /// Waits for an upstream that can take the request.
     async fn admit(&self) -> Result<Reservation> {
-        tokio::select! {
+        let reservation = tokio::select! {
             biased;
-            it = self.reserve() => it,
-            () = self.context.gateway.stop.requests_ended() => Err(Refusal::leaving()),
-        }
+            it = self.reserve() => it?,
+            () = self.context.last_start() => return Err(Refusal::leaving()),
+        };
+        if self.context.may_start() { Ok(reservation) } else { Err(Refusal::leaving()) }
     }
 
     async fn reserve(&self) -> Result<Reservation> {
@@ -210,7 +230,7 @@
     /// Reserves an upstream for a hedge if budget and load allow it.
     async fn hedge(&self) -> Option<Reservation> {
         let Context { dispatcher, route, .. } = *self.context;
-        if self.sent >= route.attempt_limit {
+        if self.sent >= route.attempt_limit || !self.context.may_start() {
             return None;
         }
         self.refresh().await;
@@ -230,7 +250,7 @@
         self.tried.push(reservation.upstream().id.clone());
         self.active.push((reservation.upstream().id.clone(), reservation.started()));
         self.sent += 1;
-        let Context { gateway, admission, dispatcher, route, message, received, deadline } =
+        let Context { gateway, admission, dispatcher, route, message, received, deadline, .. } =
             *self.context;
         gateway.metrics.attempt(&dispatcher.id, cause);
         let forward = Forward {
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -2,6 +2,8 @@
 
 mod schedule;
 mod state;
+mod work;
 
 pub use schedule::Schedule;
 pub use state::State;
+pub use work::Work;
--- a/crates/gateway/src/stop/schedule.rs
+++ b/crates/gateway/src/stop/schedule.rs
@@ -2,16 +2,25 @@
 
 use std::time::{Duration, Instant};
 
+use super::Work;
+
 /// Time for which a leaving daemon accepts connections, since callers cache its address for that
 /// long.
 const PORT_TIME: Duration = Duration::from_millis(3_500);
-/// Time before the forced kill by which a leaving daemon has ended.
+/// Time from the signal within which a request may be started that might not end before the stop.
+/// The users allow 3 s from the signal to the sending; a busy process notices the signal later.
+const OPEN_TIME: Duration = Duration::from_millis(2_900);
+/// Longest time before the forced kill by which a leaving daemon has ended, and its share of a short
+/// grace period.
 const END_RESERVE: Duration = Duration::from_millis(400);
-/// Time for the last answers to be written before the daemon ends.
+const END_RESERVE_DIVISOR: u32 = 10;
+/// Longest time for the last answers to be written before the daemon ends, and its share of a short
+/// grace period. With both reserves, the last answers are given in the last sixth of any grace period.
 const LAST_ANSWERS_TIME: Duration = Duration::from_millis(200);
-/// Share of the grace period that a request without a shorter time limit must have left.
+const LAST_ANSWERS_DIVISOR: u32 = 20;
+/// Share of the grace period that a request must have left if it might not end before the stop.
 const MIN_TIME_SHARE: f64 = 0.5;
-/// Multiple of the expected service time that a request must have left.
+/// Multiple of the expected service time that it must have left.
 const SERVICE_TIME_FACTOR: u32 = 2;
 
 /// Schedule of a planned stop, from the signal to the end of the process.
@@ -37,21 +46,36 @@
     /// When the requests still in progress are answered by the daemon itself.
     #[must_use]
     pub fn last_answers_at(&self) -> Instant {
-        self.started + self.grace.saturating_sub(END_RESERVE + LAST_ANSWERS_TIME)
+        self.ends_at() - LAST_ANSWERS_TIME.min(self.grace / LAST_ANSWERS_DIVISOR)
     }
 
     /// When the daemon ends at the latest.
     #[must_use]
     pub fn ends_at(&self) -> Instant {
-        self.started + self.grace.saturating_sub(END_RESERVE)
+        self.started + self.grace - END_RESERVE.min(self.grace / END_RESERVE_DIVISOR)
+    }
+
+    /// Whether an attempt at a request may start at `now`.
+    #[must_use]
+    pub fn accepts(&self, now: Instant, work: &Work) -> bool {
+        self.latest_start(work).is_some_and(|it| now <= it)
     }
 
-    /// Whether a request is accepted: it will be answered before the end whatever happens, as its
-    /// time limit `time_left` passes before that, or enough time is left for one that usually takes
-    /// `service_time`.
+    /// Until when an attempt at a request may start; `None` if it never may.
+    ///
+    /// A request whose time limit passes before the last answers is certain to end in time. Any other
+    /// may have an upstream at work on it when the daemon ends, however short such requests usually
+    /// are, so it is accepted only early in the stop, and only if it usually ends in time.
     #[must_use]
-    pub fn accepts(&self, now: Instant, time_left: Duration, service_time: Duration) -> bool {
-        let needed = self.grace.mul_f64(MIN_TIME_SHARE).max(service_time * SERVICE_TIME_FACTOR);
-        self.last_answers_at().saturating_duration_since(now) >= time_left.min(needed)
+    pub fn latest_start(&self, work: &Work) -> Option<Instant> {
+        let end = self.last_answers_at();
+        if work.deadline <= end {
+            return Some(work.deadline);
+        }
+        if work.received > self.started + OPEN_TIME {
+            return None;
+        }
+        let usual = work.service_time * SERVICE_TIME_FACTOR;
+        end.checked_sub(usual.max(self.grace.mul_f64(MIN_TIME_SHARE)))
     }
 }
--- a/crates/gateway/src/stop/state.rs
+++ b/crates/gateway/src/stop/state.rs
@@ -10,6 +10,7 @@
 #[derive(Debug, Default)]
 pub struct State {
     schedule: Cell<Option<Schedule>>,
+    begun: Notify,
     has_ended_requests: Cell<bool>,
     ended_requests: Notify,
 }
@@ -18,6 +19,7 @@
     /// Starts the stop.
     pub fn begin(&self, schedule: Schedule) {
         self.schedule.set(Some(schedule));
+        self.begun.notify_waiters();
     }
 
     /// The schedule, once the stop has begun.
@@ -26,6 +28,16 @@
         self.schedule.get()
     }
 
+    /// Waits until the stop begins.
+    pub async fn begun(&self) -> Schedule {
+        loop {
+            if let Some(it) = self.schedule.get() {
+                return it;
+            }
+            self.begun.notified().await;
+        }
+    }
+
     /// Makes all requests in progress end with an answer of the daemon itself.
     pub fn end_requests(&self) {
         self.has_ended_requests.set(true);
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -4,7 +4,7 @@
     io::{self, Read, Write},
     net::{SocketAddr, TcpStream},
     sync::{
-        Arc,
+        Arc, Mutex, PoisonError,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
@@ -45,6 +45,12 @@
     pub(crate) is_fault_free: AtomicBool,
     /// Requests sent while no fault was active.
     pub(crate) fault_free_requests: AtomicU64,
+    /// Time from the signal to stop until a daemon is killed.
+    pub(crate) grace: Duration,
+    /// Timeout of the routes, after which an answer of the daemon itself breaks nothing off.
+    pub(crate) time_limit: Duration,
+    /// When each daemon received the signal to stop, while it stops.
+    pub(crate) stopping: Vec<Mutex<Option<Instant>>>,
     /// Number of starts of each daemon.
     pub(crate) starts: Vec<Arc<AtomicU64>>,
     pub(crate) publications: Publications,
@@ -52,6 +58,19 @@
     pub(crate) probes: AtomicUsize,
 }
 
+impl Context {
+    /// Sets when a daemon received the signal to stop.
+    pub(crate) fn set_stopping(&self, daemon: usize, since: Option<Instant>) {
+        *self.stopping[daemon].lock().unwrap_or_else(PoisonError::into_inner) = since;
+    }
+
+    /// Time since a daemon received the signal to stop, while it stops.
+    pub(crate) fn stopping_for(&self, daemon: usize) -> Option<Duration> {
+        let since = *self.stopping[daemon].lock().unwrap_or_else(PoisonError::into_inner);
+        since.map(|it| it.elapsed())
+    }
+}
+
 /// An answer of a daemon.
 pub(crate) struct Answer {
     pub(crate) status: u16,
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -57,10 +57,12 @@
             "[gateway]\nhost = daemon-{number}\ndomain = {domain}\ncaller_address = {caller_address}\n\
              ready_address = {ready_address}\ndirectory_address = {directory_address}\npeer_address = {}\n\
              metrics_address = {metrics_address}\nseeds = {}\nstore_address = {store}\n\
-             failure_lines_per_s = 500\nconfig_apply = {}ms\n",
+             failure_lines_per_s = 500\nconfig_apply = {}ms\n\
+             grace = {}ms\n",
             peer(number),
             seeds.join(","),
-            options.config_apply.as_millis()
+            options.config_apply.as_millis(),
+            options.grace.as_millis()
         );
         fs::write(&settings, text)?;
         let log = options.folder.join(format!("daemon-{number}.log"));
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -4,7 +4,7 @@
     cell::RefCell,
     fs,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     thread::{self, JoinHandle},
@@ -35,6 +35,11 @@
 const EVACUATION_KEY: &str = "evacuate/b";
 /// Number of upstreams if the daemons are only stopped: enough for the work of all callers.
 const UPSTREAMS_FOR_STOPS: usize = 40;
+/// Timeout of the routes.
+const TIME_LIMIT: Duration = Duration::from_secs(3);
+/// Timeout of the routes if the daemons are only stopped: longer than a request that arrives during a
+/// stop of the longest grace period can be sure of.
+const LONG_TIME_LIMIT: Duration = Duration::from_secs(8);
 /// Time within which the daemons must be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time for upstreams to finish the requests that are in flight at the end of a run.
@@ -80,6 +85,9 @@
             stop: AtomicBool::new(false),
             is_fault_free: AtomicBool::new(false),
             fault_free_requests: AtomicU64::new(0),
+            grace: options.grace,
+            time_limit: if options.only_stops { LONG_TIME_LIMIT } else { TIME_LIMIT },
+            stopping: daemons.iter().map(|_| Mutex::default()).collect(),
             starts: daemons.iter().map(|it| Arc::clone(&it.starts)).collect(),
             publications: Publications::default(),
             probes: AtomicUsize::new(0),
@@ -157,6 +165,8 @@
         ];
         routes.extend(since.iter().map(|it| Route { name: it, prefix: it, is_idempotent: true }));
         let text = config::text_with_limits(version, &routes, probe::limits(version));
+        let timeout = format!("\"timeout_ms\":{}", self.context.time_limit.as_millis());
+        let text = text.replace("\"timeout_ms\":3000", &timeout);
         self.store.put(config::TOPIC, config::KEY, &text);
         self.context.publications.record();
     }
--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -25,6 +25,21 @@
     /// Time limit for applying a configuration in the daemons' settings. What the soak checks does not
     /// depend on it: with a longer one, daemons refuse requests by outdated configurations.
     pub config_apply: Duration,
+    /// Time from the signal to stop until a daemon is killed.
+    pub grace: Duration,
+}
+
+/// Grace periods of runs with planned stops. The deployments have 6 s and 10 s.
+const GRACES: [Duration; 3] =
+    [Duration::from_secs(6), Duration::from_secs(10), Duration::from_secs(2)];
+
+impl Options {
+    /// Sets the grace period that belongs to the seed.
+    #[must_use]
+    pub fn with_grace_of_seed(self) -> Self {
+        let index = usize::try_from(self.seed).unwrap_or_default() % GRACES.len();
+        Self { grace: GRACES[index], ..self }
+    }
 }
 
 impl Default for Options {
@@ -38,6 +53,7 @@
             callers: 6,
             only_stops: false,
             config_apply: probe::CONFIG_APPLY,
+            grace: Duration::from_secs(6),
         }
     }
 }
--- a/crates/soak/src/stop_caller.rs
+++ b/crates/soak/src/stop_caller.rs
@@ -22,9 +22,16 @@
 const WORK_MS: std::ops::Range<u64> = 5..400;
 /// One in this many requests takes long.
 const LONG_EVERY: u64 = 6;
-/// Time that an upstream works on a long request, in milliseconds. At most half of the time
-/// that a daemon takes to stop, and the longest work of an order in the grown deployment.
-const LONG_WORK_MS: std::ops::Range<u64> = 1_000..2_700;
+/// Longest work of an upstream on a request, as a share of the time that a daemon takes to stop: a
+/// request is accepted for the first half of that.
+const LONG_WORK_SHARE: f64 = 0.45;
+/// Time after the signal up to which any request may be accepted. One that is longer than
+/// [`LONG_WORK_SHARE`] still ends if it has the rest of a long grace period.
+const OPEN_TIME: Duration = Duration::from_secs(3);
+/// Time by which a daemon has ended before its grace period, with a margin for a busy machine.
+const END_MARGIN: Duration = Duration::from_millis(800);
+/// Time-out for reading an answer, longer than the time limit of the requests.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// Interval at which a caller that pipelines sends requests.
 const PIPELINE_INTERVAL: Duration = Duration::from_millis(40);
 /// Time that a request takes whose head or body comes in two parts, in milliseconds.
@@ -33,8 +40,10 @@
 const BODY_BYTES: usize = 64 << 10;
 /// Bytes of an answer that is read slowly: more than the buffers of the sockets hold.
 const LARGE_BYTES: u64 = 8 << 20;
-/// Time limit of the routes, after which an answer of the daemon itself is no break.
-const ROUTE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time since the signal after which a request has come late, and until which connections are accepted.
+const LATE: std::ops::Range<Duration> = OPEN_TIME..Duration::from_millis(3_500);
+/// Time by which a late order ends before its time limit.
+const LATE_MARGIN: Duration = Duration::from_secs(1);
 /// Pause of a slow reader after each block.
 const READ_PAUSE: Duration = Duration::from_millis(4);
 /// Bytes that a slow reader takes at a time.
@@ -57,9 +66,13 @@
     Old,
     /// A large answer, read slowly.
     SlowReader,
+    /// Orders on new connections, to daemons that have been stopping for so long that no rule excuses
+    /// one that is broken off. Each takes almost as long as it may.
+    Late,
 }
 
-const MANNERS: [Manner; 7] = [
+const MANNERS: [Manner; 8] = [
+    Manner::Late,
     Manner::Sequential,
     Manner::Pipelined,
     Manner::Fresh,
@@ -82,9 +95,15 @@
     let mut caller = Caller { context, rng: fastrand::Rng::with_seed(number), number, serial: 0 };
     let mut kept = None;
     while !context.stop.load(Ordering::Relaxed) {
+        if matches!(manner, Manner::Late) {
+            caller.send_late();
+            continue;
+        }
         // A daemon that has closed its port is being stopped or started.
         let open = kept.take().map_or_else(|| caller::connect(context, &mut caller.rng), Ok);
-        if let Ok(mut it) = open {
+        if let Ok(mut it) = open
+            && it.stream.set_read_timeout(Some(READ_TIMEOUT)).is_ok()
+        {
             match manner {
                 Manner::Pipelined => caller.pipeline(&mut it),
                 Manner::SlowReader => caller.read_slowly(&mut it),
@@ -108,8 +127,17 @@
     }
 
     fn work_ms(&mut self) -> u64 {
-        let range = if self.rng.u64(..LONG_EVERY) == 0 { LONG_WORK_MS } else { WORK_MS };
-        self.rng.u64(range)
+        if self.rng.u64(..LONG_EVERY) > 0 {
+            return self.rng.u64(WORK_MS);
+        }
+        let longest = longest_work_ms(self.context.grace);
+        self.rng.u64(longest / 2..longest)
+    }
+
+    /// Builds a request whose deadline is the time limit of its route.
+    fn request(&self, method: &str, target: &str, id: &str, is_last: bool) -> String {
+        let deadline = format!("Deadline-Ms: {}", self.context.time_limit.as_millis());
+        config::request(method, target, id, is_last).replace("Deadline-Ms: 5000", &deadline)
     }
 
     /// Sends one request and reads its answer. Returns whether the connection is still open.
@@ -120,7 +148,7 @@
         let id = self.next_id(method);
         let (path, work) = (if method == "POST" { "order" } else { "read" }, self.work_ms());
         let mut text =
-            config::request(method, &format!("/{path}/1?work_ms={work}"), &id, false).into_bytes();
+            self.request(method, &format!("/{path}/1?work_ms={work}"), &id, false).into_bytes();
         let mut pause_at = text.len();
         match manner {
             Manner::SlowBody => {
@@ -149,6 +177,26 @@
         answer.is_ok_and(|it| !it.is_last())
     }
 
+    /// Sends an order to each daemon for which it comes late.
+    fn send_late(&mut self) {
+        let context = self.context;
+        for daemon in 0..context.addresses.len() {
+            if !context.stopping_for(daemon).is_some_and(|it| LATE.contains(&it)) {
+                continue;
+            }
+            let Ok(mut it) = caller::connect_to(context, daemon) else { continue };
+            if it.stream.set_read_timeout(Some(READ_TIMEOUT)).is_err() {
+                continue;
+            }
+            let (id, sent) = (self.next_id("POST"), Instant::now());
+            let work = context.time_limit.saturating_sub(LATE_MARGIN).as_millis();
+            let text = self.request("POST", &format!("/order/1?work_ms={work}"), &id, true);
+            let answer = it.stream.write_all(text.as_bytes()).and_then(|()| it.read());
+            record(context, daemon, &id, sent, &answer);
+        }
+        thread::sleep(Duration::from_millis(self.rng.u64(PAUSE_MS)));
+    }
+
     /// Sends reads at fixed times on one connection until the daemon ends it.
     fn pipeline(&mut self, connection: &mut Connection) {
         let Ok(mut writer) = connection.stream.try_clone() else { return };
@@ -163,7 +211,7 @@
                 while !is_over.load(Ordering::Relaxed) && !stops() {
                     let (id, sent) = (self.next_id("GET"), Instant::now());
                     let target = format!("/read/1?work_ms={}", self.rng.u64(WORK_MS));
-                    let text = config::request("GET", &target, &id, false);
+                    let text = self.request("GET", &target, &id, false);
                     let is_written = writer.write_all(text.as_bytes()).is_ok();
                     if sender.send((id, sent)).is_err() || !is_written {
                         break;
@@ -190,7 +238,7 @@
     fn read_slowly(&mut self, connection: &mut Connection) {
         let (id, sent) = (self.next_id("GET"), Instant::now());
         let target = format!("/read/1?work_ms=5&bytes={LARGE_BYTES}");
-        let text = config::request("GET", &target, &id, true);
+        let text = self.request("GET", &target, &id, true);
         let answer = connection
             .stream
             .write_all(text.as_bytes())
@@ -199,6 +247,14 @@
     }
 }
 
+/// Longest work on a request that a daemon still ends if it accepts the request although its time limit
+/// is longer than the rest of the stop.
+fn longest_work_ms(grace: Duration) -> u64 {
+    let late = grace.saturating_sub(OPEN_TIME + END_MARGIN);
+    let longest = grace.mul_f64(LONG_WORK_SHARE).max(late);
+    u64::try_from(longest.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Reads the only answer of a connection, slowly.
 fn read_to_end(stream: &mut TcpStream) -> io::Result<Answer> {
     let (mut bytes, mut block) = (Vec::new(), vec![0; READ_BLOCK_BYTES]);
@@ -225,7 +281,7 @@
     // Also an error of the daemon's own breaks off a request that an upstream works on, unless its
     // time is over.
     let is_error = answer.status >= 500 && answer.status != 503;
-    if is_error && sent.elapsed() < ROUTE_TIMEOUT {
+    if is_error && sent.elapsed() < context.time_limit {
         context.ledger.add_finding(format!("{id} got {} around a planned stop", answer.status));
     }
 }
--- a/crates/soak/src/stops.rs
+++ b/crates/soak/src/stops.rs
@@ -11,8 +11,6 @@
 
 /// Time from one stop to the next, in milliseconds.
 const STOP_INTERVAL_MS: std::ops::Range<u64> = 100..2_000;
-/// Time from the signal to the forced kill. Default of the daemons' settings.
-const GRACE: Duration = Duration::from_secs(6);
 /// Time from the end of a process to its next start.
 const RESTART_DELAY: Duration = Duration::from_millis(200);
 /// One in this many stops comes with a new configuration, and as many with a reload of a daemon.
@@ -36,7 +34,7 @@
     let mut next = Instant::now();
     let mut order: Vec<usize> = Vec::new();
     while Instant::now() < until || !stops.is_empty() {
-        end_due(env, &mut stops)?;
+        end_due(env, options.grace, &mut stops)?;
         let now = Instant::now();
         if now >= next && now < until && stops.len() < max_down {
             if order.is_empty() {
@@ -48,6 +46,7 @@
                 env.daemons.borrow()[daemon].signal(Signal::TERM)?;
                 env.context.ledger.record_fault("terminate");
                 stops.push(Stop { daemon, signalled: now });
+                env.context.set_stopping(daemon, Some(now));
             }
             if rng.u64(..CHANGE_EVERY) == 0 {
                 env.publish();
@@ -70,11 +69,11 @@
 }
 
 /// Starts the daemons that have ended, and kills those whose grace period is over.
-fn end_due(env: &Environment, stops: &mut Vec<Stop>) -> Result<()> {
+fn end_due(env: &Environment, grace: Duration, stops: &mut Vec<Stop>) -> Result<()> {
     let mut daemons = env.daemons.borrow_mut();
     let mut running = Vec::new();
     for it in stops.drain(..) {
-        let is_over = it.signalled.elapsed() >= GRACE;
+        let is_over = it.signalled.elapsed() >= grace;
         if !is_over && !daemons[it.daemon].has_ended()? {
             running.push(it);
             continue;
@@ -84,6 +83,7 @@
             env.context.ledger.add_finding(finding);
         }
         thread::sleep(RESTART_DELAY);
+        env.context.set_stopping(it.daemon, None);
         daemons[it.daemon].start()?;
     }
     *stops = running;
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -62,7 +62,11 @@
     let mut findings = 0;
     for seed in options.seed..options.seed + seeds {
         let folder = options.folder.join(format!("seed-{seed}"));
-        match ::soak::run(&Options { seed, folder, ..options.clone() }) {
+        let mut options = Options { seed, folder, ..options.clone() };
+        if options.only_stops {
+            options = options.with_grace_of_seed();
+        }
+        match ::soak::run(&options) {
             Ok(it) => {
                 findings += it.findings.len();
                 println!("{it}");
