--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,6 +1,9 @@
 //! `fireflydrumd`: the daemon of an entry host.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use daemon::{Process, Settings};
 use gateway::Start;
@@ -50,6 +53,12 @@
         }
     };
     if arguments.check_only {
+        if let Role::Gateway(it) = &settings
+            && !it.replaced.is_empty()
+        {
+            eprint!("{}", lines(&arguments.settings, &it.replaced));
+            return ExitCode::from(2);
+        }
         println!("{}: no findings", arguments.settings.display());
         return ExitCode::SUCCESS;
     }
@@ -90,7 +99,7 @@
     Ok(Some(Arguments { settings, check_only }))
 }
 
-fn read_settings(path: &std::path::Path) -> Result<Role, String> {
+fn read_settings(path: &Path) -> Result<Role, String> {
     let name = path.display();
     let text = std::fs::read_to_string(path).map_err(|e| format!("{name}: {e}\n"))?;
     let res = if gateway::Settings::has_section(&text) {
@@ -98,13 +107,16 @@
     } else {
         Settings::parse(&text).map(|it| Role::Daemon(Box::new(it)))
     };
-    res.map_err(|findings| {
-        let lines: Vec<_> = findings.iter().map(|it| format!("{name}: {it}\n")).collect();
-        lines.concat()
-    })
+    res.map_err(|findings| lines(path, &findings))
+}
+
+/// Findings in a file, a line each.
+fn lines(path: &Path, findings: &[ini::Finding]) -> String {
+    let line = |it| format!("{}: {it}\n", path.display());
+    findings.iter().map(line).collect()
 }
 
-fn run_gateway(start: Start, settings: gateway::Settings, path: &std::path::Path) -> ExitCode {
+fn run_gateway(start: Start, settings: gateway::Settings, path: &Path) -> ExitCode {
     if let Err(e) = gateway::logs::start(log::LevelFilter::Info, std::io::stdout()) {
         eprintln!("fireflydrumd: log: {e}");
         return ExitCode::FAILURE;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -106,6 +106,7 @@
             (Port::Directory, settings.directory_address),
             (Port::Metrics, settings.metrics_address),
         ];
+        log_replaced(&settings);
         let peer_address = settings.peer_address;
         let gateway = Gateway::new(settings, clock, platform.protocol(), seed);
         let io = |what| move |source| Error::Io { what, source };
@@ -181,6 +182,7 @@
         match Settings::parse(&text) {
             Ok(it) => {
                 log::info!(target: "belief", "event=reload cause={cause} changed=yes");
+                log_replaced(&it);
                 *self.gateway.settings.borrow_mut() = Rc::new(it);
                 self.gateway.share_budgets(self.gateway.now());
             }
@@ -236,6 +238,12 @@
     }
 }
 
+fn log_replaced(settings: &Settings) {
+    for it in &settings.replaced {
+        log::warn!(target: "belief", "event=setting-replaced finding=\"{it}\"");
+    }
+}
+
 /// Starts the tasks of a daemon.
 struct Tasks {
     gateway: Rc<Gateway>,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,7 +1,10 @@
 //! Settings of a daemon whose configuration and upstreams are kept by the platform.
 
+mod figures;
+
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
+use figures::Figures;
 use ini::{Finding, Keys};
 
 use crate::{config::Region, registry::Domain};
@@ -11,7 +14,8 @@
 
 /// Name of the INI section.
 pub const SECTION: &str = "gateway";
-/// Longest duration accepted for a setting.
+/// Shortest and longest duration used for a setting.
+const MIN_DURATION: Duration = Duration::from_millis(100);
 const MAX_DURATION: Duration = Duration::from_mins(10);
 /// Share of the host's memory that the process may use, as 4 in 5.
 const MEMORY_SHARE: (u64, u64) = (4, 5);
@@ -98,6 +102,8 @@
     pub success_lines_per_s: u32,
     /// Maximum number of log lines per second for requests that fail or are repeated, per reason.
     pub failure_lines_per_s: u32,
+    /// Findings about figures that can't be used as they are given, and what is used instead.
+    pub replaced: Vec<Finding>,
 }
 
 impl Default for Settings {
@@ -135,6 +141,7 @@
             directory_keep: Duration::from_secs(2),
             success_lines_per_s: 2,
             failure_lines_per_s: 50,
+            replaced: Vec::new(),
         }
     }
 }
@@ -146,11 +153,12 @@
         ini::sections(text).0.iter().any(|it| it.name == SECTION)
     }
 
-    /// Parses the settings from an INI file with one section `[gateway]`.
+    /// Parses the settings from an INI file with one section `[gateway]`. A figure that can't be used
+    /// is replaced, with a finding in [`Self::replaced`].
     ///
     /// # Errors
     ///
-    /// All findings with their lines.
+    /// All findings with their lines, if the daemon can't run with the settings.
     pub fn parse(text: &str) -> Result<Self> {
         let (sections, mut findings) = ini::sections(text);
         let mut res = Self::default();
@@ -216,8 +224,10 @@
         ]);
         self.read_host(&mut keys);
         self.read_addresses(&mut keys);
-        self.read_durations(&mut keys);
-        self.read_limits(&mut keys);
+        let mut figures = Figures::new(section, &mut keys);
+        self.read_durations(&mut figures);
+        self.read_limits(&mut figures);
+        self.replaced = figures.finish();
         keys.finish()
     }
 
@@ -264,7 +274,7 @@
         }
     }
 
-    fn read_durations(&mut self, keys: &mut Keys<'_>) {
+    fn read_durations(&mut self, figures: &mut Figures<'_, '_>) {
         let durations = [
             ("config_apply", &mut self.config_apply),
             ("drain", &mut self.drain),
@@ -274,54 +284,39 @@
             ("directory_keep", &mut self.directory_keep),
         ];
         for (key, field) in durations {
-            if let Some(it) = keys.duration(key, Duration::from_millis(100)..=MAX_DURATION) {
-                *field = it;
-            }
+            figures.duration(key, &(MIN_DURATION..=MAX_DURATION), field);
         }
     }
 
-    fn read_limits(&mut self, keys: &mut Keys<'_>) {
-        if let Some(it) = keys.number("memory_mb", 16..=1_000_000_u64, "MB") {
-            self.memory_bytes = it << 20;
-        }
-        if let Some(it) = keys.number("descriptor_limit", 64..=10_000_000, "descriptors") {
-            self.descriptor_limit = it;
-        }
-        if let Some(it) = keys.number("link_mbps", 0.1..=1e7, "Mbit/s") {
-            self.link_mbps = it;
-        }
-        if let Some(it) = keys.number("cpu_cores", 0.01..=1e4, "cores") {
-            self.cpu_cores = it;
-        }
-        if let Some(it) = keys.number("retry_ratio", 0.0..=1.0, "of the requests") {
-            self.retry_ratio = it;
-        }
-        if let Some(it) = keys.number("retry_slack", 0.0..=1e6, "attempts") {
-            self.retry_slack = it;
-        }
-        if let Some(it) = keys.number("probe_rate", 0.0..=1e6, "probes a second") {
-            self.probe_rate = it;
-        }
-        if let Some(it) = keys.number("slow_start_overshoot", 1.0..=100.0, "of the rate") {
-            self.slow_start_overshoot = it;
-        }
-        if let Some(it) = keys.number("slow_start_slack", 0.0..=1e6, "requests") {
-            self.slow_start_slack = it;
-        }
-        if let Some(it) = keys.number("quota_overshoot", 0.0..=100.0, "of the quota") {
-            self.quota_overshoot = it;
-        }
-        if let Some(it) = keys.number("quota_slack", 0.0..=1e6, "requests") {
-            self.quota_slack = it;
+    fn read_limits(&mut self, figures: &mut Figures<'_, '_>) {
+        let mut memory_mb = self.memory_bytes >> 20;
+        figures.whole("memory_mb", 16..=1_000_000, &mut memory_mb);
+        self.memory_bytes = memory_mb << 20;
+        let mut descriptors = self.descriptor_limit as u64;
+        figures.whole("descriptor_limit", 64..=10_000_000, &mut descriptors);
+        self.descriptor_limit = usize::try_from(descriptors).unwrap_or(usize::MAX);
+        let numbers = [
+            ("link_mbps", 0.1..=1e7, &mut self.link_mbps),
+            ("cpu_cores", 0.01..=1e4, &mut self.cpu_cores),
+            ("retry_ratio", 0.0..=1.0, &mut self.retry_ratio),
+            ("retry_slack", 0.0..=1e6, &mut self.retry_slack),
+            ("probe_rate", 0.0..=1e6, &mut self.probe_rate),
+            ("slow_start_overshoot", 1.0..=100.0, &mut self.slow_start_overshoot),
+            ("slow_start_slack", 0.0..=1e6, &mut self.slow_start_slack),
+            ("quota_overshoot", 0.0..=100.0, &mut self.quota_overshoot),
+            ("quota_slack", 0.0..=1e6, &mut self.quota_slack),
+        ];
+        for (key, range, field) in numbers {
+            figures.number(key, range, field);
         }
         let rates = [
             ("success_lines_per_s", &mut self.success_lines_per_s),
             ("failure_lines_per_s", &mut self.failure_lines_per_s),
         ];
         for (key, field) in rates {
-            if let Some(it) = keys.number(key, 0..=100_000, "lines a second") {
-                *field = it;
-            }
+            let mut rate = u64::from(*field);
+            figures.whole(key, 0..=100_000, &mut rate);
+            *field = u32::try_from(rate).unwrap_or(u32::MAX);
         }
     }
 }
