--- a/crates/daemon/tests/stop_paths.rs
+++ b/crates/daemon/tests/stop_paths.rs
@@ -206,11 +206,11 @@
     // Keeps a connection that was open before the signal.
     let mut kept = setup.connect();
     setup.terminate();
-    thread::sleep(Duration::from_millis(1_000));
+    thread::sleep(Duration::from_secs(1));
     let text = config::request("POST", "/order/1", "kept-part", true);
     let (first, rest) = text.split_at(text.len() / 2);
     kept.write_all(first.as_bytes()).unwrap();
-    thread::sleep(LATE - Duration::from_millis(1_000));
+    thread::sleep(LATE.saturating_sub(Duration::from_secs(1)));
     let late = send(setup.connect(), "late");
     let rest = rest.replace("Deadline-Ms: 5000", "Deadline-Ms: 15000");
     kept.write_all(rest.as_bytes()).unwrap();
@@ -237,9 +237,9 @@
             })
         })
         .collect();
-    thread::sleep(Duration::from_millis(1_000));
+    thread::sleep(Duration::from_secs(1));
     setup.terminate();
-    thread::sleep(Duration::from_millis(4_000));
+    thread::sleep(Duration::from_secs(4));
     setup.upstreams.iter().for_each(|it| it.set_mode(Mode::Good));
     let results: Vec<_> = orders.into_iter().map(|it| it.join().unwrap()).collect();
     for (id, status) in &results {
--- a/crates/gateway/src/stop/schedule.rs
+++ b/crates/gateway/src/stop/schedule.rs
@@ -46,13 +46,18 @@
     /// When the requests still in progress are answered by the daemon itself.
     #[must_use]
     pub fn last_answers_at(&self) -> Instant {
-        self.ends_at() - LAST_ANSWERS_TIME.min(self.grace / LAST_ANSWERS_DIVISOR)
+        let reserve = LAST_ANSWERS_TIME.min(self.grace / LAST_ANSWERS_DIVISOR);
+        self.started + self.grace.saturating_sub(self.end_reserve() + reserve)
     }
 
     /// When the daemon ends at the latest.
     #[must_use]
     pub fn ends_at(&self) -> Instant {
-        self.started + self.grace - END_RESERVE.min(self.grace / END_RESERVE_DIVISOR)
+        self.started + self.grace.saturating_sub(self.end_reserve())
+    }
+
+    fn end_reserve(&self) -> Duration {
+        END_RESERVE.min(self.grace / END_RESERVE_DIVISOR)
     }
 
     /// Whether an attempt at a request may start at `now`.
