--- a/crates/gateway/src/follow/upstreams.rs
+++ b/crates/gateway/src/follow/upstreams.rs
@@ -18,7 +18,7 @@
     mesh::Mesh,
     peer::Relay,
     platform::{Batch, Era, Error, Offset, Platform, Record, Result, Topic},
-    registry::{Change, Registration, UpstreamId},
+    registry::{Change, Registration, Removal, Revision, UpstreamId},
     rpc,
 };
 
@@ -92,6 +92,7 @@
                 }
                 Some(it) = self.reads.next(), if !self.reads.is_empty() => self.end_read(it).await,
                 () = gateway.registry_wanted.notified() => self.start_read().await,
+                () = gateway.registry_differs.notified() => self.merge_peer().await,
                 () = tokio::time::sleep_until(self.next_read.into()) => self.start_read().await,
                 () = peer_check(), if self.lacks_registry() => self.read_from_peer().await,
             }
@@ -264,6 +265,11 @@
         for it in batch.records.iter().filter(|it| it.offset >= known) {
             let change = self.decode(it);
             let mut registry = gateway.registry.borrow_mut();
+            let change = registry.complete(change);
+            if registry.is_outdated(&change) {
+                log::info!(target: "belief", "event=late-write-ignored upstream={}", it.key);
+                continue;
+            }
             // Peers must follow each change of what is pending as well, and may use what is held back.
             let was_pending = registry.is_removal_pending(&it.key);
             let was_held_back = registry.is_held_back(&it.key);
@@ -293,7 +299,10 @@
     /// Decodes the change of a record. One that can't be decoded names no upstream, like a removed
     /// one.
     fn decode(&self, record: &Record) -> Change {
-        let removed = || Change::Removed(UpstreamId::from(&*record.key));
+        let removed = || {
+            let id = UpstreamId::from(&*record.key);
+            Change::Removed(Removal { id, revision: Revision::default() })
+        };
         let Some(value) = &record.value else { return removed() };
         match self.platform.registration(&record.key, value) {
             Ok(it) => Change::Put(it),
@@ -311,18 +320,35 @@
     async fn read_from_peer(&mut self) {
         let Some((snapshot, from)) = rpc::fetch_registry(&self.gateway).await else { return };
         let source = format!("peer:{from}");
+        // First, since an entry that was removed may be back in the list.
+        let _known = self.gateway.registry.borrow_mut().merge(Vec::new(), snapshot.removals);
         self.replace(snapshot.registrations, snapshot.era, snapshot.end, &source);
         self.gateway.mark_registry_read();
         self.schedule();
         self.update_shared();
     }
 
+    /// Takes over what the peer knows better whose registry differs: the store may have executed a write
+    /// late, behind which this daemon has read the whole registry.
+    async fn merge_peer(&self) {
+        let gateway = &self.gateway;
+        let Some(peer) = gateway.differing_peer.take() else { return };
+        let Some(snapshot) = rpc::fetch_registry_of(peer).await else { return };
+        if snapshot.era != gateway.registry.borrow().era() {
+            return;
+        }
+        let changes =
+            gateway.registry.borrow_mut().merge(snapshot.registrations, snapshot.removals);
+        log::info!(target: "belief", "event=registry-merged peer={peer} changes={}", changes.len());
+        for it in &changes {
+            gateway.apply(it, "peer-merged");
+        }
+        self.update_shared();
+    }
+
     /// Updates the registry served to peers that can't read the store.
     fn update_shared(&self) {
-        let registry = self.gateway.registry.borrow();
-        self.shared.set_registry(registry.era(), registry.end(), registry.digest(), || {
-            registry.entries().cloned().collect()
-        });
+        self.shared.set_registry(&self.gateway.registry.borrow());
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -52,6 +52,12 @@
 /// Time over which the daemons that have waited in vain start to read the store.
 const PEER_START_SPREAD_MS: u64 = 1_000;
 
+/// Time after its first read in which the registry is compared with that of any peer that differs:
+/// `stability_ms`, after which machines count as in touch.
+const NEW_REGISTRY_TIME: Duration = Duration::from_secs(3);
+/// Maximum number of these comparisons.
+const MAX_NEW_COMPARISONS: u32 = 3;
+
 /// Time after which every peer has been informed that this daemon is active.
 const ACTIVITY_PROPAGATION_TIME: Duration = Duration::from_secs(2);
 
@@ -110,6 +116,10 @@
     pub loads_changed: Notify,
     /// Notified when the registry must be read immediately.
     pub registry_wanted: Notify,
+    /// Notified when the registry of [`Self::differing_peer`] must be compared.
+    pub registry_differs: Notify,
+    /// A peer that may know the upstreams better.
+    pub differing_peer: Cell<Option<SocketAddr>>,
     /// Notified when heartbeats must be sent to all peers immediately.
     pub heartbeat_wanted: Notify,
     /// Notified when a peer has a newer configuration.
@@ -137,6 +147,8 @@
     placement: RefCell<Placement>,
     split_credits: RefCell<HashMap<RouteId, Vec<f64>>>,
     registry_read_once: Cell<bool>,
+    registry_read_at: Cell<Option<Instant>>,
+    new_comparisons: Cell<u32>,
     /// Until when configuration and registry come from peers only.
     store_from: Instant,
     has_quotas: Cell<bool>,
@@ -181,6 +193,8 @@
             is_port_closed: Cell::new(false),
             loads_changed: Notify::new(),
             registry_wanted: Notify::new(),
+            registry_differs: Notify::new(),
+            differing_peer: Cell::default(),
             heartbeat_wanted: Notify::new(),
             config_wanted: Notify::new(),
             confirmation_wanted: Notify::new(),
@@ -200,6 +214,8 @@
             placement: RefCell::default(),
             split_credits: RefCell::default(),
             registry_read_once: Cell::new(false),
+            registry_read_at: Cell::default(),
+            new_comparisons: Cell::default(),
             store_from: if settings.starts_from_peers() {
                 now + PEER_START_TIMEOUT + Duration::from_millis(seed % PEER_START_SPREAD_MS)
             } else {
@@ -305,18 +321,36 @@
     /// Records that the registry has been read to its end.
     pub fn mark_registry_read(&self) {
         if !self.registry_read_once.replace(true) {
+            self.registry_read_at.set(Some(self.now()));
             self.check_evacuated_domains();
         }
         self.update_phase();
     }
 
+    /// Compares the registry with that of a peer that has another one.
+    pub fn compare_registry(&self, peer: SocketAddr) {
+        self.differing_peer.set(Some(peer));
+        self.registry_differs.notify_one();
+    }
+
+    /// Whether to compare the registry at once with that of a peer that has another one: it was read for
+    /// the first time a moment ago, so the difference may be something that only the peer has seen.
+    pub fn may_compare_new_registry(&self) -> bool {
+        let age = self.registry_read_at.get().map(|it| self.now().saturating_duration_since(it));
+        let is_new = age.is_some_and(|it| it < NEW_REGISTRY_TIME);
+        let count = self.new_comparisons.get();
+        self.new_comparisons.set(count + u32::from(is_new));
+        is_new && count < MAX_NEW_COMPARISONS
+    }
+
     /// Applies a change of the registry.
     pub fn apply(self: &Rc<Self>, change: &Change, source: &str) {
         let now = self.now();
         match change {
             Change::Put(it) => self.put(now, it, source),
-            Change::Removed(id) => {
-                log::info!(target: "belief", "event=upstream-gone upstream={id} source={source}");
+            Change::Removed(it) => {
+                let (id, seq) = (&it.id, it.revision.seq);
+                log::info!(target: "belief", "event=upstream-gone upstream={id} seq={seq} source={source}");
                 self.remove(id);
             }
         }
@@ -492,8 +526,9 @@
     fn put(self: &Rc<Self>, now: Instant, it: &Registration, source: &str) {
         log::info!(
             target: "belief",
-            "event=upstream-says upstream={} service={} address={} state={:?} born_ms={} source={source}",
-            it.id, it.service, it.address, it.state, it.born_ms,
+            "event=upstream-says upstream={} service={} address={} state={:?} born_ms={} seq={} \
+             source={source}",
+            it.id, it.service, it.address, it.state, it.born_ms, it.seq,
         );
         let old = self.index.borrow_mut().insert(&it.id, &it.service);
         let moved_from = old.filter(|old| *old != it.service);
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -308,11 +308,16 @@
             gateway.config_wanted.notify_one();
         }
         let mut registry = gateway.registry.borrow_mut();
-        let has_diverged = registry.era() == era && registry.check_divergence(now, end, digest);
+        let is_same_era = registry.era() == era;
+        let has_diverged = is_same_era && registry.check_divergence(now, end, digest);
+        let differs = is_same_era && end > 0 && digest != registry.digest();
         drop(registry);
         if has_diverged {
             log::warn!("event=registry-differs from={from} end={end}");
+            gateway.compare_registry(from);
             gateway.registry_wanted.notify_one();
+        } else if differs && gateway.may_compare_new_registry() {
+            gateway.compare_registry(from);
         }
     }
 
--- a/crates/gateway/src/registry.rs
+++ b/crates/gateway/src/registry.rs
@@ -5,6 +5,9 @@
 mod fold;
 mod index;
 mod registration;
+mod removal;
+mod removals;
+mod revision;
 mod withdrawal;
 
 use std::{sync::Arc, time::Duration};
@@ -15,6 +18,8 @@
 pub use fold::{Change, Fold};
 pub use index::{Index, Key, key};
 pub use registration::{Registration, State};
+pub use removal::Removal;
+pub use revision::Revision;
 pub use withdrawal::{Withdrawal, Withdrawals};
 
 /// Time from the return of the store within which operators and upstreams have written again what it has
--- a/crates/gateway/src/registry/departed.rs
+++ b/crates/gateway/src/registry/departed.rs
@@ -1,21 +1,16 @@
 //! Upstreams that had left when the store came back from an older copy.
 
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, HashMap},
     time::Instant,
 };
 
-use super::{REWRITE_TIME, Registration, State, UpstreamId};
-
-/// Maximum number of removals remembered: the store loses some seconds, in which fewer upstreams leave.
-const MAX_REMOVED: usize = 4_096;
+use super::{REWRITE_TIME, Registration, State, UpstreamId, removals::Removals};
 
 /// Holds back upstreams that an older copy of the store lists as ready although they had left, until
 /// their leaving is written again.
 #[derive(Debug, Default)]
 pub(super) struct Departed {
-    /// Removed incarnations with the time of their start, the last one removed at the end.
-    removed: VecDeque<(UpstreamId, u64)>,
     /// Incarnations that had left when the era of the store began.
     incarnations: HashMap<UpstreamId, u64>,
     /// Registrations that the store lists and that are not used yet.
@@ -35,18 +30,16 @@
         self.held_back.contains_key(id)
     }
 
-    /// Records that the entry of an incarnation was removed.
-    pub(super) fn record_removal(&mut self, registration: &Registration) {
-        self.removed.push_back((registration.id.clone(), registration.born_ms));
-        if self.removed.len() > MAX_REMOVED {
-            self.removed.pop_front();
-        }
-    }
-
-    /// Begins an era of the store; `entries` are the upstreams known before it.
-    pub(super) fn begin_era(&mut self, now: Instant, entries: &BTreeMap<UpstreamId, Registration>) {
+    /// Begins an era of the store; `entries` are the upstreams known before it, and `removals` those
+    /// that were removed.
+    pub(super) fn begin_era(
+        &mut self,
+        now: Instant,
+        entries: &BTreeMap<UpstreamId, Registration>,
+        removals: &Removals,
+    ) {
         self.until = Some(now + REWRITE_TIME);
-        self.incarnations = self.removed.iter().cloned().collect();
+        self.incarnations = removals.iter().map(|(id, it)| (id.clone(), it.born_ms)).collect();
         for it in entries.values() {
             if it.state == State::Leaving {
                 self.incarnations.insert(it.id.clone(), it.born_ms);
--- a/crates/gateway/src/registry/fold.rs
+++ b/crates/gateway/src/registry/fold.rs
@@ -7,7 +7,9 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Registration, State, UpstreamId, departed::Departed};
+use super::{
+    Registration, Removal, Revision, State, UpstreamId, departed::Departed, removals::Removals,
+};
 use crate::platform::{Era, Offset};
 
 /// Time for which the digest must differ from a peer's before the registry is read again in full.
@@ -19,7 +21,7 @@
     /// An incarnation is new or its registration has changed.
     Put(Registration),
     /// The entry was removed.
-    Removed(UpstreamId),
+    Removed(Removal),
 }
 
 impl Change {
@@ -28,7 +30,7 @@
     pub fn id(&self) -> &UpstreamId {
         match self {
             Self::Put(it) => &it.id,
-            Self::Removed(it) => it,
+            Self::Removed(it) => &it.id,
         }
     }
 }
@@ -39,6 +41,8 @@
 /// expired only because its upstream could not reach the store. It is applied only if the entry is
 /// still missing once `expiry_grace` has passed since the store answered again. The same holds for
 /// entries that are missing when the store has come back from an older copy.
+///
+/// Of what an upstream has written, the newest by its [`Revision`] holds, in whatever order it is read.
 #[derive(Debug)]
 pub struct Fold {
     expiry_grace: Duration,
@@ -48,6 +52,7 @@
     answering_since: Option<Instant>,
     era: Era,
     end: Offset,
+    removals: Removals,
     departed: Departed,
     diverged_since: Option<Instant>,
     digest: u32,
@@ -65,6 +70,7 @@
             answering_since: None,
             era: 0,
             end: 0,
+            removals: Removals::default(),
             departed: Departed::default(),
             diverged_since: None,
             digest: 0,
@@ -159,13 +165,72 @@
         let missing: Vec<_> =
             self.entries.keys().filter(|it| !present.contains(*it)).cloned().collect();
         let mut res: Vec<_> = registrations.into_iter().filter_map(|it| self.put(it)).collect();
-        res.extend(missing.into_iter().filter_map(|it| self.remove(now, it)));
+        let removal = |id| Removal { id, revision: Revision::default() };
+        res.extend(missing.into_iter().filter_map(|it| self.remove(now, removal(it))));
         self.end = end;
         res
     }
 
+    /// Whether a change is older than what is known of its upstream.
+    #[must_use]
+    pub fn is_outdated(&self, change: &Change) -> bool {
+        match change {
+            Change::Put(it) => it.revision().is_outdated(self.revision(&it.id)),
+            Change::Removed(_) => false,
+        }
+    }
+
+    /// Adds to a removal which revision was removed, as far as it is known here.
+    #[must_use]
+    pub fn complete(&self, change: Change) -> Change {
+        match change {
+            Change::Removed(it) => {
+                let revision = it.revision.max(self.revision(&it.id));
+                Change::Removed(Removal { revision, ..it })
+            }
+            Change::Put(_) => change,
+        }
+    }
+
+    /// The removals that were read last, at most `count`.
+    #[must_use]
+    pub fn newest_removals(&self, count: usize) -> Vec<Removal> {
+        self.removals.newest(count)
+    }
+
+    /// Takes over what a peer knows better: newer registrations of upstreams that the store lists, and
+    /// removals that the list contradicts by a write that was executed late. Returns the resulting
+    /// changes.
+    pub fn merge(
+        &mut self,
+        registrations: Vec<Registration>,
+        removals: Vec<Removal>,
+    ) -> Vec<Change> {
+        let mut res = Vec::new();
+        for it in removals {
+            let entry = self.entries.get(&it.id).map(Registration::revision);
+            let is_late = entry.is_some_and(|entry| entry.is_outdated(it.revision));
+            if is_late && self.remove_entry(&it) {
+                self.pending_removals.remove(&it.id);
+                res.push(Change::Removed(it));
+            } else {
+                self.removals.record(it);
+            }
+        }
+        for it in registrations {
+            let is_newer = |old: &Registration| old.revision().is_outdated(it.revision());
+            if self.entries.get(&it.id).is_some_and(is_newer) {
+                res.extend(self.put(it));
+            }
+        }
+        res
+    }
+
     /// Applies the change of a record; returns it if it has an effect now.
     pub fn apply(&mut self, now: Instant, change: Change) -> Option<Change> {
+        if self.is_outdated(&change) {
+            return None;
+        }
         self.departed.settle(change.id());
         match change {
             Change::Put(it) => self.put(it),
@@ -175,12 +240,15 @@
 
     /// Applies a change relayed by a peer, including removals; returns it if it has an effect.
     pub fn apply_from_peer(&mut self, change: Change) -> Option<Change> {
+        if self.is_outdated(&change) {
+            return None;
+        }
         self.departed.settle(change.id());
         match change {
             Change::Put(it) => self.put(it),
-            Change::Removed(id) => {
-                self.pending_removals.remove(&id);
-                self.remove_entry(&id).then_some(Change::Removed(id))
+            Change::Removed(it) => {
+                self.pending_removals.remove(&it.id);
+                self.remove_entry(&it).then(|| self.complete(Change::Removed(it)))
             }
         }
     }
@@ -223,9 +291,14 @@
         }
         self.store_unstable = false;
         self.answering_since = None;
-        let mut removed: Vec<_> = self.pending_removals.drain().collect();
-        removed.retain(|it| self.remove_entry(it));
-        res.extend(removed.into_iter().map(Change::Removed));
+        let pending: Vec<_> = self.pending_removals.drain().collect();
+        for id in pending {
+            let revision = self.revision(&id);
+            let removal = Removal { id, revision };
+            if self.remove_entry(&removal) {
+                res.push(Change::Removed(removal));
+            }
+        }
         res
     }
 
@@ -235,7 +308,7 @@
         // removals that this daemon reads.
         self.store_unstable = true;
         self.answering_since = Some(now);
-        self.departed.begin_era(now, &self.entries);
+        self.departed.begin_era(now, &self.entries, &self.removals);
     }
 
     fn is_store_stable(&self, now: Instant) -> bool {
@@ -243,12 +316,18 @@
             || self.answering_since.is_some_and(|it| now.duration_since(it) >= self.expiry_grace)
     }
 
+    /// Newest revision known of an upstream, whether or not it is registered.
+    fn revision(&self, id: &str) -> Revision {
+        let entry = self.entries.get(id).map(Registration::revision);
+        self.removals.get(id).max(entry.unwrap_or_default())
+    }
+
     fn put(&mut self, it: Registration) -> Option<Change> {
-        self.pending_removals.remove(&it.id);
-        let old = self.entries.get(&it.id);
-        if old.is_some_and(|old| old.born_ms > it.born_ms) {
+        if it.revision().is_outdated(self.revision(&it.id)) {
             return None;
         }
+        self.pending_removals.remove(&it.id);
+        let old = self.entries.get(&it.id);
         let is_change = old.is_none_or(|old| {
             !old.is_same_incarnation(&it)
                 || old.state != it.state
@@ -265,22 +344,24 @@
         is_change.then_some(Change::Put(it))
     }
 
-    fn remove(&mut self, now: Instant, id: UpstreamId) -> Option<Change> {
-        let entry = self.entries.get(&id)?;
+    fn remove(&mut self, now: Instant, it: Removal) -> Option<Change> {
+        let entry = self.entries.get(&it.id)?;
         if !self.is_store_stable(now) && entry.state == State::Ready {
-            self.pending_removals.insert(id);
+            self.pending_removals.insert(it.id);
             return None;
         }
-        self.remove_entry(&id);
-        self.pending_removals.remove(&id);
-        Some(Change::Removed(id))
+        self.remove_entry(&it);
+        self.pending_removals.remove(&it.id);
+        Some(self.complete(Change::Removed(it)))
     }
 
-    /// Removes an entry; returns false if there is none.
-    fn remove_entry(&mut self, id: &str) -> bool {
-        let Some(old) = self.take_entry(id) else { return false };
-        self.departed.record_removal(&old);
-        true
+    /// Removes an entry and remembers its revision; returns false if there is none.
+    fn remove_entry(&mut self, it: &Removal) -> bool {
+        let Removal { id, revision } = it;
+        let revision = self.revision(id).max(*revision);
+        let is_present = self.take_entry(id).is_some();
+        self.removals.record(Removal { id: id.clone(), revision });
+        is_present
     }
 
     fn take_entry(&mut self, id: &str) -> Option<Registration> {
@@ -291,9 +372,10 @@
 }
 
 /// Contribution of one entry to the digest: all that decides whether and how it is used. The rest of its
-/// slow start is left out, since it is read at different times.
+/// slow start and the number of the write are left out, since not every write is relayed.
 fn hash(it: &Registration) -> u32 {
-    let Registration { id, born_ms, service, address, domain, slots, state, cold_for: _ } = it;
+    let Registration { id, born_ms, seq: _, service, address, domain, slots, state, cold_for: _ } =
+        it;
     let text = format!("{id}/{born_ms}/{service}/{address}/{domain}/{slots}/{state:?}");
     // Any 32 bits of the hash are equally good.
     #[expect(clippy::cast_possible_truncation)]
--- a/crates/gateway/src/registry/registration.rs
+++ b/crates/gateway/src/registry/registration.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use super::{Domain, UpstreamId};
+use super::{Domain, Revision, UpstreamId};
 use crate::config::ServiceId;
 
 /// Whether an upstream accepts new requests.
@@ -21,6 +21,8 @@
     pub id: UpstreamId,
     /// Unix time of its start in milliseconds; distinguishes incarnations with the same id.
     pub born_ms: u64,
+    /// Number of this write, counted from its start.
+    pub seq: u64,
     /// Service that it belongs to.
     pub service: ServiceId,
     /// Address that requests are sent to.
@@ -36,6 +38,12 @@
 }
 
 impl Registration {
+    /// Age of the registration.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        Revision { born_ms: self.born_ms, seq: self.seq }
+    }
+
     /// Whether `other` is the same incarnation.
     #[must_use]
     pub fn is_same_incarnation(&self, other: &Self) -> bool {
--- a/crates/gateway/src/rpc.rs
+++ b/crates/gateway/src/rpc.rs
@@ -24,7 +24,7 @@
     gateway::Gateway,
     peer::Heartbeat,
     platform::{Era, Offset},
-    registry::Registration,
+    registry::{Fold, Registration, Removal},
 };
 
 /// Method that returns the newest configuration.
@@ -42,6 +42,9 @@
 const MAX_CALL_BYTES: u32 = 16 << 10;
 /// Maximum number of simultaneous connections from peers.
 const MAX_CONNECTIONS: u32 = 64;
+/// Maximum number of removals in a snapshot: several times those of the seconds by which a write may
+/// be late.
+const MAX_REMOVALS: usize = 512;
 /// Maximum number of peers called per fetch.
 const MAX_CALLED_PEERS: usize = 3;
 
@@ -70,6 +73,8 @@
     pub end: Offset,
     /// Usable upstreams.
     pub registrations: Vec<Registration>,
+    /// Removals read last, which a record that the store executes late must not undo.
+    pub removals: Vec<Removal>,
 }
 
 #[derive(Debug, Default)]
@@ -110,19 +115,14 @@
     }
 
     /// Replaces the registrations if their digest has changed, and sets era and end.
-    pub fn set_registry(
-        &self,
-        era: Era,
-        end: Offset,
-        digest: u32,
-        registrations: impl FnOnce() -> Vec<Registration>,
-    ) {
-        self.with(|content| {
-            if content.digest != digest || content.snapshot.registrations.is_empty() {
-                content.snapshot.registrations = registrations();
-                content.digest = digest;
+    pub fn set_registry(&self, registry: &Fold) {
+        self.with(|Content { snapshot, digest, .. }| {
+            if *digest != registry.digest() || snapshot.registrations.is_empty() {
+                snapshot.registrations = registry.entries().cloned().collect();
+                snapshot.removals = registry.newest_removals(MAX_REMOVALS);
+                *digest = registry.digest();
             }
-            (content.snapshot.era, content.snapshot.end) = (era, end);
+            (snapshot.era, snapshot.end) = (registry.era(), registry.end());
         });
     }
 
@@ -187,15 +187,19 @@
         (era, end.div_ceil(RECORDS_APART)),
     );
     for address in addresses {
-        let text = call::<Option<String>>(address, REGISTRY_METHOD).await.flatten();
-        let snapshot = text.and_then(|it| decode(&it, address));
-        if let Some(it) = snapshot.filter(|it| it.end > 0) {
+        if let Some(it) = fetch_registry_of(address).await {
             return Some((it, address));
         }
     }
     None
 }
 
+/// Fetches the registry of one peer, however far it has read.
+pub async fn fetch_registry_of(address: SocketAddr) -> Option<Snapshot> {
+    let text = call::<Option<String>>(address, REGISTRY_METHOD).await.flatten();
+    text.and_then(|it| decode(&it, address)).filter(|it| it.end > 0)
+}
+
 /// Encodes a registry in a third of the bytes that JSON takes.
 fn encode(snapshot: &Snapshot) -> Option<String> {
     let bytes = postcard::to_allocvec(snapshot)
--- a/crates/gateway/tests/cold_upstreams.rs
+++ b/crates/gateway/tests/cold_upstreams.rs
@@ -33,6 +33,7 @@
     Registration {
         id: format!("u-{number}").into(),
         born_ms: 1,
+        seq: 1,
         service: "stock".into(),
         address: "10.0.0.1:80".parse().unwrap(),
         domain: format!("domain-{}", number % 4).into(),
--- a/crates/gateway/tests/evacuation.rs
+++ b/crates/gateway/tests/evacuation.rs
@@ -33,6 +33,7 @@
     Registration {
         id: id.into(),
         born_ms: 1,
+        seq: 1,
         service: SERVICE.into(),
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
         domain: domain.into(),
--- a/crates/gateway/tests/home_regions.rs
+++ b/crates/gateway/tests/home_regions.rs
@@ -31,6 +31,7 @@
         let registration = Registration {
             id: format!("{domain}-{number}").into(),
             born_ms: 1,
+            seq: 1,
             service: "stock".into(),
             address: SocketAddr::from(([10, 0, 0, 1], 80)),
             domain: (*domain).into(),
--- a/crates/gateway/tests/hostile_bytes.rs
+++ b/crates/gateway/tests/hostile_bytes.rs
@@ -8,7 +8,7 @@
     Settings,
     http::{Body, Framing, Head, Reader},
     peer::{Capacity, Departure, Heartbeat, Load, Packet, Phase, Relay},
-    registry::{Change, Evacuations, Registration, State},
+    registry::{Change, Evacuations, Registration, Removal, State},
     rpc::Snapshot,
     upstream::Notice,
     wire::Names,
@@ -48,6 +48,7 @@
     Registration {
         id: "i-1".into(),
         born_ms: 1_700_000_000_000,
+        seq: 1,
         service: "stock".into(),
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
         domain: "a".into(),
@@ -104,7 +105,9 @@
 #[test]
 fn snapshots() {
     check(|noise, places| {
-        let valid = Snapshot { era: 1, end: 4, registrations: vec![registration()] };
+        let removal = Removal { id: "r".into(), revision: registration().revision() };
+        let (registrations, removals) = (vec![registration()], vec![removal]);
+        let valid = Snapshot { era: 1, end: 4, registrations, removals };
         let valid = postcard::to_allocvec(&valid).unwrap();
         let _decoded: Result<Snapshot, _> = postcard::from_bytes(&mutate(&valid, &noise, &places));
         TestResult::passed()
--- a/crates/gateway/tests/load_patterns.rs
+++ b/crates/gateway/tests/load_patterns.rs
@@ -13,6 +13,7 @@
     Registration {
         id: id.into(),
         born_ms: 1,
+        seq: 1,
         service: "stock".into(),
         address: "10.0.0.1:80".parse().unwrap(),
         domain: domain.into(),
--- a/crates/gateway/tests/registry_eras.rs
+++ b/crates/gateway/tests/registry_eras.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use gateway::registry::{Change, Fold, REWRITE_TIME, Registration, State};
+use gateway::registry::{Change, Fold, REWRITE_TIME, Registration, Removal, Revision, State};
 
 const GRACE: Duration = Duration::from_secs(2);
 
@@ -13,6 +13,7 @@
     Registration {
         id: id.into(),
         born_ms,
+        seq: 1,
         service: "stock".into(),
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
         domain: "a".into(),
@@ -22,6 +23,10 @@
     }
 }
 
+fn removed(id: &str) -> Change {
+    Change::Removed(Removal { id: id.into(), revision: Revision { born_ms: 1, seq: 1 } })
+}
+
 fn leaving(id: &str) -> Registration {
     Registration { state: State::Leaving, ..upstream(id, 1) }
 }
@@ -34,7 +39,7 @@
 fn registry(now: Instant) -> Fold {
     let mut res = Fold::new(GRACE);
     res.replace(now, vec![upstream("u", 1), leaving("l"), upstream("r", 1)], 0, 11);
-    res.apply(now, Change::Removed("r".into()));
+    res.apply(now, removed("r"));
     res.advance(12);
     res
 }
@@ -60,7 +65,7 @@
     assert!(!fold.trusts_removals());
     fold.tick(now + GRACE.mul_f64(0.99));
     assert_eq!(ready_ids(&fold), ["u"]);
-    assert_eq!(fold.tick(now + GRACE), [Change::Removed("u".into())]);
+    assert_eq!(fold.tick(now + GRACE), [removed("u")]);
 }
 
 /// A daemon that starts in a later era doesn't know whether it has just begun.
@@ -69,8 +74,8 @@
     let now = Instant::now();
     let mut fold = Fold::new(GRACE);
     fold.replace(now, vec![upstream("u", 1)], 2, 10);
-    assert_eq!(fold.apply(now, Change::Removed("u".into())), None);
-    assert_eq!(fold.tick(now + GRACE), [Change::Removed("u".into())]);
+    assert_eq!(fold.apply(now, removed("u")), None);
+    assert_eq!(fold.tick(now + GRACE), [removed("u")]);
 }
 
 /// Upstreams that had left and that the copy lists as ready are used only once the time to write again
@@ -87,7 +92,7 @@
         fold.replace(now, copy(), era, 10);
         assert_eq!(ready_ids(&fold), ["u"]);
     }
-    fold.apply(now, Change::Removed("r".into()));
+    fold.apply(now, removed("r"));
     let later = now + REWRITE_TIME;
     fold.tick(now + REWRITE_TIME.mul_f64(0.99));
     assert_eq!(ready_ids(&fold), ["u"]);
--- a/crates/gateway/tests/registry_fold.rs
+++ b/crates/gateway/tests/registry_fold.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use gateway::registry::{Change, Fold, Registration, State};
+use gateway::registry::{Change, Fold, Registration, Removal, Revision, State};
 
 const GRACE: Duration = Duration::from_secs(2);
 
@@ -10,6 +10,7 @@
     Registration {
         id: id.into(),
         born_ms,
+        seq: 1,
         service: "stock".into(),
         address: "10.0.0.1:80".parse().unwrap(),
         domain: "a".into(),
@@ -24,7 +25,7 @@
 }
 
 fn removed(id: &str) -> Change {
-    Change::Removed(id.into())
+    Change::Removed(Removal { id: id.into(), revision: Revision { born_ms: 1, seq: 1 } })
 }
 
 fn ids(fold: &Fold) -> Vec<String> {
@@ -190,3 +191,109 @@
         assert_eq!(fold.digest(), before, "{changed:?}");
     }
 }
+
+fn written(born_ms: u64, seq: u64, state: State) -> Change {
+    Change::Put(Registration { seq, state, ..upstream("u", born_ms) })
+}
+
+fn state(fold: &Fold) -> Option<State> {
+    fold.entries().next().map(|it| it.state)
+}
+
+/// A write that the store executed late made a leaving upstream ready again
+/// (`docs/incidents/late_heartbeat.md`).
+#[test]
+fn late_write() {
+    let now = Instant::now();
+    let mut fold = Fold::new(GRACE);
+    fold.apply(now, written(1, 1, State::Ready));
+    assert!(fold.apply(now, written(1, 4, State::Leaving)).is_some());
+    assert_eq!(fold.apply(now, written(1, 2, State::Ready)), None);
+    assert_eq!(state(&fold), Some(State::Leaving));
+    // By a relay, and in a list of the store.
+    assert_eq!(fold.apply_from_peer(written(1, 3, State::Ready)), None);
+    let late = Registration { seq: 3, ..upstream("u", 1) };
+    assert!(fold.replace(now, vec![late], 0, 9).is_empty());
+    assert_eq!(state(&fold), Some(State::Leaving));
+    assert!(fold.apply(now, written(1, 5, State::Ready)).is_some(), "it may change its mind");
+}
+
+/// A late write brought back an upstream whose entry had been removed
+/// (`docs/incidents/late_heartbeat.md`).
+#[test]
+fn late_write_after_removal() {
+    let now = Instant::now();
+    let mut fold = Fold::new(GRACE);
+    fold.apply(now, written(1, 4, State::Leaving));
+    fold.apply(now, removed("u"));
+    assert_eq!(fold.apply(now, written(1, 3, State::Ready)), None);
+    let late = Registration { seq: 3, ..upstream("u", 1) };
+    fold.replace(now, vec![late], 0, 9);
+    assert_eq!(state(&fold), None);
+    // A removal that was late itself ends with the next heartbeat.
+    assert!(fold.apply(now, written(1, 5, State::Ready)).is_some());
+    fold.apply(now, removed("u"));
+    // The counts of a new start begin anew.
+    assert!(fold.apply(now, written(2, 1, State::Ready)).is_some());
+    assert_eq!(fold.apply(now, written(1, 9, State::Ready)), None);
+    fold.apply(now, removed("u"));
+    assert_eq!(fold.apply(now, written(1, 9, State::Ready)), None);
+}
+
+/// A late write is no sign of life of an upstream whose removal is pending.
+#[test]
+fn late_write_while_pending() {
+    let now = Instant::now();
+    let mut fold = Fold::new(GRACE);
+    fold.apply(now, written(1, 4, State::Ready));
+    fold.store_failed();
+    fold.store_answered(now);
+    assert_eq!(fold.apply(now, removed("u")), None);
+    assert_eq!(fold.apply(now, written(1, 3, State::Ready)), None);
+    assert!(fold.is_removal_pending("u"));
+    fold.tick(now + GRACE);
+    assert_eq!(state(&fold), None);
+}
+
+/// Peers are not sent each heartbeat, so a removal tells them which revision was removed.
+#[test]
+fn relayed_removal() {
+    let now = Instant::now();
+    let [mut reader, mut peer] = [Fold::new(GRACE), Fold::new(GRACE)];
+    let first = reader.apply(now, written(1, 1, State::Ready)).unwrap();
+    peer.apply_from_peer(first);
+    assert_eq!(reader.apply(now, written(1, 9, State::Ready)), None);
+    let unknown = Removal { id: "u".into(), revision: Revision::default() };
+    let removal = reader.apply(now, reader.complete(Change::Removed(unknown))).unwrap();
+    peer.apply_from_peer(removal);
+    assert_eq!(peer.apply(now, written(1, 8, State::Ready)), None);
+    assert!(peer.apply(now, written(1, 10, State::Ready)).is_some());
+}
+
+/// A daemon that reads the whole registry behind a late write took the upstream for ready
+/// (`docs/incidents/late_heartbeat.md`).
+#[test]
+fn peer_knows_better() {
+    let now = Instant::now();
+    let late = |id| Registration { seq: 2, ..upstream(id, 1) };
+    let other = || Registration { seq: 7, ..upstream("w", 1) };
+    let mut fold = Fold::new(GRACE);
+    fold.replace(now, vec![late("u"), late("v"), other()], 0, 9);
+    let leaving = Registration { seq: 4, state: State::Leaving, ..upstream("u", 1) };
+    let revision = Revision { born_ms: 1, seq: 4 };
+    let removal = |id: &str| Removal { id: id.into(), revision };
+    let older = Registration { seq: 3, state: State::Leaving, ..upstream("w", 1) };
+    let changes = fold.merge(vec![leaving.clone(), older], vec![removal("v"), removal("w")]);
+    assert_eq!(changes, [Change::Removed(removal("v")), Change::Put(leaving)]);
+    assert_eq!(fold.apply(now, Change::Put(late("v"))), None);
+    assert_eq!(ids(&fold), ["u", "w"]);
+}
+
+/// Without the time of its start, a lower number may be that of a new start.
+#[test]
+fn unknown_start() {
+    let now = Instant::now();
+    let mut fold = Fold::new(GRACE);
+    fold.apply(now, written(0, 9, State::Leaving));
+    assert!(fold.apply(now, written(0, 1, State::Ready)).is_some());
+}
--- a/crates/gateway/tests/registry_relay.rs
+++ b/crates/gateway/tests/registry_relay.rs
@@ -12,6 +12,7 @@
     Change::Put(Registration {
         id: format!("i-{number}").into(),
         born_ms: 1,
+        seq: 1,
         service: "stock".into(),
         address: "10.0.0.1:80".parse().unwrap(),
         domain: "a".into(),
@@ -24,7 +25,7 @@
 fn id(change: &Change) -> UpstreamId {
     match change {
         Change::Put(it) => it.id.clone(),
-        Change::Removed(it) => it.clone(),
+        Change::Removed(it) => it.id.clone(),
     }
 }
 
--- a/crates/gateway/tests/upstream_placement.rs
+++ b/crates/gateway/tests/upstream_placement.rs
@@ -94,6 +94,7 @@
         let registration = Registration {
             id: format!("u-{upstream}").into(),
             born_ms: 1,
+            seq: 1,
             service: "s".into(),
             address: SocketAddr::from(([10, 0, 0, 1], 80)),
             domain: format!("domain-{}", upstream % 4).into(),
--- a/crates/gateway/tests/withdrawals.rs
+++ b/crates/gateway/tests/withdrawals.rs
@@ -13,7 +13,7 @@
     http::{Head, Header},
     load::Eligibility,
     peer::Departure,
-    registry::{Change, Registration, State, Withdrawal, Withdrawals},
+    registry::{Change, Registration, Removal, Revision, State, Withdrawal, Withdrawals},
     upstream::Notice,
     wire::{Names, Protocol},
 };
@@ -24,6 +24,7 @@
     Registration {
         id: id.into(),
         born_ms,
+        seq: 1,
         service: SERVICE.into(),
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
         domain: "a".into(),
@@ -126,7 +127,8 @@
     assert_eq!(open(&gateway), ["v"]);
     put(&gateway, registration("u", 1));
     assert_eq!(open(&gateway), ["v"]);
-    gateway.apply(&Change::Removed("u".into()), "test");
+    gateway
+        .apply(&Change::Removed(Removal { id: "u".into(), revision: Revision::default() }), "test");
     put(&gateway, registration("u", 1));
     assert_eq!(open(&gateway), ["v"]);
     put(&gateway, registration("u", 2));
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -124,9 +124,18 @@
 
     /// Registers an upstream with its proxy's address.
     pub(crate) fn register(&self, number: usize, state: &str) {
+        self.write_entry(number, &self.entry(number, state));
+    }
+
+    /// Builds the next entry of an upstream, with its proxy's address.
+    pub(crate) fn entry(&self, number: usize, state: &str) -> String {
         let (upstream, proxy) = &self.upstreams[number];
-        let entry = upstream.entry_at_in(proxy.address, domain(number), "stock", state);
-        self.store.put(config::UPSTREAMS, &upstream.id, &entry);
+        upstream.entry_at_in(proxy.address, domain(number), "stock", state)
+    }
+
+    /// Writes an entry of an upstream to the store.
+    pub(crate) fn write_entry(&self, number: usize, entry: &str) {
+        self.store.put(config::UPSTREAMS, &self.upstreams[number].0.id, entry);
     }
 
     /// Registers an upstream with the address of another one, as if the address had been reused.
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -383,6 +383,24 @@
         }
     }
 
+    /// Makes an upstream leave, and checks that an earlier write of it that the store executes late does
+    /// not bring it back.
+    fn check_late_write(&self) {
+        let env = self.env;
+        let late = env.entry(0, "ready");
+        env.register(0, "ready");
+        env.register(0, "draining");
+        thread::sleep(PROPAGATION_TIMEOUT);
+        let before = env.upstreams[0].0.runs();
+        env.write_entry(0, &late);
+        thread::sleep(PROPAGATION_TIMEOUT);
+        if env.upstreams[0].0.runs() != before {
+            let finding = "a late write made a leaving upstream ready again";
+            env.context.ledger.add_finding(finding.to_owned());
+        }
+        env.register(0, "draining");
+    }
+
     /// Checks that the daemons recover, that they apply a new configuration and an upstream's
     /// change of state in time, and that planned stops break no request in flight.
     pub(crate) fn check_recovery(&mut self) -> Result<()> {
@@ -408,8 +426,7 @@
         self.check_memory();
         self.check_withdrawals();
         self.check_evacuation();
-        env.register(0, "draining");
-        thread::sleep(PROPAGATION_TIMEOUT);
+        self.check_late_write();
         let before = env.upstreams[0].0.runs();
         let count = env.daemons.borrow().len();
         for number in 0..count {
