--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -15,7 +15,7 @@
     http::{self, Message},
     load::{self, Outcome},
     registry::Registration,
-    upstream::{Exchange, Failure},
+    upstream::{Connection, Exchange, Failure},
 };
 
 /// Longest idle time of a connection reused for a request that must not run twice. The upstream may
@@ -25,6 +25,9 @@
 const MAX_IDLE_IDEMPOTENT: Duration = Duration::from_secs(8);
 /// Maximum size of the body of an answer, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 20;
+/// Size of a body that an upstream may leave unread while it works, in bytes. Smaller ones fit into its
+/// receive buffer.
+const LARGE_BODY_BYTES: usize = 16 << 10;
 /// Timeout for opening a connection to an upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -113,10 +116,15 @@
             Ok(it) => it,
             Err(it) => return End::Refused(it),
         };
-        let left = self.deadline.saturating_duration_since(gateway.now()).as_millis();
-        if left == 0 {
+        let left = self.deadline.saturating_duration_since(gateway.now());
+        if left.as_millis() == 0 {
             return not_sent("no time left".to_owned());
         }
+        let is_large = self.message.body.len() >= LARGE_BODY_BYTES;
+        if is_large && let Err(e) = connection.allow_unread(left) {
+            return not_sent(format!("socket option: {e}"));
+        }
+        let left = left.as_millis();
         let names = gateway.protocol.names;
         let left = left.to_string();
         let extra = [(names.deadline_ms, &*left), (names.expected_instance, &*upstream.id)];
@@ -137,7 +145,9 @@
                 self.report(upstream, &it.message);
                 if !gateway.is_evacuated(&upstream.domain) {
                     let (now, idle) = (gateway.now(), self.dispatcher.idle_limit());
-                    gateway.pool.put(&upstream.id, now, it.connection, it.keep_alive, idle);
+                    let is_usual = |it: &Connection| it.allow_unread(Duration::ZERO).is_ok();
+                    let connection = it.connection.filter(|it| !is_large || is_usual(it));
+                    gateway.pool.put(&upstream.id, now, connection, it.keep_alive, idle);
                 }
                 self.classify(it.message)
             }
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -37,7 +37,16 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_RETRIES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(user_timeout))
+    set_user_timeout(stream, user_timeout)
+}
+
+/// Sets the longest time that bytes sent may remain unacknowledged.
+///
+/// # Errors
+///
+/// Fails if the operating system rejects the option.
+pub fn set_user_timeout(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
+    SockRef::from(stream).set_tcp_user_timeout(Some(user_timeout))
 }
 
 /// Gives a caller time to read the last answer, then closes its connection. Closing a socket with
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -26,6 +26,16 @@
 }
 
 impl Connection {
+    /// Allows the upstream to leave bytes unread for `limit`, if that is longer than usual. A receive
+    /// window that stays closed counts as bytes without an acknowledgement.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the operating system rejects the option.
+    pub fn allow_unread(&self, limit: Duration) -> io::Result<()> {
+        socket::set_user_timeout(&self.stream, limit.max(socket::SERVER_TIMEOUT))
+    }
+
     /// Whether the connection broke, which a read behind the orderly end of the other side doesn't
     /// report.
     pub(super) fn has_error(&self) -> bool {
