--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -171,8 +171,7 @@
     idle_limit: usize,
 ) -> Option<Message> {
     let now = gateway.now();
-    let id = &upstream.id;
-    let taking = gateway.pool.take(id, upstream.address, now, PROBE_TIMEOUT * 20, PROBE_TIMEOUT);
+    let taking = gateway.pool.take(upstream, now, PROBE_TIMEOUT * 20, PROBE_TIMEOUT);
     let connection = taking.await.ok()?;
     // The upstream may have withdrawn, or its domain may have been evacuated, while the connection was
     // opened.
@@ -192,7 +191,8 @@
     };
     let completed = exchange.run(connection).await.ok()?;
     if !gateway.is_evacuated(&upstream.domain) {
-        gateway.pool.put(id, gateway.now(), completed.connection, completed.keep_alive, idle_limit);
+        let (now, connection) = (gateway.now(), completed.connection);
+        gateway.pool.put(upstream, now, connection, completed.keep_alive, idle_limit);
     }
     Some(completed.message)
 }
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -100,8 +100,7 @@
             MAX_IDLE_NON_IDEMPOTENT
         };
         let connect = CONNECT_TIMEOUT.min(self.deadline.saturating_duration_since(gateway.now()));
-        let taking =
-            gateway.pool.take(&upstream.id, upstream.address, gateway.now(), max_idle, connect);
+        let taking = gateway.pool.take(upstream, gateway.now(), max_idle, connect);
         let connection = match taking.await {
             Ok(it) => it,
             Err(e) => return not_sent(format!("no connection: {e}")),
@@ -147,7 +146,7 @@
                     let (now, idle) = (gateway.now(), self.dispatcher.idle_limit());
                     let is_usual = |it: &Connection| it.allow_unread(Duration::ZERO).is_ok();
                     let connection = it.connection.filter(|it| !is_large || is_usual(it));
-                    gateway.pool.put(&upstream.id, now, connection, it.keep_alive, idle);
+                    gateway.pool.put(upstream, now, connection, it.keep_alive, idle);
                 }
                 self.classify(it.message)
             }
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -4,14 +4,16 @@
     cell::RefCell,
     collections::HashMap,
     io,
-    net::SocketAddr,
     time::{Duration, Instant},
 };
 
 use bytes::BytesMut;
 use tokio::net::TcpStream;
 
-use crate::{registry::UpstreamId, socket};
+use crate::{
+    registry::{Registration, UpstreamId},
+    socket,
+};
 
 /// Longest time that a connection is kept idle; upstreams close theirs a little later.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(8);
@@ -45,6 +47,8 @@
 
 struct Idle {
     connection: Connection,
+    /// The incarnation that it was opened to.
+    upstream: Registration,
     since: Instant,
     limit: Duration,
 }
@@ -64,16 +68,15 @@
     /// Fails if a connection can't be opened within `timeout`.
     pub async fn take(
         &self,
-        id: &UpstreamId,
-        address: SocketAddr,
+        upstream: &Registration,
         now: Instant,
         max_idle: Duration,
         timeout: Duration,
     ) -> io::Result<Connection> {
-        if let Some(it) = self.take_idle(id, now, max_idle) {
+        if let Some(it) = self.take_idle(upstream, now, max_idle) {
             return Ok(it);
         }
-        let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
+        let connecting = tokio::time::timeout(timeout, TcpStream::connect(upstream.address));
         let stream = connecting.await.map_err(|_elapsed| io::ErrorKind::TimedOut)??;
         socket::prepare(&stream, socket::SERVER_TIMEOUT)?;
         Ok(Connection { stream, buffer: BytesMut::new() })
@@ -83,7 +86,7 @@
     /// `limit` is the time for which the upstream keeps it open, if known.
     pub fn put(
         &self,
-        id: &UpstreamId,
+        upstream: &Registration,
         now: Instant,
         connection: Option<Connection>,
         limit: Option<Duration>,
@@ -92,9 +95,9 @@
         let Some(connection) = connection else { return };
         let limit = limit.map_or(MAX_IDLE_TIME, |it| it.mul_f64(0.8).min(MAX_IDLE_TIME));
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.entry(id.clone()).or_default();
+        let connections = idle.entry(upstream.id.clone()).or_default();
         if connections.len() < max_count {
-            connections.push(Idle { connection, since: now, limit });
+            connections.push(Idle { connection, upstream: upstream.clone(), since: now, limit });
         }
     }
 
@@ -113,9 +116,17 @@
         idle.retain(|_, connections| !connections.is_empty());
     }
 
-    fn take_idle(&self, id: &UpstreamId, now: Instant, max_idle: Duration) -> Option<Connection> {
+    fn take_idle(
+        &self,
+        upstream: &Registration,
+        now: Instant,
+        max_idle: Duration,
+    ) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(id)?;
+        let connections = idle.get_mut(&upstream.id)?;
+        // A request that was in progress when the upstream was replaced under its id has returned its
+        // connection behind that.
+        connections.retain(|it| it.upstream.is_same_incarnation(upstream));
         // The newest connection is the least likely to have been closed.
         while let Some(it) = connections.pop() {
             let age = now.saturating_duration_since(it.since);
