--- a/crates/gateway/src/follow/upstreams.rs
+++ b/crates/gateway/src/follow/upstreams.rs
@@ -7,7 +7,7 @@
 
 use std::{
     rc::Rc,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime},
 };
 
 use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
@@ -43,6 +43,9 @@
 /// datagram may be lost.
 const RELAY_REPEAT_TIME: Duration = Duration::from_millis(100);
 
+/// Largest difference between the clock of an upstream and that of this host: clocks jump by seconds.
+const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_hours(1);
+
 /// Maximum number of log lines per second about records that can't be decoded.
 const IGNORED_LINES_PER_S: u32 = 5;
 
@@ -304,7 +307,8 @@
             Change::Removed(Removal { id, revision: Revision::default() })
         };
         let Some(value) = &record.value else { return removed() };
-        match self.platform.registration(&record.key, value) {
+        let registration = self.platform.registration(&record.key, value);
+        match registration.and_then(|it| self.check_start(it)) {
             Ok(it) => Change::Put(it),
             Err(e) => {
                 let (key, error) = (ini::excerpt(&record.key), ini::excerpt(&e));
@@ -317,6 +321,17 @@
         }
     }
 
+    /// Checks that an upstream has started: the time of a start in the future would hide all that the
+    /// upstream writes from then on.
+    fn check_start(&self, it: Registration) -> Result<Registration, String> {
+        let now = self.gateway.clock.wall().duration_since(SystemTime::UNIX_EPOCH);
+        let latest = now.unwrap_or_default().saturating_add(MAX_CLOCK_DIFFERENCE).as_millis();
+        if u128::from(it.born_ms) > latest {
+            return Err(format!("start at {} ms is in the future", it.born_ms));
+        }
+        Ok(it)
+    }
+
     async fn read_from_peer(&mut self) {
         let Some((snapshot, from)) = rpc::fetch_registry(&self.gateway).await else { return };
         let source = format!("peer:{from}");
