--- a/crates/daemon/src/table.rs
+++ b/crates/daemon/src/table.rs
@@ -34,6 +34,8 @@
     pub services: HashMap<ServiceId, Arc<Service>>,
     /// Routes by path prefix.
     routes: HashMap<String, Vec<Arc<Route>>>,
+    /// Length of the longest path prefix, in bytes.
+    longest: usize,
 }
 
 /// Properties of the daemon that builds a table.
@@ -130,15 +132,28 @@
     /// Whether a route of any method matches `path`.
     #[must_use]
     pub fn has_path(&self, path: &str) -> bool {
-        prefixes(path).any(|it| self.routes.contains_key(it))
+        self.prefixes(path).any(|it| self.routes.contains_key(it))
     }
 
     fn find(&self, method: &str, path: &str) -> Option<&Arc<Route>> {
-        prefixes(path)
+        self.prefixes(path)
             .filter_map(|it| self.routes.get(it))
             .find_map(|it| it.iter().find(|route| route.config.method == method))
     }
 
+    /// Returns the prefixes of a path that a route may have, longest first: `/a/b`, `/a/`, `/a`, `/`.
+    /// Longer ones than those of all routes are left out, since each is looked up.
+    fn prefixes<'a>(&self, path: &'a str) -> impl Iterator<Item = &'a str> {
+        let cuts = path.char_indices().rev().filter(|(_, it)| *it == '/').flat_map(|(at, _)| {
+            let with_slash = &path[..=at];
+            let without = &path[..at];
+            [with_slash, without]
+        });
+        let longest = self.longest;
+        let all = std::iter::once(path).chain(cuts);
+        all.filter(move |it| !it.is_empty() && it.len() <= longest)
+    }
+
     fn add_routes(&mut self, old: &Self) {
         let document = Arc::clone(&self.document);
         let urgent = document.ranks.iter().min_by_key(|it| it.order).map(|it| &it.id);
@@ -152,21 +167,12 @@
                 may_hedge: it.idempotent && urgent == Some(&it.rank),
                 expected_us: AtomicU64::new(micros(expected)),
             };
+            self.longest = self.longest.max(it.path.len());
             self.routes.entry(it.path.clone()).or_default().push(Arc::new(route));
         }
     }
 }
 
-/// Returns the prefixes of a path that a route may have, longest first: `/a/b`, `/a/`, `/a`, `/`.
-fn prefixes(path: &str) -> impl Iterator<Item = &str> {
-    let cuts = path.char_indices().rev().filter(|(_, it)| *it == '/').flat_map(|(at, _)| {
-        let with_slash = &path[..=at];
-        let without = &path[..at];
-        [with_slash, without]
-    });
-    std::iter::once(path).chain(cuts).filter(|it| !it.is_empty())
-}
-
 fn ranks(document: &Document) -> Vec<admission::Rank> {
     let convert = |it: &document::Rank| admission::Rank {
         id: Arc::clone(&it.id),
--- a/crates/gateway/src/config/table.rs
+++ b/crates/gateway/src/config/table.rs
@@ -28,6 +28,8 @@
 #[derive(Debug, Default)]
 struct Prefixes {
     routes: HashMap<String, Arc<Route>>,
+    /// Length of the longest prefix, in bytes.
+    longest: usize,
 }
 
 impl Table {
@@ -44,6 +46,7 @@
         };
         for it in config.routes {
             let prefixes = res.hosts.entry(it.host.clone()).or_default();
+            prefixes.longest = prefixes.longest.max(it.prefix.len());
             prefixes.routes.insert(it.prefix.clone(), Arc::new(it));
         }
         res
@@ -54,14 +57,23 @@
     /// The port of `host` and the query of `path` are ignored.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let host = host.split_once(':').map_or(host, |(name, _port)| name);
-        let prefixes = match self.hosts.get(host) {
-            Some(it) => it,
-            None => self.hosts.get(&host.to_ascii_lowercase())?,
-        };
+        let prefixes = self.prefixes(host)?;
+        self.candidates(host, path).find_map(|it| prefixes.routes.get(it))
+    }
+
+    /// Prefixes of `path` that a route of `host` may have, longest first. Each is looked up, so a path
+    /// must not have more of them than the configured prefixes are long.
+    pub fn candidates<'a>(&self, host: &str, path: &'a str) -> impl Iterator<Item = &'a str> {
+        let longest = self.prefixes(host).map_or(0, |it| it.longest);
         let path = path.split(['?', '#']).next().unwrap_or_default();
-        let prefix_ends = path.bytes().enumerate().rev().filter(|(_, it)| *it == b'/');
-        prefix_ends.into_iter().find_map(|(it, _)| prefixes.routes.get(&path[..=it]))
+        let ends = path.bytes().enumerate().take(longest).filter(|(_, it)| *it == b'/');
+        let ends: Vec<_> = ends.map(|(it, _)| it).collect();
+        ends.into_iter().rev().map(|it| &path[..=it])
+    }
+
+    fn prefixes(&self, host: &str) -> Option<&Prefixes> {
+        let host = host.split_once(':').map_or(host, |(name, _port)| name);
+        self.hosts.get(host).or_else(|| self.hosts.get(&host.to_ascii_lowercase()))
     }
 
     /// Whether the configuration has tenants, so that requests need a key except on public routes.
--- a/crates/gateway/tests/route_search.rs
+++ b/crates/gateway/tests/route_search.rs
@@ -30,3 +30,15 @@
     check("c.example", "/stock/", None);
     check("", "", None);
 }
+
+/// A path of many slashes was looked up at each of them, so that its search took time with the square of
+/// its length (`docs/incidents/long_paths.md`).
+#[test]
+fn long_path() {
+    let routes = vec![route("all", "a.example", "/"), route("stock", "a.example", "/stock/")];
+    let table = Table::new(Config { version: 1, routes, ..Config::default() });
+    let path = "/".repeat(16_000);
+    assert_eq!(table.find("a.example", &path).map(|it| &*it.id), Some("all"));
+    assert!(table.candidates("a.example", &path).count() <= "/stock/".len());
+    assert_eq!(table.candidates("b.example", &path).count(), 0);
+}
