--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -3,7 +3,7 @@
 //! The adapter implements this and takes no decisions. Timeouts, retries and the handling of failed
 //! calls are up to the callers in this crate.
 
-use std::{fmt, time::Duration};
+use std::{fmt, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 
@@ -132,4 +132,8 @@
     ///
     /// Why the record is not a registration.
     fn registration(&self, key: &str, value: &[u8]) -> Result<Registration, String>;
+
+    /// Makes further calls to the store at another address, which changed settings name. A platform
+    /// without one has nothing to do.
+    fn set_store_address(&self, _address: SocketAddr) {}
 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -183,6 +183,7 @@
             Ok(it) => {
                 log::info!(target: "belief", "event=reload cause={cause} changed=yes");
                 log_replaced(&it);
+                self.platform.set_store_address(it.store_address);
                 *self.gateway.settings.borrow_mut() = Rc::new(it);
                 self.gateway.share_budgets(self.gateway.now());
             }
