--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -15,7 +15,7 @@
     http::{self, Message},
     load::{self, Outcome},
     registry::Registration,
-    upstream::{Connection, Exchange, Failure},
+    upstream::{Exchange, Failure, Rest},
 };
 
 /// Longest idle time of a connection reused for a request that must not run twice. The upstream may
@@ -144,9 +144,10 @@
                 self.report(upstream, &it.message);
                 if !gateway.is_evacuated(&upstream.domain) {
                     let (now, idle) = (gateway.now(), self.dispatcher.idle_limit());
-                    let is_usual = |it: &Connection| it.allow_unread(Duration::ZERO).is_ok();
-                    let connection = it.connection.filter(|it| !is_large || is_usual(it));
-                    gateway.pool.put(upstream, now, connection, it.keep_alive, idle);
+                    gateway.pool.put(upstream, now, it.connection, it.keep_alive, idle);
+                }
+                if let Some(it) = it.rest {
+                    tokio::task::spawn_local(send_rest(Rc::clone(gateway), it, self.deadline));
                 }
                 self.classify(it.message)
             }
@@ -207,6 +208,15 @@
     }
 }
 
+/// Sends the rest of a request that has been answered. A planned stop waits for it like for a request.
+async fn send_rest(gateway: Rc<Gateway>, rest: Rest, deadline: Instant) {
+    gateway.in_progress.set(gateway.in_progress.get() + 1);
+    if let Err(e) = rest.send(deadline).await {
+        log::info!(target: "request", "event=upload-not-read error=\"{e}\"");
+    }
+    gateway.in_progress.set(gateway.in_progress.get().saturating_sub(1));
+}
+
 fn not_sent(message: String) -> End {
     End::NotRun { message, sent: false }
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -4,11 +4,13 @@
 mod exchange;
 mod notice;
 mod pool;
+mod rest;
 
 pub use cold_time::ColdTime;
 pub use exchange::{Completed, Exchange, Failure};
 pub use notice::Notice;
 pub use pool::{Connection, Pool};
+pub use rest::Rest;
 
 pub use crate::memory::{Memory, Share};
 
--- a/crates/gateway/src/upstream/exchange.rs
+++ b/crates/gateway/src/upstream/exchange.rs
@@ -5,7 +5,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-use super::{Connection, Memory, Result, Share};
+use super::{Connection, Memory, Rest, Result, Share};
 use crate::{
     http::{self, Body, Head, Message},
     memory::Kind,
@@ -49,6 +49,9 @@
     pub connection: Option<Connection>,
     /// Time for which the upstream keeps the connection open, from its `Keep-Alive` header.
     pub keep_alive: Option<Duration>,
+    /// The rest of the request, if the upstream has answered before it has read all of it and keeps the
+    /// connection: it may read on later.
+    pub rest: Option<Rest>,
 }
 
 /// A request to an upstream.
@@ -106,18 +109,21 @@
                 if !is_own_answer {
                     return Err(Failure::Malformed("answer to another request".to_owned()));
                 }
-                let is_reusable = !unwritten.has_remaining()
-                    && connection.buffer.is_empty()
+                let is_kept = connection.buffer.is_empty()
                     && head.keeps_connection()
                     && !body.ends_with_connection();
                 connection.buffer = BytesMut::new();
                 let keep_alive = keep_alive(&head);
                 let message = Message { head, body: body.into_bytes() };
-                return Ok(Completed {
-                    message,
-                    connection: is_reusable.then_some(connection),
-                    keep_alive,
-                });
+                let (connection, rest) = match (is_kept, unwritten.remaining()) {
+                    (true, 0) => (Some(connection), None),
+                    (true, bytes) if bytes <= self.body.len() => {
+                        let bytes = self.body.slice(self.body.len() - bytes..);
+                        (None, Some(Rest { connection, bytes }))
+                    }
+                    _ => (None, None),
+                };
+                return Ok(Completed { message, connection, keep_alive, rest });
             }
             let Connection { stream, buffer, .. } = &mut connection;
             http::reserve(buffer, partial.is_some());
@@ -216,7 +222,7 @@
             }
             Some((head, body)) if body.ends_with_connection() && self.is_own_answer(&head) => {
                 let message = Message { head, body: body.into_bytes() };
-                Ok(Completed { message, connection: None, keep_alive: None })
+                Ok(Completed { message, connection: None, keep_alive: None, rest: None })
             }
             Some(_) => Err(Failure::Malformed("answer that ends early".to_owned())),
             None if connection.buffer.is_empty() => Err(Failure::Broken("closed".to_owned())),
--- a/crates/gateway/src/upstream/pool.rs
+++ b/crates/gateway/src/upstream/pool.rs
@@ -28,8 +28,9 @@
 }
 
 impl Connection {
-    /// Allows the upstream to leave bytes unread for `limit`, if that is longer than usual. A receive
-    /// window that stays closed counts as bytes without an acknowledgement.
+    /// Allows the upstream to leave bytes unread for `limit`, if that is longer than usual, from now on:
+    /// it may still read after its answer. A receive window that stays closed counts as bytes without an
+    /// acknowledgement.
     ///
     /// # Errors
     ///
