--- a/crates/gateway/src/follow/upstreams.rs
+++ b/crates/gateway/src/follow/upstreams.rs
@@ -46,6 +46,9 @@
 /// Largest difference between the clock of an upstream and that of this host: clocks jump by seconds.
 const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_hours(1);
 
+/// 2026-01-01 in Unix time, before which this program did not exist: an earlier clock has not been set.
+const FIRST_TIME: Duration = Duration::from_hours(490_896);
+
 /// Maximum number of log lines per second about records that can't be decoded.
 const IGNORED_LINES_PER_S: u32 = 5;
 
@@ -325,8 +328,9 @@
     /// upstream writes from then on.
     fn check_start(&self, it: Registration) -> Result<Registration, String> {
         let now = self.gateway.clock.wall().duration_since(SystemTime::UNIX_EPOCH);
-        let latest = now.unwrap_or_default().saturating_add(MAX_CLOCK_DIFFERENCE).as_millis();
-        if u128::from(it.born_ms) > latest {
+        let now = now.unwrap_or_default();
+        let latest = now.saturating_add(MAX_CLOCK_DIFFERENCE).as_millis();
+        if now >= FIRST_TIME && u128::from(it.born_ms) > latest {
             return Err(format!("start at {} ms is in the future", it.born_ms));
         }
         Ok(it)
