registry, upstream: what a read from a peer removes is taken out of use; refusals end an upload

Found on reading the change: a read from a peer dropped the removals that it had taken over, so that the upstreams stayed in use; an early refusal was followed by the rest of the upload. Late writes are logged at a bounded rate.

--- a/crates/gateway/src/follow/upstreams.rs
+++ b/crates/gateway/src/follow/upstreams.rs
@@ -253,9 +253,7 @@
             // Peers then read the registry from this daemon and not from the store.
             gateway.heartbeat_wanted.notify_one();
         }
-        for it in &changes {
-            gateway.apply(it, source);
-        }
+        self.apply_all(&changes, source);
     }
 
     /// Applies and relays the records from offset `from` on, but for those that a relay has brought
@@ -273,7 +271,11 @@
             let mut registry = gateway.registry.borrow_mut();
             let change = registry.complete(change);
             if registry.is_outdated(&change) {
-                log::info!(target: "belief", "event=late-write-ignored upstream={}", it.key);
+                let mut limiter = gateway.log_limiter.borrow_mut();
+                if limiter.allows(now, "late-write-ignored", IGNORED_LINES_PER_S) {
+                    let key = ini::excerpt(&it.key);
+                    log::info!(target: "belief", "event=late-write-ignored upstream={key:?}");
+                }
                 continue;
             }
             // Peers must follow each change of what is pending as well, and may use what is held back.
@@ -340,7 +342,8 @@
         let Some((snapshot, from)) = rpc::fetch_registry(&self.gateway).await else { return };
         let source = format!("peer:{from}");
         // First, since an entry that was removed may be back in the list.
-        let _known = self.gateway.registry.borrow_mut().merge(Vec::new(), snapshot.removals);
+        let changes = self.gateway.registry.borrow_mut().merge(Vec::new(), snapshot.removals);
+        self.apply_all(&changes, &source);
         self.replace(snapshot.registrations, snapshot.era, snapshot.end, &source);
         self.gateway.mark_registry_read();
         self.schedule();
@@ -359,12 +362,16 @@
         let changes =
             gateway.registry.borrow_mut().merge(snapshot.registrations, snapshot.removals);
         log::info!(target: "belief", "event=registry-merged peer={peer} changes={}", changes.len());
-        for it in &changes {
-            gateway.apply(it, "peer-merged");
-        }
+        self.apply_all(&changes, &format!("peer-merged:{peer}"));
         self.update_shared();
     }
 
+    fn apply_all(&self, changes: &[Change], source: &str) {
+        for it in changes {
+            self.gateway.apply(it, source);
+        }
+    }
+
     /// Updates the registry served to peers that can't read the store.
     fn update_shared(&self) {
         self.shared.set_registry(&self.gateway.registry.borrow());
--- a/crates/gateway/src/request/forward.rs
+++ b/crates/gateway/src/request/forward.rs
@@ -146,8 +146,10 @@
                     let (now, idle) = (gateway.now(), self.dispatcher.idle_limit());
                     gateway.pool.put(upstream, now, it.connection, it.keep_alive, idle);
                 }
-                if let Some(it) = it.rest {
-                    tokio::task::spawn_local(send_rest(Rc::clone(gateway), it, self.deadline));
+                // An upstream that has refused or failed needs no more of the request.
+                let is_success = matches!(it.message.head.status, 200..300);
+                if let Some(rest) = it.rest.filter(|_| is_success) {
+                    tokio::task::spawn_local(send_rest(Rc::clone(gateway), rest, self.deadline));
                 }
                 self.classify(it.message)
             }
