--- a/crates/gateway/src/follow/upstreams.rs
+++ b/crates/gateway/src/follow/upstreams.rs
@@ -237,14 +237,21 @@
             Change::Removed(_) => None,
         };
         let registrations = batch.records.iter().filter_map(decode).collect();
-        self.replace(registrations, batch.era, batch.end, "store");
+        self.replace(registrations, Vec::new(), batch.era, batch.end, "store");
     }
 
-    fn replace(&self, registrations: Vec<Registration>, era: Era, end: Offset, source: &str) {
+    fn replace(
+        &self,
+        registrations: Vec<Registration>,
+        removals: Vec<Removal>,
+        era: Era,
+        end: Offset,
+        source: &str,
+    ) {
         let gateway = &self.gateway;
         let before = gateway.registry.borrow().era();
         let now = gateway.now();
-        let changes = gateway.registry.borrow_mut().replace(now, registrations, era, end);
+        let changes = gateway.registry.borrow_mut().adopt(now, registrations, removals, era, end);
         if era > before {
             log::info!(
                 target: "belief",
@@ -341,10 +348,8 @@
     async fn read_from_peer(&mut self) {
         let Some((snapshot, from)) = rpc::fetch_registry(&self.gateway).await else { return };
         let source = format!("peer:{from}");
-        // First, since an entry that was removed may be back in the list.
-        let changes = self.gateway.registry.borrow_mut().merge(Vec::new(), snapshot.removals);
-        self.apply_all(&changes, &source);
-        self.replace(snapshot.registrations, snapshot.era, snapshot.end, &source);
+        let rpc::Snapshot { era, end, registrations, removals } = snapshot;
+        self.replace(registrations, removals, era, end, &source);
         self.gateway.mark_registry_read();
         self.schedule();
         self.update_shared();
--- a/crates/gateway/src/registry/fold.rs
+++ b/crates/gateway/src/registry/fold.rs
@@ -171,6 +171,23 @@
         res
     }
 
+    /// Replaces the whole set by that of a peer, which has read further, and takes over its removals:
+    /// an entry that was removed may be back in the list.
+    ///
+    /// Returns the resulting changes, without removals that are still pending.
+    pub fn adopt(
+        &mut self,
+        now: Instant,
+        registrations: Vec<Registration>,
+        removals: Vec<Removal>,
+        era: Era,
+        end: Offset,
+    ) -> Vec<Change> {
+        let mut res = self.merge(Vec::new(), removals);
+        res.extend(self.replace(now, registrations, era, end));
+        res
+    }
+
     /// Whether a change is older than what is known of its upstream.
     #[must_use]
     pub fn is_outdated(&self, change: &Change) -> bool {
--- a/crates/gateway/tests/registry_fold.rs
+++ b/crates/gateway/tests/registry_fold.rs
@@ -297,3 +297,15 @@
     fold.apply(now, written(0, 9, State::Leaving));
     assert!(fold.apply(now, written(0, 1, State::Ready)).is_some());
 }
+
+/// What a read from a peer removed stayed in use, as its removals were taken over apart from the list.
+#[test]
+fn removed_by_peer() {
+    let now = Instant::now();
+    let mut fold = Fold::new(GRACE);
+    fold.replace(now, vec![upstream("u", 1), upstream("v", 1)], 0, 9);
+    let removal = Removal { id: "u".into(), revision: Revision { born_ms: 1, seq: 4 } };
+    let changes = fold.adopt(now, vec![upstream("v", 1)], vec![removal.clone()], 0, 12);
+    assert_eq!(changes, [Change::Removed(removal)]);
+    assert_eq!(ids(&fold), ["v"]);
+}
