--- a/crates/soak/src/options.rs
+++ b/crates/soak/src/options.rs
@@ -29,7 +29,7 @@
     pub grace: Duration,
 }
 
-/// Grace periods of runs with planned stops. The deployments have 6 s and 10 s.
+/// Grace periods of runs with planned stops: that of the deployments, a longer and a shorter one.
 const GRACES: [Duration; 3] =
     [Duration::from_secs(6), Duration::from_secs(10), Duration::from_secs(2)];
 
