routing: one lookup of the host and no list for each request

Table::find looked the host up twice and collected the ends of prefixes in a list. The search now belongs to the prefixes of a host and walks the path from its end. route_search holds as before.

--- a/crates/gateway/src/config/table.rs
+++ b/crates/gateway/src/config/table.rs
@@ -32,6 +32,17 @@
     longest: usize,
 }
 
+impl Prefixes {
+    /// Prefixes of `path` that a route may have, longest first. Each is looked up, so none is longer
+    /// than the longest prefix that is configured.
+    fn candidates<'a>(&self, path: &'a str) -> impl Iterator<Item = &'a str> + use<'a> {
+        let path = path.split(['?', '#']).next().unwrap_or_default();
+        let bytes = &path.as_bytes()[..path.len().min(self.longest)];
+        let ends = bytes.iter().enumerate().rev().filter(|(_, it)| **it == b'/');
+        ends.map(move |(it, _)| &path[..=it])
+    }
+}
+
 impl Table {
     /// Prepares `config`. Of several routes with the same host and prefix, the last one is used.
     #[must_use]
@@ -58,17 +69,12 @@
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let prefixes = self.prefixes(host)?;
-        self.candidates(host, path).find_map(|it| prefixes.routes.get(it))
+        prefixes.candidates(path).find_map(|it| prefixes.routes.get(it))
     }
 
-    /// Prefixes of `path` that a route of `host` may have, longest first. Each is looked up, so a path
-    /// must not have more of them than the configured prefixes are long.
+    /// Prefixes of `path` that a route of `host` may have, longest first; each is looked up.
     pub fn candidates<'a>(&self, host: &str, path: &'a str) -> impl Iterator<Item = &'a str> {
-        let longest = self.prefixes(host).map_or(0, |it| it.longest);
-        let path = path.split(['?', '#']).next().unwrap_or_default();
-        let ends = path.bytes().enumerate().take(longest).filter(|(_, it)| *it == b'/');
-        let ends: Vec<_> = ends.map(|(it, _)| it).collect();
-        ends.into_iter().rev().map(|it| &path[..=it])
+        self.prefixes(host).into_iter().flat_map(move |it| it.candidates(path))
     }
 
     fn prefixes(&self, host: &str) -> Option<&Prefixes> {
