registry: a repeated removal is remembered once

Seen: on reading. Fold::merge records the removals of a peer each time, so that the list of 4,096 filled with copies. Removals of other entries were forgotten, and a late write could bring such an entry back.

A removal that is known, or of which a newer one is, is not recorded again. registry_fold::repeated_removals fails before: after 5,000 copies of one removal, a late write of another entry is taken for new.

--- a/crates/gateway/src/registry/removals.rs
+++ b/crates/gateway/src/registry/removals.rs
@@ -18,10 +18,12 @@
 }
 
 impl Removals {
-    /// Records a removal.
+    /// Records a removal, unless this or a newer one of the same entry is known.
     pub(super) fn record(&mut self, removal: Removal) {
-        let known = self.revisions.entry(removal.id.clone()).or_default();
-        *known = removal.revision.max(*known);
+        if self.revisions.get(&removal.id).is_some_and(|it| *it >= removal.revision) {
+            return;
+        }
+        self.revisions.insert(removal.id.clone(), removal.revision);
         self.order.push_back(removal);
         if self.order.len() > MAX_REMOVALS
             && let Some(oldest) = self.order.pop_front()
--- a/crates/gateway/tests/registry_fold.rs
+++ b/crates/gateway/tests/registry_fold.rs
@@ -309,3 +309,18 @@
     assert_eq!(changes, [Change::Removed(removal)]);
     assert_eq!(ids(&fold), ["v"]);
 }
+
+/// Removals that peers repeated took the room of others, whose entries a late write then brought back.
+#[test]
+fn repeated_removals() {
+    let now = Instant::now();
+    let revision = Revision { born_ms: 1, seq: 4 };
+    let removal = |id: &str| Removal { id: id.into(), revision };
+    let mut fold = Fold::new(GRACE);
+    fold.merge(Vec::new(), vec![removal("u")]);
+    for _ in 0..5_000 {
+        fold.merge(Vec::new(), vec![removal("v")]);
+    }
+    assert_eq!(fold.apply(now, put("u", 1)), None);
+    assert_eq!(fold.newest_removals(10).len(), 2);
+}
