registry: new daemons compare registries only at equal offsets

A daemon that has just read the registry compared it, in full, with that of up to three peers that differed, also if they had only read further or less far. With upstreams that write all the time, that is nearly always so.

Fold::differs asks for equal offsets, at which another digest means other entries. late_writes::start_beside_leaving and start_beside_removed, which need the comparison, hold; registry_fold::differs_when_read_equally_far is new.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -333,8 +333,9 @@
         self.registry_differs.notify_one();
     }
 
-    /// Whether to compare the registry at once with that of a peer that has another one: it was read for
-    /// the first time a moment ago, so the difference may be something that only the peer has seen.
+    /// Whether to compare the registry at once with that of a peer that has read equally far and has
+    /// another one: it was read for the first time a moment ago, so the difference may be something that
+    /// only the peer has seen.
     pub fn may_compare_new_registry(&self) -> bool {
         let age = self.registry_read_at.get().map(|it| self.now().saturating_duration_since(it));
         let is_new = age.is_some_and(|it| it < NEW_REGISTRY_TIME);
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -310,7 +310,7 @@
         let mut registry = gateway.registry.borrow_mut();
         let is_same_era = registry.era() == era;
         let has_diverged = is_same_era && registry.check_divergence(now, end, digest);
-        let differs = is_same_era && end > 0 && digest != registry.digest();
+        let differs = is_same_era && registry.differs(end, digest);
         drop(registry);
         if has_diverged {
             log::warn!("event=registry-differs from={from} end={end}");
--- a/crates/gateway/src/registry/fold.rs
+++ b/crates/gateway/src/registry/fold.rs
@@ -276,6 +276,13 @@
         self.digest
     }
 
+    /// Whether a peer that has read equally far has other entries. One that has read less or further
+    /// has others anyway.
+    #[must_use]
+    pub fn differs(&self, end: Offset, digest: u32) -> bool {
+        end == self.end && end > 0 && digest != self.digest
+    }
+
     /// Compares with a peer's end and digest. Returns true if both have read equally far and have
     /// differed for [`DIVERGENCE_TIME`]; the next read then starts over.
     pub fn check_divergence(&mut self, now: Instant, end: Offset, digest: u32) -> bool {
--- a/crates/gateway/tests/registry_fold.rs
+++ b/crates/gateway/tests/registry_fold.rs
@@ -154,6 +154,20 @@
     assert_eq!(fold.end(), 0, "the next read starts over");
 }
 
+/// Daemons that start compared their registries, in full, with those of peers that had only read further.
+#[test]
+fn differs_when_read_equally_far() {
+    let mut fold = Fold::new(GRACE);
+    fold.apply(Instant::now(), put("u", 1));
+    let (same, other) = (fold.digest(), fold.digest().wrapping_add(1));
+    assert!(!fold.differs(0, other), "nothing has been read to its end");
+    fold.advance(7);
+    assert!(!fold.differs(6, other));
+    assert!(!fold.differs(8, other));
+    assert!(!fold.differs(7, same));
+    assert!(fold.differs(7, other));
+}
+
 /// An upstream becomes cold again, and warm. Its other heartbeats in between are no changes, although
 /// the time in them shrinks.
 #[test]
