settings: changed fields take effect at once or hold, and the log says which

Seen: after SIGHUP with another caller_address, the directory and the heartbeats to peers announced that address, while the daemon still listened on the former one: callers were sent where nothing listens. domain, host and peer_address changed halfway in the same way, and link_mbps, though docs/OPERATIONS.md says that all of them hold from the start on. The bounds on cold upstreams waited for the next configuration, and retry_window for services opened later.

Cause: a reload replaced the settings as a whole; each place then read either its copy of the start or the new value.

Change: Settings::reload keeps the fields that need a restart, and event=setting-needs-restart names those that differ. All others take effect at once: bounds on cold upstreams are set anew, the retry budget takes the new window (a longer one starts without the fixed allowance, since what was spent before is forgotten), and the receive buffers are counted as the listeners have them.

--- a/crates/gateway/src/caller.rs
+++ b/crates/gateway/src/caller.rs
@@ -276,7 +276,7 @@
         let body = self.reader.partial();
         let mut bytes = CONNECTION_BYTES + requests * REQUEST_BYTES + self.buffer.capacity();
         if body.is_some() {
-            bytes += self.gateway.settings().receive_buffer_bytes();
+            bytes += self.gateway.receive_buffer_bytes;
             bytes += excess_of_head(self.reader.held_by_head());
         }
         self.charge.resize(bytes);
--- a/crates/gateway/src/caller/listener.rs
+++ b/crates/gateway/src/caller/listener.rs
@@ -35,8 +35,7 @@
 pub fn listen(gateway: &Rc<Gateway>, port: Port, address: SocketAddr) -> io::Result<()> {
     let listener = bind(address)?;
     // Accepted connections inherit the size.
-    let bytes = gateway.settings().receive_buffer_bytes();
-    SockRef::from(&listener).set_recv_buffer_size(bytes)?;
+    SockRef::from(&listener).set_recv_buffer_size(gateway.receive_buffer_bytes)?;
     tokio::task::spawn_local(accept(Rc::clone(gateway), port, listener));
     Ok(())
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 mod evacuation;
 mod knowledge;
 mod quotas;
+mod reload;
 mod temperatures;
 mod withdrawals;
 
@@ -71,6 +72,8 @@
     pub protocol: Protocol,
     /// Key of this incarnation.
     pub key: HostKey,
+    /// Receive buffer of a caller's connection, in bytes; listeners have it from the start on.
+    pub receive_buffer_bytes: usize,
     /// Lifecycle phase of the daemon.
     pub phase: Cell<Phase>,
     /// Usable upstreams by their registrations.
@@ -170,6 +173,7 @@
             clock,
             protocol,
             key: seed,
+            receive_buffer_bytes: settings.receive_buffer_bytes(),
             phase: Cell::default(),
             registry: RefCell::new(Fold::new(EXPIRY_GRACE)),
             peers: RefCell::new(peer::Table::new(settings.peer_address, link_mbps(&settings))),
@@ -474,7 +478,7 @@
         for it in self.dispatchers.borrow().values() {
             it.set_daemon_count(live);
             it.set_active_count(active);
-            it.budget.borrow_mut().set(settings.retry_ratio, slack);
+            it.budget.borrow_mut().set(now, settings.retry_window, settings.retry_ratio, slack);
             upstreams += it.service.borrow().iter().filter(|it| !it.is_evacuated).count();
         }
         self.share_quotas(now, &peers);
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -163,8 +163,7 @@
         self.stop(reason).await;
     }
 
-    /// Reloads the settings. Host, domain and the listening addresses remain in use as they were at
-    /// the start.
+    /// Reloads the settings, but for those that hold until the daemon is restarted.
     fn reload(&mut self, cause: &str) {
         let text = match std::fs::read_to_string(&self.path) {
             Ok(it) => it,
@@ -184,8 +183,9 @@
                 log::info!(target: "belief", "event=reload cause={cause} changed=yes");
                 log_replaced(&it);
                 self.platform.set_store_address(it.store_address);
-                *self.gateway.settings.borrow_mut() = Rc::new(it);
-                self.gateway.share_budgets(self.gateway.now());
+                for field in self.gateway.reload(it) {
+                    log::warn!(target: "belief", "event=setting-needs-restart field={field}");
+                }
             }
             Err(findings) => {
                 let findings: Vec<_> = findings.iter().map(ToString::to_string).collect();
--- a/crates/gateway/src/rate/budget.rs
+++ b/crates/gateway/src/rate/budget.rs
@@ -67,9 +67,13 @@
         }
     }
 
-    /// Sets the ratio of requests and this daemon's part of the fixed allowance.
-    pub fn set(&mut self, ratio: f64, slack: f64) {
-        (self.ratio, self.slack) = (ratio, slack);
+    /// Sets the sliding window, the ratio of requests and this daemon's part of the fixed allowance.
+    pub fn set(&mut self, now: Instant, window: Duration, ratio: f64, slack: f64) {
+        if window > self.window {
+            // What was spent of the fixed allowance in the longer window isn't known.
+            self.started = now;
+        }
+        (self.window, self.ratio, self.slack) = (window, ratio, slack);
     }
 
     /// Counts a caller's request.
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a daemon whose configuration and upstreams are kept by the platform.
 
 mod figures;
+mod reload;
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
@@ -244,7 +245,11 @@
         if let Some(it) = keys.read("regions", parse_regions) {
             self.regions = it;
         }
-        // Without a list, the host knows its own region at least.
+        self.add_own_region();
+    }
+
+    /// Without a list, the host knows its own region at least.
+    fn add_own_region(&mut self) {
         if !self.region.is_empty() {
             let own = self.region.as_str().into();
             self.regions.entry(self.domain.clone()).or_insert(own);
--- a/crates/gateway/tests/retry_budget.rs
+++ b/crates/gateway/tests/retry_budget.rs
@@ -77,6 +77,20 @@
     assert!(budget.try_retry(now + WINDOW));
 }
 
+/// A window that was set longer must not give out again what was spent before the shorter one.
+#[test]
+fn longer_window() {
+    let now = Instant::now();
+    let mut budget = Budget::new(now, WINDOW / 2, RATIO, SLACK);
+    let spent_at = |budget: &mut Budget, now| (0..1_000).filter(|_| budget.try_retry(now)).count();
+    let spent_before = spent_at(&mut budget, now + WINDOW / 2);
+    assert!(spent_before > 0);
+    let later = now + WINDOW + Duration::from_millis(1);
+    budget.set(later, WINDOW, RATIO, SLACK);
+    assert_eq!(spent_at(&mut budget, later), 0);
+    assert_eq!(spent_at(&mut budget, later + WINDOW), spent_before);
+}
+
 /// Hedges must not use up the budget that retries need.
 #[test]
 fn hedges_leave_retries() {
@@ -134,7 +148,7 @@
             let is_known_active = it
                 .active_since
                 .is_some_and(|it| now.duration_since(it) >= WINDOW + ACTIVITY_DELAY * 2);
-            it.budget.set(0.0, SLACK * slack_share(peers, is_known_active));
+            it.budget.set(now, WINDOW, 0.0, SLACK * slack_share(peers, is_known_active));
             while is_active && it.budget.try_retry(now) {
                 spent.push_back(now);
             }
