--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -29,6 +29,7 @@
     settings: PathBuf,
     log: PathBuf,
     ready_address: SocketAddr,
+    directory_address: SocketAddr,
     child: Option<Child>,
     /// Number of starts.
     pub(crate) starts: Arc<AtomicU64>,
@@ -73,6 +74,7 @@
             settings,
             log,
             ready_address,
+            directory_address,
             child: None,
             starts: Arc::default(),
         })
@@ -84,6 +86,7 @@
     ///
     /// Fails if the program can't be started.
     pub fn start(&mut self) -> io::Result<()> {
+        self.restore_address()?;
         let log: File = OpenOptions::new().create(true).append(true).open(&self.log)?;
         let errors = log.try_clone()?;
         let child = Command::new(&self.program)
@@ -108,6 +111,32 @@
         pid.map_or(Ok(()), |it| kill_process(it, signal).map_err(io::Error::from))
     }
 
+    /// Gives the settings the callers' address again that they began with.
+    fn restore_address(&self) -> io::Result<()> {
+        let prefix = "caller_address = ";
+        let text = fs::read_to_string(&self.settings)?;
+        let mut lines: Vec<_> = text.lines().filter(|it| !it.starts_with(prefix)).collect();
+        let own = format!("{prefix}{}", self.caller_address);
+        lines.push(&own);
+        fs::write(&self.settings, lines.join("\n") + "\n")
+    }
+
+    /// Replaces the settings by what `change` makes of them, and has the process read them.
+    pub(crate) fn change_settings(&self, change: impl FnOnce(&str) -> String) -> io::Result<()> {
+        fs::write(&self.settings, change(&fs::read_to_string(&self.settings)?))?;
+        self.signal(Signal::HUP)
+    }
+
+    /// Sends a request to the daemon's directory and returns the answer.
+    pub(crate) fn ask_directory(&self, request: &str) -> io::Result<String> {
+        let mut stream = TcpStream::connect_timeout(&self.directory_address, READY_TIMEOUT)?;
+        stream.set_read_timeout(Some(READY_TIMEOUT))?;
+        stream.write_all(request.as_bytes())?;
+        let mut res = String::new();
+        stream.read_to_string(&mut res)?;
+        Ok(res)
+    }
+
     /// Whether the process has exited.
     pub(crate) fn has_ended(&mut self) -> io::Result<bool> {
         match &mut self.child {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -15,7 +15,7 @@
 use crate::{
     Result,
     environment::{Environment, UPSTREAMS_IN_B},
-    probe, watcher,
+    oddities, probe, watcher,
 };
 
 /// Time from the start of one fault to the start of the next, in milliseconds.
@@ -48,6 +48,8 @@
 const MISSED_CONFIG_EVERY: u8 = 8;
 /// Time for which they miss it, beyond the time limit for applying it, in milliseconds.
 const MISSED_CONFIG_EXTRA_MS: std::ops::Range<u64> = 200..1_500;
+/// One in this many faults is accompanied by the entry of another writer, and by odd settings.
+const ODDITY_EVERY: u8 = 5;
 /// Time within which every daemon must apply an evacuation.
 const EVACUATION_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time for which an evacuated domain must get nothing.
@@ -82,14 +84,18 @@
     denial_rng: fastrand::Rng,
     /// As `evacuation_rng`, for daemons that miss a configuration.
     missed_rng: fastrand::Rng,
+    /// As `evacuation_rng`, for entries of other writers and odd settings.
+    oddity_rng: fastrand::Rng,
     ends: Vec<(Instant, End)>,
 }
 
 impl<'a> Faults<'a> {
     pub(crate) fn new(env: &'a Environment, seed: u64) -> Self {
-        let seeds = [seed, !seed, seed.rotate_left(32), !seed.rotate_left(32)];
-        let [rng, evacuation_rng, denial_rng, missed_rng] = seeds.map(fastrand::Rng::with_seed);
-        Self { env, rng, evacuation_rng, denial_rng, missed_rng, ends: Vec::new() }
+        let oddity_seed = seed.rotate_left(16);
+        let seeds = [seed, !seed, seed.rotate_left(32), !seed.rotate_left(32), oddity_seed];
+        let [rng, evacuation_rng, denial_rng, missed_rng, oddity_rng] =
+            seeds.map(fastrand::Rng::with_seed);
+        Self { env, rng, evacuation_rng, denial_rng, missed_rng, oddity_rng, ends: Vec::new() }
     }
 
     /// Injects faults for `length`, then ends all faults that are still active.
@@ -100,6 +106,7 @@
             self.begin_evacuation();
             self.begin_denial();
             self.begin_missed_config()?;
+            self.begin_oddities()?;
             let next = Instant::now() + Duration::from_millis(self.rng.u64(FAULT_INTERVAL_MS));
             while Instant::now() < next {
                 self.end_due(false)?;
@@ -228,6 +235,24 @@
         self.ends.push((Instant::now() + duration, End::Upstream(upstream)));
     }
 
+    fn begin_oddities(&mut self) -> Result<()> {
+        let (env, rng) = (self.env, &mut self.oddity_rng);
+        if rng.u8(..ODDITY_EVERY) == 0 {
+            let upstream = rng.usize(..env.upstreams.len());
+            env.write_entry(upstream, &oddities::entry(env, upstream, rng));
+            env.context.ledger.record_fault("odd-entry");
+            let duration = Duration::from_millis(rng.u64(FAULT_DURATION_MS));
+            self.ends.push((Instant::now() + duration, End::Registration(upstream)));
+        }
+        if rng.u8(..ODDITY_EVERY) == 0 {
+            let daemons = env.daemons.borrow();
+            let daemon = &daemons[rng.usize(..daemons.len())];
+            daemon.change_settings(|sound| oddities::settings(sound, rng))?;
+            env.context.ledger.record_fault("odd-settings");
+        }
+        Ok(())
+    }
+
     /// Pauses some daemons and cuts others off from the store, then publishes a configuration that they
     /// miss for longer than the time limit for applying it.
     fn begin_missed_config(&mut self) -> Result<()> {
@@ -423,6 +448,7 @@
                 ));
             }
         }
+        oddities::check_directory(env)?;
         self.check_memory();
         self.check_withdrawals();
         self.check_evacuation();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -24,6 +24,7 @@
 mod faults;
 mod form;
 mod ledger;
+mod oddities;
 mod options;
 mod probe;
 mod publications;
