--- a/crates/daemon/tests/stop_paths.rs
+++ b/crates/daemon/tests/stop_paths.rs
@@ -13,6 +13,7 @@
 use platform_standin::{
     Store, Upstream,
     config::{self, Route},
+    template,
     upstream::Mode,
 };
 use rustix::process::Signal;
@@ -44,7 +45,52 @@
         Self::with(GRACE, ROUTE_TIMEOUT_MS)
     }
 
+    /// A daemon whose settings are the template that the platform fills in.
+    fn from_template() -> Self {
+        Self::with_settings(GRACE, ROUTE_TIMEOUT_MS, |own, store| {
+            let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/fleet.ini");
+            let setting = |name: &str| {
+                let prefix = format!("{name} = ");
+                own.lines().find_map(|it| it.strip_prefix(&prefix)).unwrap().to_owned()
+            };
+            let part = |name: &str, number: usize| {
+                setting(name).split(':').nth(number).unwrap().to_owned()
+            };
+            template::fill(&std::fs::read_to_string(path).unwrap(), |key| {
+                Some(match key {
+                    "listen.front" => setting("caller_address"),
+                    "listen.ready" => setting("ready_address"),
+                    "listen.directory" => setting("directory_address"),
+                    "ip" => part("peer_address", 0),
+                    "internal_ports.0" => part("peer_address", 1),
+                    "internal_ports.1" => part("metrics_address", 1),
+                    "platform.address" => store.to_owned(),
+                    "bounds.grace_period_s" => GRACE.as_secs().to_string(),
+                    "bounds.config_apply_ms" | "bounds.drain_ms" => "2000".to_owned(),
+                    "bounds.budget_window_s" => "10".to_owned(),
+                    "bounds.retry_budget_ratio" => "0.2".to_owned(),
+                    "bounds.retry_budget_slack" | "bounds.probes_per_s" => "40".to_owned(),
+                    "limits.memory_mb" => "512".to_owned(),
+                    "limits.link_mbps" | "limits.cpu_share" => "1".to_owned(),
+                    "limits.max_fds" => "8000".to_owned(),
+                    "node" | "zone" | "region" => "a".to_owned(),
+                    "bootstrap" => "false".to_owned(),
+                    _ => return None,
+                })
+            })
+        })
+    }
+
     fn with(grace: Duration, timeout_ms: u32) -> Self {
+        Self::with_settings(grace, timeout_ms, |own, _store| own.to_owned())
+    }
+
+    /// Starts a daemon with the settings that `settings` makes of usual ones and the address of the store.
+    fn with_settings(
+        grace: Duration,
+        timeout_ms: u32,
+        settings: impl FnOnce(&str, &str) -> String,
+    ) -> Self {
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let store = Store::start();
         let upstreams: Vec<_> = (0..3).map(|it| Upstream::start(&format!("u{it}"))).collect();
@@ -61,6 +107,7 @@
         store.put(config::TOPIC, config::KEY, &text);
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("stop-{number}"));
         std::fs::create_dir_all(&folder).unwrap();
+        let path = folder.join(format!("daemon-{number}.ini"));
         let options = Options {
             daemon: PathBuf::from(env!("CARGO_BIN_EXE_fireflydrumd")),
             folder,
@@ -70,6 +117,8 @@
         };
         let peer_port = soak::shared_port(1).unwrap();
         let mut daemon = Daemon::new(&options, number, peer_port, store.address).unwrap();
+        let text = settings(&std::fs::read_to_string(&path).unwrap(), &store.address.to_string());
+        std::fs::write(&path, text).unwrap();
         daemon.start().unwrap();
         let until = Instant::now() + TIMEOUT;
         while !daemon.is_ready() {
@@ -147,7 +196,16 @@
 /// its end (`docs/incidents/pipelined_stop.md`).
 #[test]
 fn pipelined_reads() {
-    let setup = Setup::start();
+    check_pipelined_reads(Setup::start());
+}
+
+/// The third case of the first review, whose own stand-in does not know the template's sections.
+#[test]
+fn pipelined_reads_from_template() {
+    check_pipelined_reads(Setup::from_template());
+}
+
+fn check_pipelined_reads(setup: Setup) {
     let callers: Vec<_> = (0..4)
         .map(|number| {
             let stream = setup.connect();
@@ -170,7 +228,16 @@
 /// (`docs/incidents/late_orders.md`).
 #[test]
 fn late_orders() {
-    let setup = Setup::start();
+    check_late_orders(Setup::start());
+}
+
+/// The fourth case of the first review, as above.
+#[test]
+fn late_orders_from_template() {
+    check_late_orders(Setup::from_template());
+}
+
+fn check_late_orders(setup: Setup) {
     setup.terminate();
     thread::sleep(LATE);
     let orders: Vec<_> = (0..3)
