fleet: a fleet has started once its daemons serve

Fleet::start waited until a version was in force; a daemon of the older path serves a moment after that, when its membership has heard of the version (State::put_in_force, by reading, and the answer names this state). Fleet::start now waits for both. Checks are unchanged.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use daemon::Process;
+use daemon::{Process, membership::Intake};
 use document::{
     Finding, Publication, Section, Version,
     publication::{self, Change},
@@ -80,11 +80,11 @@
 }
 
 impl Fleet {
-    /// Starts a fleet, publishes its document and waits until the document is in force on all daemons.
+    /// Starts a fleet, publishes its document and waits until all daemons serve by it.
     ///
     /// # Errors
     ///
-    /// Fails if a daemon or stand-in can't start, or the document is not in force within 10 s.
+    /// Fails if a daemon or stand-in can't start, or does not serve within 10 s after it has the document.
     pub fn start(settings: Settings) -> Result<Self> {
         let mut res = Self::start_standins(settings)?;
         let version = res.publish(&res.document())?;
@@ -93,6 +93,7 @@
             res.daemons.push(daemon);
         }
         res.await_version(version)?;
+        res.await_ready()?;
         Ok(res)
     }
 
@@ -198,6 +199,15 @@
         })
     }
 
+    /// Waits until every daemon serves callers, which it does a moment after its first version is in force.
+    fn await_ready(&self) -> Result<()> {
+        let serves =
+            |it: &Process| it.state().membership().is_some_and(|it| it.intake() == Intake::Serve);
+        await_condition(Duration::from_secs(10), "every daemon serves", || {
+            self.daemons.iter().all(serves)
+        })
+    }
+
     /// Waits until every daemon directs callers to `hosts` entry hosts.
     ///
     /// # Errors
