tests: a planned stop waits for the rest of an answered upload

The caller has its answer and is gone; the upstream reads the rest 4.2 s after it, later than the callers' port is closed.

--- a/crates/daemon/tests/stop_paths.rs
+++ b/crates/daemon/tests/stop_paths.rs
@@ -2,10 +2,13 @@
 //! whatever way it is in progress.
 
 use std::{
-    io::{Read, Write},
+    io::{self, Read, Write},
     net::TcpStream,
     path::PathBuf,
-    sync::atomic::{AtomicBool, AtomicU8, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -13,7 +16,7 @@
 use platform_standin::{
     Store, Upstream,
     config::{self, Route},
-    template,
+    raw, template,
     upstream::Mode,
 };
 use rustix::process::Signal;
@@ -27,6 +30,11 @@
 const ROUTE_TIMEOUT_MS: u32 = 3_000;
 /// Time after the signal from which no rule excuses a request that is cut off.
 const LATE: Duration = Duration::from_millis(3_100);
+/// Size of an upload, more than the sockets' buffers hold; of what is read of it before the answer; and
+/// time from the answer to the rest, longer than the callers' port stays open in a stop.
+const UPLOAD_BYTES: u64 = 16 << 20;
+const FIRST_BYTES: u64 = 64 << 10;
+const READ_PAUSE: Duration = Duration::from_millis(4_200);
 /// Interval of pipelined requests, shorter than the work of each.
 const PIPELINE_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -34,7 +42,7 @@
 static NEXT: AtomicU8 = AtomicU8::new(100);
 
 struct Setup {
-    _store: Store,
+    store: Store,
     upstreams: Vec<Upstream>,
     daemon: Daemon,
     grace: Duration,
@@ -125,7 +133,7 @@
             assert!(Instant::now() < until, "the daemon is not ready in time");
             thread::sleep(Duration::from_millis(20));
         }
-        Self { _store: store, upstreams, daemon, grace }
+        Self { store, upstreams, daemon, grace }
     }
 
     fn connect(&self) -> TcpStream {
@@ -367,3 +375,47 @@
     setup.upstreams.iter().for_each(|it| it.set_mode(Mode::Good));
     setup.finish();
 }
+
+/// A stop must wait for an upload whose upstream has answered early and reads on later
+/// (`docs/incidents/early_answer.md`).
+#[test]
+fn answered_upload() {
+    let setup = Setup::start();
+    let received = Arc::new(AtomicU64::new(0));
+    let count = Arc::clone(&received);
+    let address = raw::start(move |head, stream| {
+        let start = "HTTP/1.1 200 OK\r\nX-Fireflydrum-Upstream-Load: 0,0,4,100\r\n";
+        let Some(id) = head.text("X-Fireflydrum-Request-Id").filter(|_| &*head.method == b"POST")
+        else {
+            return write!(stream, "{start}Connection: close\r\nContent-Length: 0\r\n\r\n");
+        };
+        io::copy(&mut Read::by_ref(stream).take(FIRST_BYTES), &mut io::sink())?;
+        let id = format!("{}\r\nX-Fireflydrum-Request-Id: {id}", config::SIGNATURE);
+        write!(stream, "{start}{id}\r\nContent-Length: 0\r\n\r\n")?;
+        thread::sleep(READ_PAUSE);
+        let rest = Read::by_ref(stream).take(UPLOAD_BYTES - FIRST_BYTES);
+        let rest = io::copy(&mut { rest }, &mut io::sink())?;
+        count.store(FIRST_BYTES + rest, Ordering::Relaxed);
+        Ok(())
+    });
+    setup.store.put(config::UPSTREAMS, "early", &raw::entry(address));
+    for it in &setup.upstreams {
+        setup.store.remove(config::UPSTREAMS, &it.id);
+    }
+    let route = Route { name: "order", prefix: "/order/", is_idempotent: false };
+    let text = config::text(2, &[route])
+        .replace("1000000", &UPLOAD_BYTES.to_string())
+        .replace("\"timeout_ms\":3000", "\"timeout_ms\":9000");
+    setup.store.put(config::TOPIC, config::KEY, &text);
+    thread::sleep(GRACE / 2);
+    let head = config::request("POST", "/order/1", "order-1", true)
+        .replace("Content-Length: 0", &format!("Content-Length: {UPLOAD_BYTES}"))
+        .replace("Deadline-Ms: 5000", "Deadline-Ms: 9000");
+    let mut stream = setup.connect();
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.write_all(&vec![b'c'; usize::try_from(UPLOAD_BYTES).unwrap()]).unwrap();
+    assert_eq!(read_status(&mut stream), 200);
+    setup.terminate();
+    setup.finish();
+    assert_eq!(received.load(Ordering::Relaxed), UPLOAD_BYTES);
+}
