--- a/crates/gateway/src/settings/reload.rs
+++ b/crates/gateway/src/settings/reload.rs
@@ -3,9 +3,9 @@
 use super::Settings;
 
 impl Settings {
-    /// Takes `new` over, but for the fields that hold until the daemon is restarted: what peers and
-    /// callers were told of the host, the sockets, and what only a start reads. Returns the names of
-    /// those that differ.
+    /// Takes `new` over, but for the fields that hold until the daemon is restarted: those that sockets
+    /// are bound to or that peers and callers know, and those that are used at the start only. Returns
+    /// the names of those that differ.
     #[must_use]
     pub fn reload(&self, new: Self) -> (Self, Vec<&'static str>) {
         let mut res = new;
