stand-ins: one early answer, and builders for what tests replaced in texts

The early answer to an upload stood in working_upstreams and, with the platform's names, in stop_paths outside platform/; it is raw::EarlyAnswer now. Ten places replaced the deadline, the timeout or the length in the text of a request or configuration: config::with_deadline, with_timeout and with_length do, and fail if there is nothing to replace, which all but one did silently. The odd entries of the soak name the platform's fields, so they are config::odd_entry; the replacement of a line of the settings, written twice in the soak, is one function.

--- a/crates/daemon/tests/stop_paths.rs
+++ b/crates/daemon/tests/stop_paths.rs
@@ -2,13 +2,10 @@
 //! whatever way it is in progress.
 
 use std::{
-    io::{self, Read, Write},
+    io::{Read, Write},
     net::TcpStream,
     path::PathBuf,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering},
-    },
+    sync::atomic::{AtomicBool, AtomicU8, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -16,7 +13,8 @@
 use platform_standin::{
     Store, Upstream,
     config::{self, Route},
-    raw, template,
+    raw::{self, EarlyAnswer},
+    template,
     upstream::Mode,
 };
 use rustix::process::Signal;
@@ -35,6 +33,8 @@
 const UPLOAD_BYTES: u64 = 16 << 20;
 const FIRST_BYTES: u64 = 64 << 10;
 const READ_PAUSE: Duration = Duration::from_millis(4_200);
+/// Timeout of its route and its deadline, in milliseconds.
+const UPLOAD_LIMIT_MS: u128 = 9_000;
 /// Interval of pipelined requests, shorter than the work of each.
 const PIPELINE_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -109,9 +109,7 @@
             Route { name: "read", prefix: "/read/", is_idempotent: true },
             Route { name: "order", prefix: "/order/", is_idempotent: false },
         ];
-        let timeout = format!("\"timeout_ms\":{timeout_ms}");
-        let text = config::text(1, &routes).replace("\"timeout_ms\":3000", &timeout);
-        assert!(text.contains(&timeout));
+        let text = config::with_timeout(&config::text(1, &routes), timeout_ms.into());
         store.put(config::TOPIC, config::KEY, &text);
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("stop-{number}"));
         std::fs::create_dir_all(&folder).unwrap();
@@ -272,7 +270,7 @@
     let setup = Setup::with(Duration::from_secs(10), 8_000);
     let send = |mut stream: TcpStream, id: &'static str| {
         let text = config::request("POST", "/order/1?work_ms=6600", id, true);
-        let text = text.replace("Deadline-Ms: 5000", "Deadline-Ms: 15000");
+        let text = config::with_deadline(&text, 15_000);
         thread::spawn(move || {
             stream.write_all(text.as_bytes()).unwrap();
             read_status(&mut stream)
@@ -287,7 +285,7 @@
     kept.write_all(first.as_bytes()).unwrap();
     thread::sleep(LATE.saturating_sub(Duration::from_secs(1)));
     let late = send(setup.connect(), "late");
-    let rest = rest.replace("Deadline-Ms: 5000", "Deadline-Ms: 15000");
+    let rest = config::with_deadline(rest, 15_000);
     kept.write_all(rest.as_bytes()).unwrap();
     assert_eq!((read_status(&mut kept), setup.has_run("kept-part")), (503, false));
     assert_eq!((late.join().unwrap(), setup.has_run("late")), (503, false));
@@ -305,7 +303,7 @@
         .map(|number| {
             let (mut stream, id) = (setup.connect(), format!("order-{number}"));
             let text = config::request("POST", "/order/1?work_ms=2000", &id, true);
-            let text = text.replace("Deadline-Ms: 5000", "Deadline-Ms: 15000");
+            let text = config::with_deadline(&text, 15_000);
             thread::spawn(move || {
                 stream.write_all(text.as_bytes()).unwrap();
                 (id, read_status(&mut stream))
@@ -333,7 +331,7 @@
     thread::sleep(LATE);
     let mut stream = setup.connect();
     let text = config::request("POST", "/order/1?work_ms=50", "short", true);
-    let text = text.replace("Deadline-Ms: 5000", "Deadline-Ms: 1000");
+    let text = config::with_deadline(&text, 1_000);
     stream.write_all(text.as_bytes()).unwrap();
     assert_eq!(read_status(&mut stream), 200);
     setup.finish();
@@ -381,41 +379,24 @@
 #[test]
 fn answered_upload() {
     let setup = Setup::start();
-    let received = Arc::new(AtomicU64::new(0));
-    let count = Arc::clone(&received);
-    let address = raw::start(move |head, stream| {
-        let start = "HTTP/1.1 200 OK\r\nX-Fireflydrum-Upstream-Load: 0,0,4,100\r\n";
-        let Some(id) = head.text("X-Fireflydrum-Request-Id").filter(|_| &*head.method == b"POST")
-        else {
-            return write!(stream, "{start}Connection: close\r\nContent-Length: 0\r\n\r\n");
-        };
-        io::copy(&mut Read::by_ref(stream).take(FIRST_BYTES), &mut io::sink())?;
-        let id = format!("{}\r\nX-Fireflydrum-Request-Id: {id}", config::SIGNATURE);
-        write!(stream, "{start}{id}\r\nContent-Length: 0\r\n\r\n")?;
-        thread::sleep(READ_PAUSE);
-        let rest = Read::by_ref(stream).take(UPLOAD_BYTES - FIRST_BYTES);
-        let rest = io::copy(&mut { rest }, &mut io::sink())?;
-        count.store(FIRST_BYTES + rest, Ordering::Relaxed);
-        Ok(())
-    });
-    setup.store.put(config::UPSTREAMS, "early", &raw::entry(address));
+    let upstream = EarlyAnswer::new(UPLOAD_BYTES, FIRST_BYTES, READ_PAUSE);
+    setup.store.put(config::UPSTREAMS, "early", &raw::entry(upstream.start()));
     for it in &setup.upstreams {
         setup.store.remove(config::UPSTREAMS, &it.id);
     }
     let route = Route { name: "order", prefix: "/order/", is_idempotent: false };
-    let text = config::text(2, &[route])
-        .replace("1000000", &UPLOAD_BYTES.to_string())
-        .replace("\"timeout_ms\":3000", "\"timeout_ms\":9000");
+    let text = config::text(2, &[route]).replace("1000000", &UPLOAD_BYTES.to_string());
+    let text = config::with_timeout(&text, UPLOAD_LIMIT_MS);
     setup.store.put(config::TOPIC, config::KEY, &text);
     thread::sleep(GRACE / 2);
-    let head = config::request("POST", "/order/1", "order-1", true)
-        .replace("Content-Length: 0", &format!("Content-Length: {UPLOAD_BYTES}"))
-        .replace("Deadline-Ms: 5000", "Deadline-Ms: 9000");
+    let bytes = usize::try_from(UPLOAD_BYTES).unwrap();
+    let head = config::with_length(&config::request("POST", "/order/1", "order-1", true), bytes);
+    let head = config::with_deadline(&head, UPLOAD_LIMIT_MS);
     let mut stream = setup.connect();
     stream.write_all(head.as_bytes()).unwrap();
-    stream.write_all(&vec![b'c'; usize::try_from(UPLOAD_BYTES).unwrap()]).unwrap();
+    stream.write_all(&vec![b'c'; bytes]).unwrap();
     assert_eq!(read_status(&mut stream), 200);
     setup.terminate();
     setup.finish();
-    assert_eq!(received.load(Ordering::Relaxed), UPLOAD_BYTES);
+    assert_eq!(upstream.received(), UPLOAD_BYTES);
 }
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -113,12 +113,9 @@
 
     /// Gives the settings the callers' address again that they began with.
     fn restore_address(&self) -> io::Result<()> {
-        let prefix = "caller_address = ";
         let text = fs::read_to_string(&self.settings)?;
-        let mut lines: Vec<_> = text.lines().filter(|it| !it.starts_with(prefix)).collect();
-        let own = format!("{prefix}{}", self.caller_address);
-        lines.push(&own);
-        fs::write(&self.settings, lines.join("\n") + "\n")
+        let own = self.caller_address.to_string();
+        fs::write(&self.settings, with_setting(&text, "caller_address", &own))
     }
 
     /// Replaces the settings by what `change` makes of them, and has the process read them.
@@ -203,6 +200,15 @@
     }
 }
 
+/// Replaces the value of a key in settings with one section, or adds it.
+pub(crate) fn with_setting(text: &str, key: &str, value: &str) -> String {
+    let prefix = format!("{key} = ");
+    let mut lines: Vec<_> = text.lines().filter(|it| !it.starts_with(&prefix)).collect();
+    let line = format!("{prefix}{value}");
+    lines.push(&line);
+    lines.join("\n") + "\n"
+}
+
 /// Returns a port that is free on the loopback addresses of all daemons.
 ///
 /// # Errors
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -174,8 +174,7 @@
         ];
         routes.extend(since.iter().map(|it| Route { name: it, prefix: it, is_idempotent: true }));
         let text = config::text_with_limits(version, &routes, probe::limits(version));
-        let timeout = format!("\"timeout_ms\":{}", self.context.time_limit.as_millis());
-        let text = text.replace("\"timeout_ms\":3000", &timeout);
+        let text = config::with_timeout(&text, self.context.time_limit.as_millis());
         self.store.put(config::TOPIC, config::KEY, &text);
         self.context.publications.record();
     }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -239,7 +239,8 @@
         let (env, rng) = (self.env, &mut self.oddity_rng);
         if rng.u8(..ODDITY_EVERY) == 0 {
             let upstream = rng.usize(..env.upstreams.len());
-            env.write_entry(upstream, &oddities::entry(env, upstream, rng));
+            let form = rng.u8(..config::ODD_FORMS);
+            env.write_entry(upstream, &config::odd_entry(&env.entry(upstream, "ready"), form));
             env.context.ledger.record_fault("odd-entry");
             let duration = Duration::from_millis(rng.u64(FAULT_DURATION_MS));
             self.ends.push((Instant::now() + duration, End::Registration(upstream)));
--- a/crates/soak/src/oddities.rs
+++ b/crates/soak/src/oddities.rs
@@ -1,8 +1,8 @@
-//! What other writers leave in the store and in the settings.
+//! Odd settings of the daemons.
 
 use platform_standin::config;
 
-use crate::environment::Environment;
+use crate::{daemon::with_setting, environment::Environment};
 
 /// Settings that a daemon must be able to run with, in place of the sound ones: fractions, odd and
 /// missing values, values out of range, and addresses that it does not move to.
@@ -16,28 +16,10 @@
     ("caller_address", "127.0.0.1:1"),
 ];
 
-/// Entry of another writer under the id of an upstream: a field is missing, of another type or too
-/// large, or it is of another service.
-pub(crate) fn entry(env: &Environment, upstream: usize, rng: &mut fastrand::Rng) -> String {
-    let sound = env.entry(upstream, "ready");
-    match rng.u8(..6) {
-        0 => sound.replace("\"seq\":", "\"former_seq\":"),
-        1 => sound.replace("\"version\":", "\"former_version\":"),
-        2 => sound.replace("\"born\":", "\"born\":17966000000000"),
-        3 => sound.replace("\"seq\":", "\"seq\":\"1\",\"former_seq\":"),
-        4 => sound.replace("\"slots\":", "\"slots\":-"),
-        _ => sound.replace("\"service\":\"stock\"", "\"service\":7"),
-    }
-}
-
 /// Settings of a daemon with one odd line.
 pub(crate) fn settings(sound: &str, rng: &mut fastrand::Rng) -> String {
     let (key, value) = SETTINGS[rng.usize(..SETTINGS.len())];
-    let prefix = format!("{key} = ");
-    let mut lines: Vec<_> = sound.lines().filter(|it| !it.starts_with(&prefix)).collect();
-    let odd = format!("{prefix}{value}");
-    lines.push(&odd);
-    lines.join("\n") + "\n"
+    with_setting(sound, key, value)
 }
 
 /// Checks that the directory of each daemon answers, and names only addresses at which callers are served.
--- a/crates/soak/src/stop_caller.rs
+++ b/crates/soak/src/stop_caller.rs
@@ -136,8 +136,8 @@
 
     /// Builds a request whose deadline is the time limit of its route.
     fn request(&self, method: &str, target: &str, id: &str, is_last: bool) -> String {
-        let deadline = format!("Deadline-Ms: {}", self.context.time_limit.as_millis());
-        config::request(method, target, id, is_last).replace("Deadline-Ms: 5000", &deadline)
+        let text = config::request(method, target, id, is_last);
+        config::with_deadline(&text, self.context.time_limit.as_millis())
     }
 
     /// Sends one request and reads its answer. Returns whether the connection is still open.
