--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::RefCell,
     fs,
+    net::SocketAddr,
     sync::{
         Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -14,6 +15,7 @@
 use platform_standin::{
     Proxy, Store, Upstream,
     config::{self, Route},
+    proxy,
 };
 use rustix::process::Signal;
 
@@ -29,6 +31,8 @@
 
 /// Number of upstreams. All belong to one service.
 const UPSTREAMS: usize = 5;
+/// The upstream that is replaced by another process at times.
+pub(crate) const REPLACED: usize = 1;
 /// The upstreams in the failure domain `b`, which is evacuated at times; the others are in `a`.
 pub(crate) const UPSTREAMS_IN_B: std::ops::Range<usize> = 3..UPSTREAMS;
 /// Key of the record that evacuates the domain `b`.
@@ -49,11 +53,15 @@
 pub(crate) struct Environment {
     pub(crate) store: Store,
     /// The way of each daemon to the store.
-    pub(crate) store_links: Vec<Proxy>,
+    pub(crate) store_links: RefCell<Vec<Proxy>>,
     pub(crate) upstreams: Vec<(Upstream, Proxy)>,
+    /// Another process of [`REPLACED`], which registers at times under the same id.
+    pub(crate) replacement: Upstream,
     pub(crate) daemons: RefCell<Vec<Daemon>>,
     pub(crate) context: Arc<Context>,
     threads: RefCell<Vec<JoinHandle<()>>>,
+    /// Limit on the size of a body, in bytes, if it differs from that of [`probe::limits`].
+    max_body_bytes: Option<u64>,
 }
 
 impl Environment {
@@ -94,11 +102,13 @@
         });
         let res = Self {
             store,
-            store_links,
+            store_links: RefCell::new(store_links),
+            replacement: upstreams[REPLACED].0.start_beside(),
             upstreams,
             daemons: RefCell::new(daemons),
             context,
             threads: RefCell::default(),
+            max_body_bytes: options.only_stops.then_some(stop_caller::UPLOAD_BYTES as u64),
         };
         (0..count).for_each(|it| res.register(it, "ready"));
         res.publish();
@@ -133,6 +143,11 @@
         upstream.entry_at_in(proxy.address, domain(number), "stock", state)
     }
 
+    /// Builds the next entry of an upstream with another address.
+    pub(crate) fn entry_at(&self, number: usize, address: SocketAddr) -> String {
+        self.upstreams[number].0.entry_at_in(address, domain(number), "stock", "ready")
+    }
+
     /// Writes an entry of an upstream to the store.
     pub(crate) fn write_entry(&self, number: usize, entry: &str) {
         self.store.put(config::UPSTREAMS, &self.upstreams[number].0.id, entry);
@@ -141,9 +156,7 @@
     /// Registers an upstream with the address of another one, as if the address had been reused.
     pub(crate) fn register_reused_address(&self, number: usize) {
         let other = &self.upstreams[(number + 1) % self.upstreams.len()].1;
-        let upstream = &self.upstreams[number].0;
-        let entry = upstream.entry_at_in(other.address, domain(number), "stock", "ready");
-        self.store.put(config::UPSTREAMS, &upstream.id, &entry);
+        self.write_entry(number, &self.entry_at(number, other.address));
     }
 
     /// Removes the registration of an upstream that keeps running.
@@ -151,6 +164,23 @@
         self.store.remove(config::UPSTREAMS, &self.upstreams[number].0.id);
     }
 
+    /// Registers the replacement as a new start of [`REPLACED`].
+    pub(crate) fn register_replacement(&self) {
+        self.replacement.restart();
+        let it = &self.replacement;
+        self.write_entry(REPLACED, &it.entry_in(domain(REPLACED), "stock", "ready"));
+    }
+
+    /// Gives a daemon another way to the store, and closes the former one.
+    pub(crate) fn move_store(&self, daemon: usize) -> Result<()> {
+        let link = Proxy::start(self.store.address);
+        let address = link.address.to_string();
+        let former = std::mem::replace(&mut self.store_links.borrow_mut()[daemon], link);
+        former.set_fault(proxy::Fault::Close);
+        let change = |it: &str| daemon::with_setting(it, "store_address", &address);
+        Ok(self.daemons.borrow()[daemon].change_settings(change)?)
+    }
+
     /// Evacuates the failure domain `b`.
     pub(crate) fn evacuate(&self) {
         self.store.put(config::TOPIC, EVACUATION_KEY, "{}");
@@ -173,7 +203,9 @@
             Route { name: "own", prefix: &own, is_idempotent: true },
         ];
         routes.extend(since.iter().map(|it| Route { name: it, prefix: it, is_idempotent: true }));
-        let text = config::text_with_limits(version, &routes, probe::limits(version));
+        let (max_head_bytes, max_body_bytes) = probe::limits(version);
+        let limits = (max_head_bytes, self.max_body_bytes.unwrap_or(max_body_bytes));
+        let text = config::text_with_limits(version, &routes, limits);
         let text = config::with_timeout(&text, self.context.time_limit.as_millis());
         self.store.put(config::TOPIC, config::KEY, &text);
         self.context.publications.record();
@@ -215,7 +247,8 @@
             }
         }
         thread::sleep(SETTLE_TIME);
-        let upstreams: Vec<_> = self.upstreams.iter().map(|(it, _)| it).collect();
+        let upstreams: Vec<_> =
+            self.upstreams.iter().map(|(it, _)| it).chain([&self.replacement]).collect();
         self.context.ledger.close(&upstreams)
     }
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,21 +1,20 @@
-//! Injects overlapping faults and checks that the daemons recover from them.
+//! Injects overlapping faults.
 
 use std::{
-    sync::atomic::Ordering,
     thread,
     time::{Duration, Instant},
 };
 
 use platform_standin::{
-    Proxy, Upstream, config, proxy, store,
+    config, proxy, store,
     upstream::{Endless, Mode},
 };
 use rustix::process::Signal;
 
 use crate::{
     Result,
-    environment::{Environment, UPSTREAMS_IN_B},
-    oddities, probe, watcher,
+    environment::{Environment, REPLACED},
+    oddities, probe,
 };
 
 /// Time from the start of one fault to the start of the next, in milliseconds.
@@ -23,18 +22,7 @@
 /// Duration of a fault, in milliseconds.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 300..2_500;
 /// Time within which a daemon must exit after `SIGTERM`.
-const STOP_TIMEOUT: Duration = Duration::from_secs(8);
-/// Time after the last fault after which no effects of faults may remain.
-const RECOVERY_TIME: Duration = Duration::from_secs(8);
-/// Time within which every daemon must apply a new configuration or an upstream's change of state.
-const PROPAGATION_TIMEOUT: Duration = Duration::from_secs(4);
-
-/// Time by which every daemon has heard that an upstream leaves or pauses.
-const WITHDRAWAL_TIMEOUT: Duration = Duration::from_secs(2);
-/// Pause that an upstream asks for.
-const PAUSE: Duration = Duration::from_secs(4);
-/// Requests that a daemon may send to an upstream during its pause.
-const PAUSED_REQUESTS: usize = 2;
+pub(crate) const STOP_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// One in this many faults is accompanied by an evacuation, unless one is in force.
 const EVACUATION_EVERY: u8 = 6;
@@ -48,15 +36,9 @@
 const MISSED_CONFIG_EVERY: u8 = 8;
 /// Time for which they miss it, beyond the time limit for applying it, in milliseconds.
 const MISSED_CONFIG_EXTRA_MS: std::ops::Range<u64> = 200..1_500;
-/// One in this many faults is accompanied by the entry of another writer, and by odd settings.
+/// One in this many faults is accompanied by the entry of another writer, by odd settings, by writes that
+/// the store executes late and twice, by a store that moves, and by a process that takes over an id.
 const ODDITY_EVERY: u8 = 5;
-/// Time within which every daemon must apply an evacuation.
-const EVACUATION_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time for which an evacuated domain must get nothing.
-const EVACUATION_TIME: Duration = Duration::from_secs(2);
-
-/// Maximum resident memory of a daemon, in bytes. Default of its settings.
-const MEMORY_LIMIT_BYTES: u64 = 512 << 20;
 
 /// The part of the system that must be restored when a fault ends.
 enum End {
@@ -86,16 +68,28 @@
     missed_rng: fastrand::Rng,
     /// As `evacuation_rng`, for entries of other writers and odd settings.
     oddity_rng: fastrand::Rng,
+    /// As `evacuation_rng`, for late writes, stores that move and ids that are taken over.
+    change_rng: fastrand::Rng,
     ends: Vec<(Instant, End)>,
 }
 
 impl<'a> Faults<'a> {
     pub(crate) fn new(env: &'a Environment, seed: u64) -> Self {
         let oddity_seed = seed.rotate_left(16);
-        let seeds = [seed, !seed, seed.rotate_left(32), !seed.rotate_left(32), oddity_seed];
-        let [rng, evacuation_rng, denial_rng, missed_rng, oddity_rng] =
-            seeds.map(fastrand::Rng::with_seed);
-        Self { env, rng, evacuation_rng, denial_rng, missed_rng, oddity_rng, ends: Vec::new() }
+        let missed_seed = !seed.rotate_left(32);
+        let [rng, evacuation_rng, denial_rng, missed_rng, oddity_rng, change_rng] =
+            [seed, !seed, seed.rotate_left(32), missed_seed, oddity_seed, !oddity_seed]
+                .map(fastrand::Rng::with_seed);
+        Self {
+            env,
+            rng,
+            evacuation_rng,
+            denial_rng,
+            missed_rng,
+            oddity_rng,
+            change_rng,
+            ends: Vec::new(),
+        }
     }
 
     /// Injects faults for `length`, then ends all faults that are still active.
@@ -107,6 +101,7 @@
             self.begin_denial();
             self.begin_missed_config()?;
             self.begin_oddities()?;
+            self.begin_changes()?;
             let next = Instant::now() + Duration::from_millis(self.rng.u64(FAULT_INTERVAL_MS));
             while Instant::now() < next {
                 self.end_due(false)?;
@@ -134,7 +129,7 @@
                 ("store", Some(End::Store))
             }
             1 => {
-                env.store_links.iter().for_each(|it| it.set_fault(link_fault));
+                env.store_links.borrow().iter().for_each(|it| it.set_fault(link_fault));
                 ("store-link", Some(End::StoreLink))
             }
             2 => {
@@ -239,7 +234,7 @@
         let (env, rng) = (self.env, &mut self.oddity_rng);
         if rng.u8(..ODDITY_EVERY) == 0 {
             let upstream = rng.usize(..env.upstreams.len());
-            let form = rng.u8(..config::ODD_FORMS);
+            let form = rng.usize(..config::ODD_FORMS);
             env.write_entry(upstream, &config::odd_entry(&env.entry(upstream, "ready"), form));
             env.context.ledger.record_fault("odd-entry");
             let duration = Duration::from_millis(rng.u64(FAULT_DURATION_MS));
@@ -254,6 +249,34 @@
         Ok(())
     }
 
+    fn begin_changes(&mut self) -> Result<()> {
+        let (env, rng) = (self.env, &mut self.change_rng);
+        if rng.u8(..ODDITY_EVERY) == 0 {
+            let upstream = rng.usize(..env.upstreams.len());
+            let late = env.entry(upstream, if rng.bool() { "ready" } else { "draining" });
+            env.register(upstream, if rng.bool() { "ready" } else { "draining" });
+            env.write_entry(upstream, &late);
+            env.write_entry(upstream, &late);
+            env.context.ledger.record_fault("late-writes");
+            let duration = Duration::from_millis(rng.u64(FAULT_DURATION_MS));
+            self.ends.push((Instant::now() + duration, End::Registration(upstream)));
+        }
+        if rng.u8(..ODDITY_EVERY) == 0 {
+            env.move_store(rng.usize(..env.daemons.borrow().len()))?;
+            env.context.ledger.record_fault("moved-store");
+        }
+        if rng.u8(..ODDITY_EVERY) == 0 {
+            env.register_replacement();
+            if rng.bool() {
+                env.upstreams[REPLACED].0.set_mode(Mode::Leaving);
+            }
+            env.context.ledger.record_fault("replacement");
+            let duration = Duration::from_millis(rng.u64(FAULT_DURATION_MS));
+            self.ends.push((Instant::now() + duration, End::Upstream(REPLACED)));
+        }
+        Ok(())
+    }
+
     /// Pauses some daemons and cuts others off from the store, then publishes a configuration that they
     /// miss for longer than the time limit for applying it.
     fn begin_missed_config(&mut self) -> Result<()> {
@@ -261,7 +284,7 @@
             return Ok(());
         }
         let env = self.env;
-        for daemon in 0..env.store_links.len() {
+        for daemon in 0..env.daemons.borrow().len() {
             let extra = Duration::from_millis(self.missed_rng.u64(MISSED_CONFIG_EXTRA_MS));
             let until = Instant::now() + probe::CONFIG_APPLY + extra;
             match self.missed_rng.u8(..3) {
@@ -271,7 +294,7 @@
                     self.ends.push((until, End::Pause(daemon)));
                 }
                 1 => {
-                    env.store_links[daemon].set_fault(proxy::Fault::Silence);
+                    env.store_links.borrow()[daemon].set_fault(proxy::Fault::Silence);
                     env.context.ledger.record_fault("missed-config-cut");
                     self.ends.push((until, End::Isolation(daemon)));
                 }
@@ -306,9 +329,9 @@
         match end {
             End::Store => env.store.set_fault(store::Fault::None),
             End::StoreLink => {
-                env.store_links.iter().for_each(|it| it.set_fault(proxy::Fault::None));
+                env.store_links.borrow().iter().for_each(|it| it.set_fault(proxy::Fault::None));
             }
-            End::Isolation(it) => env.store_links[*it].set_fault(proxy::Fault::None),
+            End::Isolation(it) => env.store_links.borrow()[*it].set_fault(proxy::Fault::None),
             // It may have said that it leaves, so it starts again.
             End::Upstream(it) => {
                 env.upstreams[*it].0.restart();
@@ -336,152 +359,4 @@
         }
         Ok(())
     }
-
-    /// Checks that no daemon's resident memory has exceeded the limit in its settings.
-    fn check_memory(&self) {
-        for (number, it) in self.env.daemons.borrow().iter().enumerate() {
-            let peak = it.peak_bytes().unwrap_or_default();
-            if peak > MEMORY_LIMIT_BYTES {
-                self.env.context.ledger.add_finding(format!("daemon {number} held {peak} bytes"));
-            }
-        }
-    }
-
-    /// Checks that upstreams that say in their answers that they leave or pause are left alone.
-    fn check_withdrawals(&self) {
-        let env = self.env;
-        // While every upstream withdraws, callers are refused.
-        env.context.is_fault_free.store(false, Ordering::Relaxed);
-        let (leaving, pausing) = env.upstreams.split_at(1);
-        let arrivals = |upstreams: &[(Upstream, Proxy)]| -> usize {
-            upstreams.iter().map(|it| it.0.arrivals().len()).sum()
-        };
-        for (it, _) in leaving {
-            it.set_mode(Mode::Leaving);
-        }
-        thread::sleep(WITHDRAWAL_TIMEOUT);
-        for (it, _) in pausing {
-            it.set_mode(Mode::Pause(PAUSE));
-        }
-        thread::sleep(WITHDRAWAL_TIMEOUT);
-        let (at_leaving, at_pausing) = (arrivals(leaving), arrivals(pausing));
-        thread::sleep(PAUSE / 2);
-        if arrivals(leaving) > at_leaving {
-            let finding = "an upstream that said that it leaves got new requests";
-            env.context.ledger.add_finding(finding.to_owned());
-        }
-        let sent = arrivals(pausing) - at_pausing;
-        if sent > PAUSED_REQUESTS * env.daemons.borrow().len() * pausing.len() {
-            let finding = format!("upstreams that asked for a pause got {sent} requests");
-            env.context.ledger.add_finding(finding);
-        }
-        for (number, (upstream, _)) in env.upstreams.iter().enumerate() {
-            upstream.restart();
-            env.register(number, "ready");
-        }
-        thread::sleep(PROPAGATION_TIMEOUT);
-        env.context.is_fault_free.store(true, Ordering::Relaxed);
-    }
-
-    /// Checks that an evacuated failure domain gets neither requests nor health checks once the time
-    /// limit has passed, and that it is used again once it is taken back.
-    fn check_evacuation(&self) {
-        let env = self.env;
-        let received = || -> usize {
-            let upstreams = env.upstreams[UPSTREAMS_IN_B].iter();
-            upstreams.map(|(it, _)| it.arrivals().len() + it.probes()).sum()
-        };
-        env.evacuate();
-        thread::sleep(EVACUATION_TIMEOUT);
-        let before = received();
-        thread::sleep(EVACUATION_TIME);
-        let sent = received() - before;
-        if sent > 0 {
-            let finding = format!("an evacuated failure domain got {sent} requests");
-            env.context.ledger.add_finding(finding);
-        }
-        env.take_back();
-        let before = received();
-        thread::sleep(EVACUATION_TIMEOUT);
-        if received() == before {
-            let finding = "a failure domain that was taken back got no requests";
-            env.context.ledger.add_finding(finding.to_owned());
-        }
-    }
-
-    /// Makes an upstream leave, and checks that an earlier write of it that the store executes late does
-    /// not bring it back.
-    fn check_late_write(&self) {
-        let env = self.env;
-        let late = env.entry(0, "ready");
-        env.register(0, "ready");
-        env.register(0, "draining");
-        thread::sleep(PROPAGATION_TIMEOUT);
-        let before = env.upstreams[0].0.runs();
-        env.write_entry(0, &late);
-        thread::sleep(PROPAGATION_TIMEOUT);
-        if env.upstreams[0].0.runs() != before {
-            let finding = "a late write made a leaving upstream ready again";
-            env.context.ledger.add_finding(finding.to_owned());
-        }
-        env.register(0, "draining");
-    }
-
-    /// Checks that the daemons recover, that they apply a new configuration and an upstream's
-    /// change of state in time, and that planned stops break no request in flight.
-    pub(crate) fn check_recovery(&mut self) -> Result<()> {
-        let env = self.env;
-        let ledger = &env.context.ledger;
-        if !env.wait_ready() {
-            ledger.add_finding("not every daemon became ready again".to_owned());
-        }
-        thread::sleep(RECOVERY_TIME);
-        env.context.is_fault_free.store(true, Ordering::Relaxed);
-        env.publish();
-        thread::sleep(PROPAGATION_TIMEOUT);
-        for (number, it) in env.daemons.borrow().iter().enumerate() {
-            let path = env.newest_path();
-            if !watcher::serves(it.caller_address, &path, "GET-check", PROPAGATION_TIMEOUT)
-                .unwrap_or(false)
-            {
-                ledger.add_finding(format!(
-                    "daemon {number} does not serve the newest configuration"
-                ));
-            }
-        }
-        oddities::check_directory(env);
-        self.check_memory();
-        self.check_withdrawals();
-        self.check_evacuation();
-        self.check_late_write();
-        let before = env.upstreams[0].0.runs();
-        let count = env.daemons.borrow().len();
-        for number in 0..count {
-            let mut daemons = env.daemons.borrow_mut();
-            daemons[number].signal(Signal::TERM)?;
-            if !daemons[number].wait(STOP_TIMEOUT)? {
-                ledger.add_finding(format!(
-                    "daemon {number} did not end within the time limit of a planned stop"
-                ));
-            }
-            // The simulated callers don't query the directory, so their connections may be refused
-            // until the daemon runs again.
-            env.context.is_fault_free.store(false, Ordering::Relaxed);
-            daemons[number].start()?;
-            drop(daemons);
-            if !env.wait_ready() {
-                ledger.add_finding(format!(
-                    "daemon {number} did not become ready after a planned stop"
-                ));
-            }
-            env.context.is_fault_free.store(true, Ordering::Relaxed);
-        }
-        if env.upstreams[0].0.runs() != before {
-            ledger.add_finding("a leaving upstream got new requests".to_owned());
-        }
-        if env.context.fault_free_requests.load(Ordering::Relaxed) == 0 {
-            ledger.add_finding("no request was sent in the calm time".to_owned());
-        }
-        Ok(())
-    }
 }
--- a/crates/soak/src/form.rs
+++ b/crates/soak/src/form.rs
@@ -6,6 +6,8 @@
 const MANY_HEADERS: std::ops::RangeInclusive<usize> = 96..=190;
 /// Maximum number of bytes by which [`Form::LargeHead`] stays below the configured limit.
 const MAX_HEAD_MARGIN_BYTES: usize = 64;
+/// Bytes of the first line beside a path of [`Form::LongPath`], at most.
+const LONG_LINE_REST_BYTES: usize = 64;
 /// Number of leading zeros of a chunk size; with its digits, the size has 16 digits or more.
 const LEADING_ZEROS: std::ops::RangeInclusive<usize> = 15..=40;
 /// Length of a chunk extension, in bytes. Less than the configured limit of a head.
@@ -20,6 +22,8 @@
     ManyHeaders,
     /// A head almost as long as the configuration allows.
     LargeHead,
+    /// A path of many segments, almost as long as the configuration allows a head.
+    LongPath,
     /// A body in chunks whose sizes have leading zeros.
     LeadingZeros,
     /// A body in chunks with extensions.
@@ -47,9 +51,10 @@
 }
 
 impl Form {
-    const ALL: [Self; 14] = [
+    const ALL: [Self; 15] = [
         Self::ManyHeaders,
         Self::LargeHead,
+        Self::LongPath,
         Self::LeadingZeros,
         Self::ChunkExtensions,
         Self::Trailers,
@@ -92,6 +97,11 @@
     let start = if has(Form::EmptyLine) { "\r\n" } else { "" };
     let origin = if has(Form::AbsoluteTarget) { format!("http://{host}") } else { String::new() };
     let fraction = if has(Form::FractionalDeadline) { ".25" } else { "" };
+    let path = if has(Form::LongPath) {
+        long_path(path, rng.usize(..MAX_HEAD_MARGIN_BYTES))
+    } else {
+        path.to_owned()
+    };
     let head =
         config::head(method, &format!("{origin}{path}"), &host, id, &format!("5000{fraction}"));
     let mut out = format!("{start}{head}").into_bytes();
@@ -117,7 +127,9 @@
     }
     if has(Form::LargeHead) {
         out.extend(b"X-Padding: ");
-        let length = config::MAX_HEAD_BYTES - rng.usize(..MAX_HEAD_MARGIN_BYTES);
+        // A long first line does not count.
+        let first_line = if has(Form::LongPath) { path.len() } else { 0 };
+        let length = first_line + config::MAX_HEAD_BYTES - rng.usize(..MAX_HEAD_MARGIN_BYTES);
         out.resize(length - "\r\n\r\n".len(), b'x');
         out.extend(b"\r\n");
     }
@@ -126,6 +138,12 @@
     out
 }
 
+/// Extends a path by segments until its request's first line is `margin` bytes below the limit, or less.
+pub(crate) fn long_path(path: &str, margin: usize) -> String {
+    let length = config::MAX_HEAD_BYTES - LONG_LINE_REST_BYTES - margin;
+    format!("{path}{}", "/a".repeat((length - path.len()) / 2))
+}
+
 fn body(forms: &[Form], rng: &mut fastrand::Rng) -> Vec<u8> {
     let has = |it| forms.contains(&it);
     let text = "a body of 23 characters";
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -9,7 +9,7 @@
 
 use platform_standin::Upstream;
 
-use crate::{form::Form, probe::Need, retry_budget};
+use crate::{form::Form, probe::Need, retry_budget, stop_caller::UPLOAD_BYTES};
 
 /// Maximum number of findings in a report. Further ones are usually repetitions.
 const MAX_FINDINGS: usize = 500;
@@ -56,6 +56,7 @@
     report: Mutex<Report>,
     not_run: Mutex<Vec<String>>,
     broken: Mutex<Vec<String>>,
+    uploads: Mutex<Vec<String>>,
     denials: Mutex<Vec<(String, Denial)>>,
     sent: Mutex<Vec<Instant>>,
 }
@@ -83,6 +84,16 @@
         self.broken.lock().unwrap_or_else(PoisonError::into_inner).push(id.to_owned());
     }
 
+    /// Records an upload that was read late, sent to its end and answered with a success, which may have
+    /// come before it was read.
+    pub(crate) fn record_upload(&self, id: &str, is_early: bool) {
+        let form = if is_early { "EarlyAnswer" } else { "LateRead" };
+        self.with(|it| *it.forms.entry(form.to_owned()).or_default() += 1);
+        if is_early {
+            self.uploads.lock().unwrap_or_else(PoisonError::into_inner).push(id.to_owned());
+        }
+    }
+
     /// Records a success.
     pub(crate) fn record_served(&self, forms: &[Form]) {
         self.with(|it| {
@@ -141,6 +152,12 @@
                 self.add_finding(format!("{id} was passed on and cut off in a calm time"));
             }
         }
+        let received: BTreeSet<_> = upstreams.iter().flat_map(|it| it.uploads()).collect();
+        for id in self.uploads.lock().unwrap_or_else(PoisonError::into_inner).iter() {
+            if !received.contains(&(id.clone(), UPLOAD_BYTES)) {
+                self.add_finding(format!("{id} got a success and its upstream not its whole body"));
+            }
+        }
         let denials = self.unsigned_denials(upstreams);
         self.with(|it| {
             // First, so that the limit on findings does not hide them.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,7 +4,9 @@
 //! Faults overlap. Loopback proxies delay, close or drop the traffic to the store and the
 //! upstreams. Signals kill, stop, pause and reload daemons. Daemons that are paused or cut off from
 //! the store miss new configurations. The store refuses requests, sends garbage or drops entries.
-//! Upstreams refuse requests, deny them, send garbage or leave. New configurations are published.
+//! Upstreams refuse requests, deny them, send garbage or leave, and other processes take over their
+//! ids. Other writers write odd entries. The store moves, and executes writes late and twice. New
+//! configurations are published.
 //! Callers keep their connections until these break, and send requests of unusual forms. The soak
 //! checks what callers and upstreams see: each answer belongs to its request, no order runs twice,
 //! an order answered as "not run" has not run, a proper request gets no 3xx or 4xx of a daemon, no
@@ -28,6 +30,7 @@
 mod options;
 mod probe;
 mod publications;
+mod recovery;
 pub mod retry_budget;
 mod stop_caller;
 mod stops;
@@ -66,6 +69,6 @@
     }
     let mut faults = faults::Faults::new(&env, options.seed);
     faults.run(options.length)?;
-    faults.check_recovery()?;
+    recovery::check(&env)?;
     Ok(env.finish())
 }
--- a/crates/soak/src/stop_caller.rs
+++ b/crates/soak/src/stop_caller.rs
@@ -38,6 +38,8 @@
 const PART_PAUSE_MS: std::ops::Range<u64> = 100..2_500;
 /// Bytes of a body that is sent in two parts.
 const BODY_BYTES: usize = 64 << 10;
+/// Bytes of an upload that its upstream reads late: more than the buffers of the sockets hold.
+pub(crate) const UPLOAD_BYTES: usize = 6 << 20;
 /// Bytes of an answer that is read slowly: more than the buffers of the sockets hold.
 const LARGE_BYTES: u64 = 8 << 20;
 /// Time since the signal after which a request has come late, and until which connections are accepted.
@@ -66,12 +68,14 @@
     Old,
     /// A large answer, read slowly.
     SlowReader,
+    /// An upload that its upstream reads late, after the answer in half of the cases.
+    LateRead,
     /// Orders on new connections, to daemons that have been stopping for so long that no rule excuses
     /// one that is broken off. Each takes almost as long as it may.
     Late,
 }
 
-const MANNERS: [Manner; 8] = [
+const MANNERS: [Manner; 9] = [
     Manner::Late,
     Manner::Sequential,
     Manner::Pipelined,
@@ -80,6 +84,7 @@
     Manner::SlowHead,
     Manner::Old,
     Manner::SlowReader,
+    Manner::LateRead,
 ];
 
 struct Caller<'a> {
@@ -107,6 +112,7 @@
             match manner {
                 Manner::Pipelined => caller.pipeline(&mut it),
                 Manner::SlowReader => caller.read_slowly(&mut it),
+                Manner::LateRead => caller.upload(&mut it),
                 _ => {
                     let is_open = caller.exchange(&mut it, manner);
                     let is_kept = is_open && !matches!(manner, Manner::Fresh | Manner::Old);
@@ -234,6 +240,22 @@
         });
     }
 
+    /// Sends an upload that its upstream reads after some time. If it answers before that, a success
+    /// promises that it gets the whole upload.
+    fn upload(&mut self, connection: &mut Connection) {
+        let (id, sent) = (self.next_id("POST"), Instant::now());
+        let (pause, is_early) = (self.work_ms(), self.rng.bool());
+        let target = format!("/order/1?read_after_ms={pause}&is_early={}", u8::from(is_early));
+        let text = config::with_length(&self.request("POST", &target, &id, true), UPLOAD_BYTES);
+        let bytes = [text.into_bytes(), vec![b'b'; UPLOAD_BYTES]].concat();
+        let written = connection.stream.write_all(&bytes);
+        let answer = connection.read();
+        record(self.context, connection.daemon, &id, sent, &answer);
+        if written.is_ok() && answer.is_ok_and(|it| it.status == 200) {
+            self.context.ledger.record_upload(&id, is_early);
+        }
+    }
+
     /// Requests a large answer and reads it slowly.
     fn read_slowly(&mut self, connection: &mut Connection) {
         let (id, sent) = (self.next_id("GET"), Instant::now());
