soak: fixed ports on addresses of the process, as in the other tests

The soak's daemons took ports that had been found by binding them. The port for peers was looked for on another address than the daemon's, runs beside each other used the same addresses, and a child that another test forks meanwhile keeps such a socket until it executes its program. Which of these it was is not traced; all three are gone.

Change: ports come from the counter that the other tests use, the same for all daemons of a fleet, and addresses from the process id and the daemon's number.

--- a/crates/daemon/tests/changed_settings.rs
+++ b/crates/daemon/tests/changed_settings.rs
@@ -13,7 +13,7 @@
     config::{self, Route},
 };
 use rustix::process::Signal;
-use soak::{Daemon, Options};
+use soak::{Daemon, Options, Ports};
 
 /// Time within which something must happen.
 const TIMEOUT: Duration = Duration::from_secs(20);
@@ -44,8 +44,8 @@
             daemons: 1,
             ..Options::default()
         };
-        let peer_port = soak::shared_port(1).unwrap();
-        let mut daemon = Daemon::new(&options, number, peer_port, store.address).unwrap();
+        let ports = Ports::next();
+        let mut daemon = Daemon::new(&options, number, ports, store.address).unwrap();
         daemon.start().unwrap();
         eventually("the daemon is ready", || daemon.is_ready());
         assert_eq!(status(&daemon, "/old/1"), "200");
--- a/crates/daemon/tests/stop_paths.rs
+++ b/crates/daemon/tests/stop_paths.rs
@@ -18,7 +18,7 @@
     upstream::Mode,
 };
 use rustix::process::Signal;
-use soak::{Daemon, Options};
+use soak::{Daemon, Options, Ports};
 
 /// Time within which the daemon is ready, and after which reads fail.
 const TIMEOUT: Duration = Duration::from_secs(20);
@@ -121,8 +121,8 @@
             grace,
             ..Options::default()
         };
-        let peer_port = soak::shared_port(1).unwrap();
-        let mut daemon = Daemon::new(&options, number, peer_port, store.address).unwrap();
+        let ports = Ports::next();
+        let mut daemon = Daemon::new(&options, number, ports, store.address).unwrap();
         let text = settings(&std::fs::read_to_string(&path).unwrap(), &store.address.to_string());
         std::fs::write(&path, text).unwrap();
         daemon.start().unwrap();
--- a/crates/soak/src/daemon.rs
+++ b/crates/soak/src/daemon.rs
@@ -3,7 +3,7 @@
 use std::{
     fs::{self, File, OpenOptions},
     io::{self, Read, Write},
-    net::{IpAddr, SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpStream},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
@@ -13,12 +13,31 @@
     time::{Duration, Instant},
 };
 
-use platform_standin::config;
+use platform_standin::{config, loopback};
 use rustix::process::{Pid, Signal, kill_process};
 
 /// Time-out of the readiness check.
 const READY_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Ports of the daemons of a fleet: all use the same, each on an IP address of its own.
+#[derive(Clone, Copy, Debug)]
+pub struct Ports {
+    caller: u16,
+    ready: u16,
+    directory: u16,
+    metrics: u16,
+    peer: u16,
+}
+
+impl Ports {
+    /// Returns ports that no other fleet of this process uses.
+    #[must_use]
+    pub fn next() -> Self {
+        let [caller, ready, directory, metrics, peer] = [(); 5].map(|()| loopback::port());
+        Self { caller, ready, directory, metrics, peer }
+    }
+}
+
 /// A daemon's process and settings.
 ///
 /// Its process is killed when this is dropped.
@@ -40,17 +59,18 @@
     ///
     /// # Errors
     ///
-    /// Fails if a file can't be written or there is no free port.
+    /// Fails if a file can't be written.
     pub fn new(
         options: &crate::Options,
         number: u8,
-        peer_port: u16,
+        ports: Ports,
         store: SocketAddr,
     ) -> io::Result<Self> {
-        let ip = host(number);
-        let [caller_address, ready_address, directory_address, metrics_address] =
-            free_addresses(SocketAddr::new(ip, peer_port))?;
-        let peer = |it: u8| SocketAddr::new(host(it), peer_port).to_string();
+        let address = |port| SocketAddr::from((loopback::fleet_ip(number), port));
+        let (caller_address, ready_address) = (address(ports.caller), address(ports.ready));
+        let (directory_address, metrics_address) =
+            (address(ports.directory), address(ports.metrics));
+        let peer = |it| SocketAddr::from((loopback::fleet_ip(it), ports.peer)).to_string();
         let seeds: Vec<_> = (0..options.daemons).filter(|it| *it != number).map(peer).collect();
         let settings = options.folder.join(format!("daemon-{number}.ini"));
         let domain = if number == 1 { "b" } else { "a" };
@@ -208,34 +228,3 @@
     lines.push(&line);
     lines.join("\n") + "\n"
 }
-
-/// Returns a port that is free on the loopback addresses of all daemons.
-///
-/// # Errors
-///
-/// Fails if no socket can be bound.
-pub fn shared_port(daemons: u8) -> io::Result<u16> {
-    loop {
-        let port = TcpListener::bind((host(0), 0))?.local_addr()?.port();
-        if (0..daemons).all(|it| TcpListener::bind((host(it), port)).is_ok()) {
-            return Ok(port);
-        }
-    }
-}
-
-fn host(number: u8) -> IpAddr {
-    [127, 0, 1, number + 1].into()
-}
-
-/// Returns free addresses on the IP address of `peer`, other than `peer`. All are bound at once, as
-/// the same port could be returned twice otherwise.
-fn free_addresses(peer: SocketAddr) -> io::Result<[SocketAddr; 4]> {
-    let _peer = TcpListener::bind(peer)?;
-    let bind = || TcpListener::bind((peer.ip(), 0));
-    let listeners = [bind()?, bind()?, bind()?, bind()?];
-    let mut res = [peer; 4];
-    for (address, it) in res.iter_mut().zip(&listeners) {
-        *address = it.local_addr()?;
-    }
-    Ok(res)
-}
--- a/crates/soak/src/environment.rs
+++ b/crates/soak/src/environment.rs
@@ -22,7 +22,7 @@
 use crate::{
     Error, Options, Report, Result,
     caller::{self, Context},
-    daemon::{self, Daemon},
+    daemon::{self, Daemon, Ports},
     ledger::Ledger,
     probe,
     publications::Publications,
@@ -79,10 +79,10 @@
             let proxy = Proxy::start(upstream.address);
             upstreams.push((upstream, proxy));
         }
-        let peer_port = daemon::shared_port(options.daemons)?;
+        let ports = Ports::next();
         let mut daemons = Vec::new();
         for (number, link) in (0..options.daemons).zip(&store_links) {
-            let mut daemon = Daemon::new(options, number, peer_port, link.address)?;
+            let mut daemon = Daemon::new(options, number, ports, link.address)?;
             daemon.start()?;
             daemons.push(daemon);
         }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -36,7 +36,7 @@
 mod stops;
 mod watcher;
 
-pub use daemon::{Daemon, shared_port};
+pub use daemon::{Daemon, Ports};
 pub use ledger::Report;
 pub use options::Options;
 
