tests: one registration for the tests of the registry

registry_emulation built the same registration as registry_fold and registry_eras. All three use one module now; no assertion changed. withdrawals builds one too, with its own constant, and stays as it is.

--- a/crates/gateway/tests/registry_emulation.rs
+++ b/crates/gateway/tests/registry_emulation.rs
@@ -2,12 +2,15 @@
 //! other, without network and at random: no daemon takes an upstream for ready that has said, in a
 //! later write, that it leaves, and in the end all know what each upstream wrote last.
 
+mod registration;
+
 use std::{
     collections::BTreeMap,
     time::{Duration, Instant},
 };
 
 use gateway::registry::{Change, Fold, Registration, Removal, Revision, State, UpstreamId};
+use registration::upstream;
 
 const SEEDS: u64 = 2_000;
 const STEPS: usize = 300;
@@ -66,21 +69,10 @@
 
 impl Emulation {
     fn new(seed: u64) -> Self {
-        let upstream = |number| Registration {
-            id: format!("u{number}").into(),
-            born_ms: 1,
-            seq: 1,
-            service: "stock".into(),
-            address: ([10, 0, 0, 1], 80).into(),
-            domain: "a".into(),
-            slots: 4,
-            state: State::Ready,
-            cold_for: Duration::ZERO,
-        };
         let mut res = Self {
             rng: fastrand::Rng::with_seed(seed),
             now: Instant::now(),
-            upstreams: (0..UPSTREAMS).map(upstream).collect(),
+            upstreams: (0..UPSTREAMS).map(|it| upstream(&format!("u{it}"), 1)).collect(),
             left: vec![false; UPSTREAMS],
             late: Vec::new(),
             log: Vec::new(),
--- a/crates/gateway/tests/registry_eras.rs
+++ b/crates/gateway/tests/registry_eras.rs
@@ -1,28 +1,14 @@
 //! The registry when the store comes back from an older copy. No network is used.
 
-use std::{
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+mod registration;
+
+use std::time::{Duration, Instant};
 
 use gateway::registry::{Change, Fold, REWRITE_TIME, Registration, Removal, Revision, State};
+use registration::upstream;
 
 const GRACE: Duration = Duration::from_secs(2);
 
-fn upstream(id: &str, born_ms: u64) -> Registration {
-    Registration {
-        id: id.into(),
-        born_ms,
-        seq: 1,
-        service: "stock".into(),
-        address: SocketAddr::from(([10, 0, 0, 1], 80)),
-        domain: "a".into(),
-        slots: 4,
-        state: State::Ready,
-        cold_for: Duration::ZERO,
-    }
-}
-
 fn removed(id: &str) -> Change {
     Change::Removed(Removal { id: id.into(), revision: Revision { born_ms: 1, seq: 1 } })
 }
--- a/crates/gateway/tests/registry_fold.rs
+++ b/crates/gateway/tests/registry_fold.rs
@@ -1,25 +1,14 @@
 //! The set of usable upstreams follows the records, also through store outages.
 
+mod registration;
+
 use std::time::{Duration, Instant};
 
 use gateway::registry::{Change, Fold, Registration, Removal, Revision, State};
+use registration::upstream;
 
 const GRACE: Duration = Duration::from_secs(2);
 
-fn upstream(id: &str, born_ms: u64) -> Registration {
-    Registration {
-        id: id.into(),
-        born_ms,
-        seq: 1,
-        service: "stock".into(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        domain: "a".into(),
-        slots: 4,
-        state: State::Ready,
-        cold_for: Duration::ZERO,
-    }
-}
-
 fn put(id: &str, born_ms: u64) -> Change {
     Change::Put(upstream(id, born_ms))
 }
