soak: one place for the time at which a fault ends

The draws are the same and in the same order, so schedules stay on their seeds. A paragraph of the crate's page is wrapped again.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -199,8 +199,7 @@
         };
         env.context.ledger.record_fault(kind);
         if let Some(it) = end {
-            let duration = Duration::from_millis(self.rng.u64(FAULT_DURATION_MS));
-            self.ends.push((Instant::now() + duration, it));
+            self.ends.push((end_time(&mut self.rng), it));
         }
         Ok(())
     }
@@ -212,8 +211,7 @@
         }
         self.env.evacuate();
         self.env.context.ledger.record_fault("evacuation");
-        let duration = Duration::from_millis(self.evacuation_rng.u64(FAULT_DURATION_MS));
-        self.ends.push((Instant::now() + duration, End::Evacuation));
+        self.ends.push((end_time(&mut self.evacuation_rng), End::Evacuation));
     }
 
     fn begin_denial(&mut self) {
@@ -226,8 +224,7 @@
         let is_signed = rng.u8(..SIGNED_DENIAL_EVERY) == 0;
         self.env.upstreams[upstream].0.set_mode(Mode::Deny { status, is_signed });
         self.env.context.ledger.record_fault(if is_signed { "signed-denial" } else { "denial" });
-        let duration = Duration::from_millis(rng.u64(FAULT_DURATION_MS));
-        self.ends.push((Instant::now() + duration, End::Upstream(upstream)));
+        self.ends.push((end_time(rng), End::Upstream(upstream)));
     }
 
     fn begin_oddities(&mut self) -> Result<()> {
@@ -237,8 +234,7 @@
             let form = rng.usize(..config::ODD_FORMS);
             env.write_entry(upstream, &config::odd_entry(&env.entry(upstream, "ready"), form));
             env.context.ledger.record_fault("odd-entry");
-            let duration = Duration::from_millis(rng.u64(FAULT_DURATION_MS));
-            self.ends.push((Instant::now() + duration, End::Registration(upstream)));
+            self.ends.push((end_time(rng), End::Registration(upstream)));
         }
         if rng.u8(..ODDITY_EVERY) == 0 {
             let daemons = env.daemons.borrow();
@@ -258,8 +254,7 @@
             env.write_entry(upstream, &late);
             env.write_entry(upstream, &late);
             env.context.ledger.record_fault("late-writes");
-            let duration = Duration::from_millis(rng.u64(FAULT_DURATION_MS));
-            self.ends.push((Instant::now() + duration, End::Registration(upstream)));
+            self.ends.push((end_time(rng), End::Registration(upstream)));
         }
         if rng.u8(..ODDITY_EVERY) == 0 {
             env.move_store(rng.usize(..env.daemons.borrow().len()))?;
@@ -271,8 +266,7 @@
                 env.upstreams[REPLACED].0.set_mode(Mode::Leaving);
             }
             env.context.ledger.record_fault("replacement");
-            let duration = Duration::from_millis(rng.u64(FAULT_DURATION_MS));
-            self.ends.push((Instant::now() + duration, End::Upstream(REPLACED)));
+            self.ends.push((end_time(rng), End::Upstream(REPLACED)));
         }
         Ok(())
     }
@@ -360,3 +354,8 @@
         Ok(())
     }
 }
+
+/// Time at which a fault that begins now ends.
+fn end_time(rng: &mut fastrand::Rng) -> Instant {
+    Instant::now() + Duration::from_millis(rng.u64(FAULT_DURATION_MS))
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,13 +6,12 @@
 //! the store miss new configurations. The store refuses requests, sends garbage or drops entries.
 //! Upstreams refuse requests, deny them, send garbage or leave, and other processes take over their
 //! ids. Other writers write odd entries. The store moves, and executes writes late and twice. New
-//! configurations are published.
-//! Callers keep their connections until these break, and send requests of unusual forms. The soak
-//! checks what callers and upstreams see: each answer belongs to its request, no order runs twice,
-//! an order answered as "not run" has not run, a proper request gets no 3xx or 4xx of a daemon, no
-//! daemon returns to an older configuration, no daemon with an outdated one denies what the newest
-//! allows, and repeated attempts stay within the retry budget. After the last fault it checks
-//! recovery and planned stops.
+//! configurations are published. Callers keep their connections until these break, and send requests
+//! of unusual forms. The soak checks what callers and upstreams see: each answer belongs to its
+//! request, no order runs twice, an order answered as "not run" has not run, a proper request gets no
+//! 3xx or 4xx of a daemon, no daemon returns to an older configuration, no daemon with an outdated one
+//! denies what the newest allows, and repeated attempts stay within the retry budget. After the last
+//! fault it checks recovery and planned stops.
 //!
 //! With [`Options::only_stops`], the daemons are only stopped and started again as planned, several
 //! at a time, beside reloads and new configurations. Then nothing excuses a request that reached an
