stand-ins: one upstream that answers early or reads late

The checks are as strict: 200 and the whole upload, now with its id and once. Upstream keeps its connection open behind the upload, where EarlyAnswer closed it, and reads nothing before its answer, where EarlyAnswer read 64 KiB.

--- a/crates/daemon/tests/stop_paths.rs
+++ b/crates/daemon/tests/stop_paths.rs
@@ -13,7 +13,6 @@
 use platform_standin::{
     Store, Upstream,
     config::{self, Route},
-    raw::{self, EarlyAnswer},
     template,
     upstream::Mode,
 };
@@ -28,10 +27,9 @@
 const ROUTE_TIMEOUT_MS: u32 = 3_000;
 /// Time after the signal from which no rule excuses a request that is cut off.
 const LATE: Duration = Duration::from_millis(3_100);
-/// Size of an upload, more than the sockets' buffers hold; of what is read of it before the answer; and
-/// time from the answer to the rest, longer than the callers' port stays open in a stop.
-const UPLOAD_BYTES: u64 = 16 << 20;
-const FIRST_BYTES: u64 = 64 << 10;
+/// Size of an upload, more than the sockets' buffers hold; and time from the answer until it is read, longer
+/// than the callers' port stays open in a stop.
+const UPLOAD_BYTES: usize = 16 << 20;
 const READ_PAUSE: Duration = Duration::from_millis(4_200);
 /// Timeout of its route and its deadline, in milliseconds.
 const UPLOAD_LIMIT_MS: u128 = 9_000;
@@ -379,24 +377,21 @@
 #[test]
 fn answered_upload() {
     let setup = Setup::start();
-    let upstream = EarlyAnswer::new(UPLOAD_BYTES, FIRST_BYTES, READ_PAUSE);
-    setup.store.put(config::UPSTREAMS, "early", &raw::entry(upstream.start()));
-    for it in &setup.upstreams {
-        setup.store.remove(config::UPSTREAMS, &it.id);
-    }
+    let upstreams = setup.upstreams.clone();
     let route = Route { name: "order", prefix: "/order/", is_idempotent: false };
     let text = config::text(2, &[route]).replace("1000000", &UPLOAD_BYTES.to_string());
     let text = config::with_timeout(&text, UPLOAD_LIMIT_MS);
     setup.store.put(config::TOPIC, config::KEY, &text);
     thread::sleep(GRACE / 2);
-    let bytes = usize::try_from(UPLOAD_BYTES).unwrap();
-    let head = config::with_length(&config::request("POST", "/order/1", "order-1", true), bytes);
-    let head = config::with_deadline(&head, UPLOAD_LIMIT_MS);
+    let target = format!("/order/1?read_after_ms={}&is_early=1", READ_PAUSE.as_millis());
+    let head = config::request("POST", &target, "order-1", true);
+    let head = config::with_deadline(&config::with_length(&head, UPLOAD_BYTES), UPLOAD_LIMIT_MS);
     let mut stream = setup.connect();
     stream.write_all(head.as_bytes()).unwrap();
-    stream.write_all(&vec![b'c'; bytes]).unwrap();
+    stream.write_all(&vec![b'c'; UPLOAD_BYTES]).unwrap();
     assert_eq!(read_status(&mut stream), 200);
     setup.terminate();
     setup.finish();
-    assert_eq!(upstream.received(), UPLOAD_BYTES);
+    let uploads: Vec<_> = upstreams.iter().flat_map(Upstream::uploads).collect();
+    assert_eq!(uploads, [("order-1".to_owned(), UPLOAD_BYTES)]);
 }
